--- /dev/null
+++ b/backendd/main.go
@@ -0,0 +1,4 @@
+// Command backendd is part of bramleystand.
+package main
+
+func main() {}
--- /dev/null
+++ b/bramleyctl/main.go
@@ -0,0 +1,4 @@
+// Command bramleyctl is part of bramleystand.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is part of bramleystand.
+package main
+
+func main() {}
--- /dev/null
+++ b/platformd/main.go
@@ -0,0 +1,4 @@
+// Command platformd is part of bramleystand.
+package main
+
+func main() {}
--- /dev/null
+++ b/replay/main.go
@@ -0,0 +1,4 @@
+// Command replay is part of bramleystand.
+package main
+
+func main() {}
