--- /dev/null
+++ b/entry/internal/caller/handler_test.go
@@ -0,0 +1,160 @@
+package caller_test
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/rank"
+	"bramleystand.org/entry/internal/caller"
+	"bramleystand.org/entry/internal/exchange"
+)
+
+// fakeRouter keeps the last request and answers with a function.
+type fakeRouter struct {
+	got    *exchange.Request
+	body   string
+	answer func() *exchange.Response
+}
+
+func (f *fakeRouter) Route(_ context.Context, r *exchange.Request) *exchange.Response {
+	f.got = r
+	f.body = string(r.Prefix)
+	if r.Rest != nil {
+		rest, _ := io.ReadAll(r.Rest)
+		f.body += string(rest)
+	}
+	return f.answer()
+}
+
+type fakeCatalogue struct{}
+
+func (fakeCatalogue) Shards(service string) (uint32, bool) { return 1024, service == "seat-desk" }
+
+func (fakeCatalogue) Timeout(rank.Rank) time.Duration { return time.Second }
+
+func serve(t *testing.T, f *fakeRouter, bodyLimit int64) *httptest.Server {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New()}
+	h := caller.New(f, fakeCatalogue{}, bodyLimit, caller.NewCounters(new(expvar.Map).Init()), logger)
+	s := httptest.NewServer(h.Filter(http.NotFoundHandler()))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func ok() *exchange.Response { return exchange.Text(outcome.Ran, http.StatusOK, "answer") }
+
+// Guards against bad input reaching a backend server or getting an unclear answer.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name, method, path string
+		header             map[string]string
+		body               string
+		status             int
+		reason             string
+	}{
+		{"unknown service", "GET", "/v1/keys/nothing/k", nil, "", 404, `service "nothing" is unknown`},
+		{"no key", "GET", "/v1/keys/seat-desk/", nil, "", 400, "key has 0 bytes"},
+		{"long key", "GET", "/v1/keys/seat-desk/" + strings.Repeat("k", 1025), nil, "", 400, "allowed are 1 to 1024"},
+		{"bad rank", "POST", "/v1/keys/seat-desk/k", map[string]string{"Bramley-Rank": "bulk"}, "", 400, "bulk"},
+		{"no rank", "POST", "/v1/keys/seat-desk/k", nil, "", 400, "Bramley-Rank is missing"},
+		{"bad timeout", "GET", "/v1/keys/seat-desk/k", map[string]string{"Bramley-Timeout": "2s"}, "", 400, "Bramley-Timeout"},
+		{"no ticket", "POST", "/v1/keys/seat-desk/k", map[string]string{"Bramley-Rank": "confirmation"}, "", 428, "/v1/tickets/"},
+		{"too large", "PUT", "/v1/keys/seat-desk/k", map[string]string{"Bramley-Rank": "upload"}, "12345678901", 413, "at most 10"},
+		{"ticket by GET", "GET", "/v1/tickets/seat-desk/k", nil, "", 405, "POST"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakeRouter{answer: ok}
+			s := serve(t, f, 10)
+			request, err := http.NewRequestWithContext(t.Context(), c.method, s.URL+c.path, strings.NewReader(c.body))
+			must.NoError(t, err)
+			for k, v := range c.header {
+				request.Header.Set(k, v)
+			}
+			response, err := http.DefaultClient.Do(request)
+			must.NoError(t, err)
+			body, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			must.Eq(t, c.status, response.StatusCode)
+			must.StrContains(t, strings.ReplaceAll(string(body), `\"`, `"`), c.reason)
+			must.Eq(t, "not-run", response.Header.Get("Bramley-Outcome"))
+			must.Nil(t, f.got)
+		})
+	}
+}
+
+// Guards against keys, bodies or headers being changed on the way.
+func TestPassesRequest(t *testing.T) {
+	f := &fakeRouter{answer: ok}
+	s := serve(t, f, 1<<20)
+	sent := strings.Repeat("x", exchange.PrefixBytes+5)
+	request, err := http.NewRequestWithContext(t.Context(), "PUT", s.URL+"/v1/keys/seat-desk/a//b%2Fc?q=1", strings.NewReader(sent))
+	must.NoError(t, err)
+	request.Header.Set("Bramley-Rank", "upload")
+	request.Header.Set("Bramley-Fence", "9")
+	request.Header.Set("X-Own", "1")
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	_ = response.Body.Close()
+	must.Eq(t, "answer", string(body))
+	must.Eq(t, "ran", response.Header.Get("Bramley-Outcome"))
+	must.Eq(t, "a//b/c", f.got.Key)
+	must.Eq(t, "q=1", f.got.Query)
+	must.Eq(t, sent, f.body)
+	must.Eq(t, "", f.got.Header.Get("Bramley-Fence"))
+	must.Eq(t, "1", f.got.Header.Get("X-Own"))
+}
+
+type brokenBody struct{ sent bool }
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	if b.sent {
+		return 0, io.ErrUnexpectedEOF
+	}
+	b.sent = true
+	return copy(p, "half"), nil
+}
+
+func (*brokenBody) Close() error { return nil }
+
+// Guards against a truncated answer looking whole to its caller.
+func TestTruncatedAnswer(t *testing.T) {
+	f := &fakeRouter{answer: func() *exchange.Response {
+		return &exchange.Response{Outcome: outcome.Ran, Status: 200, Body: &brokenBody{}}
+	}}
+	s := serve(t, f, 10)
+	response, err := http.Get(s.URL + "/v1/keys/seat-desk/k")
+	if err != nil {
+		return
+	}
+	_, err = io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	must.Error(t, err)
+}
+
+// Guards against the balancer sending callers to a process that stops.
+func TestHealth(t *testing.T) {
+	logger := &log.Logger{Handler: discard.New()}
+	h := caller.New(nil, fakeCatalogue{}, 1, nil, logger)
+	get := func() int {
+		w := httptest.NewRecorder()
+		h.Filter(nil).ServeHTTP(w, httptest.NewRequest("GET", "/healthz", nil))
+		return w.Code
+	}
+	must.Eq(t, 200, get())
+	h.Stop()
+	must.Eq(t, 503, get())
+}
