Add backendd, the stand-in of a backend server

Cause: tests, experiments and the demo need backend servers with the faults that the design names. Change: backendd with grants, slots, drain, cold start, execution records and faults that are switched while it runs. Grants name the server's incarnation, because `until` in the clock of one process means nothing to its successor at the same address. A fenced server checks at the end of an execution that it still owns the shard, which covers a freeze in the middle of a request. Ruled out: switching freezes at the connection, which would also stop the requests that end the freeze. Tested: go test -race -count=20 of the module passes; one request by hand.

--- /dev/null
+++ b/backendd/internal/server/grant.go
@@ -0,0 +1,68 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bramleystand.org/backendd/internal/gate"
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/shard"
+)
+
+// grantJSON is the body of a grant.
+type grantJSON struct {
+	Incarnation int64         `json:"incarnation"`
+	Fence       fence.Fence   `json:"fence"`
+	Revision    uint32        `json:"revision"`
+	Shards      []shard.Shard `json:"shards"`
+	Until       int64         `json:"until"`
+}
+
+// largestGrant bounds the body of a grant: 64 K shards of up to 6 bytes each.
+const largestGrant = 512 << 10
+
+var errUnfenced = errors.New("server: not fenced")
+
+// grant accepts or refuses a grant.
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	s.grants.Add(1)
+	var n grantJSON
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, largestGrant)).Decode(&n)
+	if err != nil {
+		err = fmt.Errorf("server: grant: %w", err)
+	}
+	if err == nil && !s.config.Fenced {
+		err = errUnfenced
+	}
+	if err == nil {
+		err = s.gate.Accept(gate.Grant{
+			Incarnation: n.Incarnation,
+			Fence:       n.Fence,
+			Revision:    n.Revision,
+			Shards:      n.Shards,
+			Until:       time.Duration(n.Until),
+		}, s.clock.Now())
+	}
+	if err != nil {
+		w.Header().Set(outcome.Header, outcome.NotRun.String())
+		s.answer(w, statusOf(err), problem{Server: s.config.Name, Refused: reasonOf(err)})
+		return
+	}
+	s.answer(w, http.StatusOK, s.current())
+}
+
+// current returns the grant in force.
+func (s *Server) current() grantJSON {
+	n := s.gate.Current()
+	return grantJSON{
+		Incarnation: n.Incarnation,
+		Fence:       n.Fence,
+		Revision:    n.Revision,
+		Shards:      n.Shards,
+		Until:       int64(n.Until),
+	}
+}
--- /dev/null
+++ b/backendd/internal/server/header.go
@@ -0,0 +1,14 @@
+package server
+
+// The headers that leaseholders and backend servers exchange.
+const (
+	headerClock       = "Bramley-Clock"
+	headerCrash       = "Bramley-Crash"
+	headerFence       = "Bramley-Fence"
+	headerIncarnation = "Bramley-Incarnation"
+	headerRank        = "Bramley-Rank"
+	headerShard       = "Bramley-Shard"
+	headerStartBefore = "Bramley-Start-Before"
+	headerTicket      = "Bramley-Ticket"
+	headerTimeout     = "Bramley-Timeout"
+)
--- /dev/null
+++ b/backendd/internal/server/server_test.go
@@ -0,0 +1,255 @@
+package server_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/backendd/internal/clock"
+	"bramleystand.org/backendd/internal/fault"
+	"bramleystand.org/backendd/internal/server"
+	"bramleystand.org/backendd/internal/socket"
+	"bramleystand.org/common/rank"
+)
+
+// bench runs a server's handler without a network and, in a synctest bubble, on a controlled clock.
+type bench struct {
+	*server.Server
+	clock   *clock.Clock
+	crashed chan int
+}
+
+func newBench(t *testing.T, change func(*server.Config)) *bench {
+	t.Helper()
+	l, err := socket.Listen(netip.MustParseAddrPort("127.0.0.1:0"), 4, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	c := server.Config{
+		Name: "b1", Slots: 1, Fenced: true, Executions: 100,
+		Means: [rank.Count]time.Duration{time.Second, time.Millisecond, time.Second},
+	}
+	if change != nil {
+		change(&c)
+	}
+	k := clock.New(time.Now())
+	crashed := make(chan int, 1)
+	return &bench{server.New(c, l, fault.New(), k, func(code int) { crashed <- code; panic(http.ErrAbortHandler) }), k, crashed}
+}
+
+// do sends a request with header lines like "Bramley-Fence: 7".
+func (b *bench) do(t *testing.T, method, path, body string, lines ...string) *httptest.ResponseRecorder {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
+	for _, l := range lines {
+		name, value, _ := strings.Cut(l, ": ")
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler {
+			panic(v)
+		}
+	}()
+	b.ServeHTTP(final{w}, r)
+	return w
+}
+
+// final drops interim answers, which a ResponseRecorder takes for the answer.
+type final struct{ *httptest.ResponseRecorder }
+
+func (f final) WriteHeader(code int) {
+	if code >= http.StatusOK {
+		f.ResponseRecorder.WriteHeader(code)
+	}
+}
+
+func (b *bench) grant(t *testing.T, sequence int, ahead time.Duration) {
+	t.Helper()
+	w := b.do(t, "PUT", "/grant", fmt.Sprintf(`{"incarnation":%d,"fence":%d,"revision":1,"shards":[3],"until":%d}`,
+		b.clock.Incarnation(), sequence, b.clock.Now()+ahead))
+	must.Eq(t, 200, w.Code)
+}
+
+func (b *bench) results(t *testing.T) []string {
+	t.Helper()
+	var page struct {
+		Executions []struct{ Result, Reason string }
+	}
+	must.NoError(t, json.Unmarshal(b.do(t, "GET", "/executions", "").Body.Bytes(), &page))
+	var list []string
+	for _, e := range page.Executions {
+		list = append(list, strings.TrimSpace(e.Result+" "+e.Reason))
+	}
+	return list
+}
+
+const (
+	fence = "Bramley-Fence: 7"
+	mine  = "Bramley-Shard: 3"
+)
+
+// Guards against requests that start without the right to, and against refusals that are not marked as not run.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		lines []string
+		want  string
+	}{
+		"other fence":  {[]string{"Bramley-Fence: 6", mine}, "refused other-fence"},
+		"other shard":  {[]string{fence, "Bramley-Shard: 4"}, "refused shard-not-granted"},
+		"start before": {[]string{fence, mine, "Bramley-Start-Before: 1"}, "refused start-before-passed"},
+		"deadline":     {[]string{fence, mine, "Bramley-Timeout: 0"}, "refused deadline-passed"},
+		"bad header":   {[]string{"Bramley-Fence: x"}, `refused server: Bramley-Fence: strconv.ParseUint: parsing "x": invalid syntax`},
+		"bad rank":     {[]string{"Bramley-Rank: bulk"}, `refused server: Bramley-Rank: rank: "bulk" is unknown, allowed are confirmation, lookup and upload`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, nil)
+				b.grant(t, 7, time.Second)
+				w := b.do(t, "GET", "/keys/a", "", c.lines...)
+				must.Eq(t, "not-run", w.Header().Get("Bramley-Outcome"))
+				must.NotEq(t, "", w.Header().Get("Bramley-Clock"))
+				must.Eq(t, []string{c.want}, b.results(t))
+			})
+		})
+	}
+}
+
+// Guards against an answer that does not identify its request, and against a key changed by path cleaning.
+func TestAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, nil)
+		b.grant(t, 7, time.Second)
+		w := b.do(t, "POST", "/keys/a%2Fb//..", "dossier", fence, mine, "Bramley-Ticket: t1")
+		must.Eq(t, 200, w.Code)
+		var got struct {
+			Server, Key, Operation, SHA256 string
+			Length, Execution              int
+		}
+		must.NoError(t, json.Unmarshal(w.Body.Bytes(), &got))
+		sum := sha256.Sum256([]byte("dossier"))
+		must.Eq(t, "b1", got.Server)
+		must.Eq(t, "a/b//..", got.Key)
+		must.Eq(t, "t1", got.Operation)
+		must.Eq(t, hex.EncodeToString(sum[:]), got.SHA256)
+		must.Eq(t, 7, got.Length)
+		must.Eq(t, 1, got.Execution)
+		must.Eq(t, []string{"ran"}, b.results(t))
+	})
+}
+
+// Guards against a frozen server that starts or finishes a request after its grant has passed.
+func TestFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(c *server.Config) { c.Means[rank.Confirmation] = 10 * time.Second })
+		b.grant(t, 7, time.Second)
+		codes := make(chan int, 2)
+		go func() {
+			codes <- b.do(t, "POST", "/keys/a", "", fence, mine, "Bramley-Rank: confirmation").Code
+		}()
+		synctest.Wait()
+		must.Eq(t, 200, b.do(t, "POST", "/faults", `{"freezeMs":2000}`).Code)
+		go func() { codes <- b.do(t, "GET", "/keys/a", "", fence, mine).Code }()
+		must.MapContainsKeys(t, map[int]bool{<-codes: true, <-codes: true}, []int{409, 504})
+		must.SliceContainsAll(t, []string{"refused expired", "aborted expired"}, b.results(t))
+	})
+}
+
+// Guards against a line without bound: one request runs, four wait and the sixth is shed.
+func TestShed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(c *server.Config) { c.Fenced = false })
+		codes := make(chan int, 6)
+		for range 5 {
+			go func() { codes <- b.do(t, "GET", "/keys/a", "", "Bramley-Rank: upload").Code }()
+		}
+		synctest.Wait()
+		w := b.do(t, "GET", "/keys/a", "")
+		must.Eq(t, 503, w.Code)
+		must.Eq(t, "not-run", w.Header().Get("Bramley-Outcome"))
+		must.Eq(t, "1", w.Header().Get("Retry-After"))
+		for range 5 {
+			must.Eq(t, 200, <-codes)
+		}
+	})
+}
+
+// Guards against a drain that drops running requests or accepts new ones.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(c *server.Config) { c.Fenced = false })
+		must.Eq(t, 200, b.do(t, "POST", "/faults", `{"health":{"lagMs":60000,"false":""}}`).Code)
+		code := make(chan int)
+		go func() { code <- b.do(t, "GET", "/keys/a", "", "Bramley-Rank: upload").Code }()
+		synctest.Wait()
+		must.Eq(t, 200, b.do(t, "POST", "/drain", "").Code)
+		must.Eq(t, 503, b.do(t, "GET", "/keys/a", "").Code)
+		must.Eq(t, 200, <-code)
+		must.Eq(t, 200, b.do(t, "GET", "/health", "").Code, must.Sprint("health lags"))
+		b.do(t, "POST", "/faults", `{"health":{"lagMs":0,"false":""},"load":{"lagMs":0,"false":"5"}}`)
+		must.Eq(t, 503, b.do(t, "GET", "/health", "").Code)
+		must.StrContains(t, b.do(t, "GET", "/load", "").Body.String(), `"running":5`)
+	})
+}
+
+// Guards against an execution that goes on after its deadline.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(c *server.Config) { c.Fenced = false; c.Means[rank.Upload] = time.Hour })
+		start := time.Now()
+		w := b.do(t, "GET", "/keys/a", "", "Bramley-Rank: upload", "Bramley-Timeout: 50")
+		must.Eq(t, "unknown", w.Header().Get("Bramley-Outcome"))
+		must.Eq(t, 50*time.Millisecond, time.Since(start))
+		must.Eq(t, []string{"cancelled server: run: context deadline exceeded"}, b.results(t))
+	})
+}
+
+// Guards against a crash header that does nothing, or that works when it is switched off.
+func TestCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(c *server.Config) { c.Fenced = false })
+		b.do(t, "GET", "/keys/a", "", "Bramley-Crash: 1")
+		must.Eq(t, 2, <-b.crashed)
+		b.do(t, "POST", "/faults", `{"crash":false}`)
+		must.Eq(t, 200, b.do(t, "GET", "/keys/a", "", "Bramley-Crash: 1").Code)
+	})
+}
+
+// Guards against faults that are accepted with errors or not shown.
+func TestFaults(t *testing.T) {
+	b := newBench(t, nil)
+	for _, bad := range []string{`{"freeze":1}`, `{"slow":-1}`, `{"freezeMs":-2}`, `{"load":{"false":"x"}}`, `{`} {
+		must.Eq(t, 400, b.do(t, "POST", "/faults", bad).Code)
+	}
+	must.Eq(t, 200, b.do(t, "POST", "/faults", `{"slow":3.5}`).Code)
+	must.StrContains(t, b.do(t, "GET", "/faults", "").Body.String(), `"slow":3.5`)
+	must.StrContains(t, b.do(t, "GET", "/dump", "").Body.String(), `"name":"b1"`)
+}
+
+// Guards against a truncated answer that a caller takes for a whole one.
+func TestTruncated(t *testing.T) {
+	b := newBench(t, func(c *server.Config) { c.Fenced = false })
+	s := httptest.NewServer(b)
+	defer s.Close()
+	b.do(t, "POST", "/faults", `{"truncate":1}`)
+	r, err := http.Get(s.URL + "/keys/a")
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, r.Body)
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	r, err = http.Post(s.URL+"/keys/a", "", bytes.NewReader(make([]byte, 1<<20)))
+	must.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(body), `"length":1048576`)
+}
--- a/backendd/main.go
+++ b/backendd/main.go
@@ -1,4 +1,27 @@
-// Command backendd is part of bramleystand.
+// Command backendd stands in for a backend server that owns keys exclusively.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"bramleystand.org/backendd/internal/process"
+	"bramleystand.org/backendd/internal/settings"
+	"bramleystand.org/common/logging"
+)
+
+func main() {
+	var s settings.Settings
+	kong.Parse(&s, kong.Description("Stands in for a backend server."))
+	logger := logging.New(os.Stdout, "backendd", s.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := process.Run(ctx, s, logger, os.Exit); err != nil {
+		logger.WithError(err).Error("failed")
+		os.Exit(1)
+	}
+}
