common: add strict settings parser and configuration codec

encoding/json accepts repeated and unknown fields, other letter case, null and trailing data. The settings package walks the document along the target type and reports every rejected value at once with field, value and what is allowed. Configuration objects use it through private wire types; validators are separate functions that the decoders call, so an invalid object never reaches a process.

--- /dev/null
+++ b/common/configuration/defaultpresets.go
@@ -0,0 +1,38 @@
+package configuration
+
+import (
+	"time"
+
+	"bramleystand.org/common/rank"
+)
+
+// DefaultPresets returns the presets ordinary, peak and maintenance with ordinary in force.
+func DefaultPresets() Presets {
+	return Presets{
+		Active: "ordinary",
+		All: []Preset{
+			{
+				Name: "ordinary", Drain: 2 * time.Second,
+				Ranks: limits(RankLimit{Floor: 40, Cap: 100, Queue: 200}, RankLimit{Floor: 35, Cap: 100, Queue: 400}, RankLimit{Floor: 10, Cap: 60, Queue: 400}),
+			},
+			// A flood of lookups or uploads leaves more slots to confirmations.
+			{
+				Name: "peak", Drain: time.Second,
+				Ranks: limits(RankLimit{Floor: 50, Cap: 100, Queue: 400}, RankLimit{Floor: 35, Cap: 85, Queue: 400}, RankLimit{Floor: 5, Cap: 25, Queue: 200}),
+			},
+			// Planned moves wait longer, so that uploads finish on the server that is about to leave.
+			{
+				Name: "maintenance", Drain: 10 * time.Second,
+				Ranks: limits(RankLimit{Floor: 40, Cap: 100, Queue: 200}, RankLimit{Floor: 35, Cap: 100, Queue: 400}, RankLimit{Floor: 5, Cap: 35, Queue: 200}),
+			},
+		},
+	}
+}
+
+// limits sets the default timeout of each rank.
+func limits(confirmation, lookup, upload RankLimit) [rank.Count]RankLimit {
+	confirmation.Timeout = 3 * time.Second
+	lookup.Timeout = time.Second
+	upload.Timeout = time.Minute
+	return [rank.Count]RankLimit{confirmation, lookup, upload}
+}
--- /dev/null
+++ b/common/configuration/name.go
@@ -0,0 +1,41 @@
+package configuration
+
+import (
+	"regexp"
+	"strings"
+)
+
+// Names of the platform objects that operators write.
+const (
+	ServicePrefix = "services/"
+	LeavingPrefix = "leaving/"
+	PresetObject  = "preset"
+)
+
+// nameAllowed says in errors what namePattern matches. Names are parts of object
+// names and of pairs such as seat-desk@tvm, so "/" and "@" are excluded.
+const nameAllowed = "1 to 63 lower-case letters, digits, '-' and '.', with a letter or digit first"
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// ServiceObject returns the name of the platform object of a service.
+func ServiceObject(service string) string {
+	return ServicePrefix + service
+}
+
+// LeavingObject returns the name of the platform object that marks a VM as leaving.
+func LeavingObject(vm string) string {
+	return LeavingPrefix + vm
+}
+
+// ServiceOf returns the service whose object has the given name.
+func ServiceOf(object string) (service string, ok bool) {
+	service, ok = strings.CutPrefix(object, ServicePrefix)
+	return service, ok && namePattern.MatchString(service)
+}
+
+// LeavingOf returns the VM whose leaving mark has the given name.
+func LeavingOf(object string) (vm string, ok bool) {
+	vm, ok = strings.CutPrefix(object, LeavingPrefix)
+	return vm, ok && namePattern.MatchString(vm)
+}
--- /dev/null
+++ b/common/configuration/problems.go
@@ -0,0 +1,32 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"bramleystand.org/common/settings"
+)
+
+// problems collects rejected values, so that all are reported at once.
+type problems []error
+
+func (p *problems) reject(field string, value any, allowed string) {
+	*p = append(*p, settings.Reject(field, value, allowed))
+}
+
+func (p *problems) name(field, value string) {
+	if !namePattern.MatchString(value) {
+		p.reject(field, strconv.Quote(value), nameAllowed)
+	}
+}
+
+func (p *problems) between(field string, value, low, high int) {
+	if value < low || value > high {
+		p.reject(field, value, fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (p *problems) join() error {
+	return errors.Join(*p...)
+}
--- /dev/null
+++ b/common/settings/decode.go
@@ -0,0 +1,47 @@
+// Package settings parses JSON that people write: settings files of the programs
+// and configuration objects.
+//
+// The parser is stricter than encoding/json. Unknown, repeated and missing
+// fields, fields in other letter case, null, trailing data and values of a wrong
+// type are errors, and each error names the field, the value and what is allowed.
+// All errors of a document are reported at once. Whether values make sense
+// together is checked by validators of the packages that own the values.
+//
+// # Usage
+//
+//	type wire struct {
+//		Name  string            `json:"name"`
+//		Stop  settings.Duration `json:"stop"`
+//		Seeds []netip.AddrPort  `json:"seeds,omitempty"` // may be left out
+//	}
+//	var w wire
+//	if err := settings.Decode(data, &w); err != nil {
+//		return fmt.Errorf("read settings: %w", err)
+//	}
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"unicode/utf8"
+)
+
+// Decode parses one JSON object into the struct that target points to.
+func Decode(data []byte, target any) error {
+	if !utf8.Valid(data) {
+		return errors.New("settings: the document is not valid UTF-8")
+	}
+	d := decoder{json: json.NewDecoder(bytes.NewReader(data))}
+	d.json.UseNumber()
+	if err := d.value("", reflect.ValueOf(target).Elem()); err != nil {
+		return fmt.Errorf("settings: invalid JSON near byte %d: %w", d.json.InputOffset(), err)
+	}
+	if _, err := d.json.Token(); !errors.Is(err, io.EOF) {
+		d.reject("", "trailing data", "nothing after the object")
+	}
+	return errors.Join(d.problems...)
+}
