--- a/common/configuration/name.go
+++ b/common/configuration/name.go
@@ -12,12 +12,17 @@
 	PresetObject  = "preset"
 )
 
-// nameAllowed says in errors what namePattern matches. Names are parts of object
+// NameRule says in errors which names ValidName accepts. Names are parts of object
 // names and of pairs such as seat-desk@tvm, so "/" and "@" are excluded.
-const nameAllowed = "1 to 63 lower-case letters, digits, '-' and '.', with a letter or digit first"
+const NameRule = "1 to 63 lower-case letters, digits, '-' and '.', with a letter or digit first"
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
+// ValidName reports whether a service, upstream, data centre or VM may have the name.
+func ValidName(name string) bool {
+	return namePattern.MatchString(name)
+}
+
 // ServiceObject returns the name of the platform object of a service.
 func ServiceObject(service string) string {
 	return ServicePrefix + service
@@ -31,11 +36,11 @@
 // ServiceOf returns the service whose object has the given name.
 func ServiceOf(object string) (service string, ok bool) {
 	service, ok = strings.CutPrefix(object, ServicePrefix)
-	return service, ok && namePattern.MatchString(service)
+	return service, ok && ValidName(service)
 }
 
 // LeavingOf returns the VM whose leaving mark has the given name.
 func LeavingOf(object string) (vm string, ok bool) {
 	vm, ok = strings.CutPrefix(object, LeavingPrefix)
-	return vm, ok && namePattern.MatchString(vm)
+	return vm, ok && ValidName(vm)
 }
--- a/common/configuration/problems.go
+++ b/common/configuration/problems.go
@@ -16,8 +16,8 @@
 }
 
 func (p *problems) name(field, value string) {
-	if !namePattern.MatchString(value) {
-		p.reject(field, strconv.Quote(value), nameAllowed)
+	if !ValidName(value) {
+		p.reject(field, strconv.Quote(value), NameRule)
 	}
 }
 
--- /dev/null
+++ b/entry/internal/settings/settings_test.go
@@ -0,0 +1,61 @@
+package settings_test
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/entry/internal/settings"
+)
+
+const valid = `{
+	"name": "tvm-1", "centre": "tvm", "region": "kerala-south",
+	"caller": "127.0.0.1:7001", "peer": "127.0.0.1:7002", "admin": "127.0.0.1:7003",
+	"platform": "127.0.0.1:7100", "seeds": ["127.0.0.1:7002", "127.0.0.1:7012"],
+	"stop": "20s", "body": 67108864
+}`
+
+// Guards against a setting that is read into another field.
+func TestParse(t *testing.T) {
+	s, err := settings.Parse([]byte(valid))
+	must.NoError(t, err)
+	at := netip.MustParseAddrPort
+	must.Eq(t, settings.Settings{
+		Name: "tvm-1", DataCentre: "tvm", Region: "kerala-south",
+		Caller: at("127.0.0.1:7001"), Peer: at("127.0.0.1:7002"), Admin: at("127.0.0.1:7003"), Platform: at("127.0.0.1:7100"),
+		Seeds: []netip.AddrPort{at("127.0.0.1:7002"), at("127.0.0.1:7012")}, Stop: 20 * time.Second, Body: 64 << 20,
+	}, s)
+}
+
+// Guards against a process that starts with settings it cannot work with.
+func TestParseErrors(t *testing.T) {
+	for change, want := range map[string]string{
+		`"tvm-1"=>"TVM 1"`:                                   `name: "TVM 1" is not allowed, allowed: 1 to 63`,
+		`"kerala-south"=>""`:                                 `region: "" is not allowed`,
+		`"127.0.0.1:7003"=>"127.0.0.1:7001"`:                 `admin: 127.0.0.1:7001 is not allowed, allowed: an address other than that of caller`,
+		`"caller": "127.0.0.1:7001"=>"caller":"127.0.0.1:0"`: `caller: 127.0.0.1:0 is not allowed, allowed: an IP address with a port other than 0`,
+		`"peer": "127.0.0.1:7002"=>"peer":"0.0.0.0:7002"`:    `peer: 0.0.0.0:7002 is not allowed, allowed: an address at which`,
+		`"127.0.0.1:7100"=>"platform:80"`:                    `platform: "platform:80" is not allowed, allowed: an IP address with port`,
+		`"127.0.0.1:7012"=>"127.0.0.1:0"`:                    `seeds[1]: 127.0.0.1:0 is not allowed`,
+		`"20s"=>"20ms"`:                                      `stop: 20ms is not allowed, allowed: 1s to 10m0s`,
+		`67108864=>1`:                                        `body: 1 is not allowed, allowed: 1024 to 4294967296 bytes`,
+		`"stop"=>"halt"`:                                     `halt: an unknown field`,
+	} {
+		from, to, _ := strings.Cut(change, "=>")
+		_, err := settings.Parse([]byte(strings.Replace(valid, from, to, 1)))
+		must.ErrorContains(t, err, want, must.Sprint(change))
+	}
+}
+
+// Guards against errors of the parser hiding those of the validator, and against reporting a field twice.
+func TestParseReportsAllOnce(t *testing.T) {
+	text := strings.NewReplacer(`"20s"`, `20`, `67108864`, `1`, `"tvm-1"`, `""`).Replace(valid)
+	_, err := settings.Parse([]byte(text))
+	for _, field := range []string{"stop: ", "body: ", "name: "} {
+		must.ErrorContains(t, err, field)
+		must.Eq(t, 1, strings.Count(err.Error(), field))
+	}
+}
