entry: add directory with digests, members and lock-free lookups

A directory keeps the newest version of configuration objects, succession records, routing tables, members and suspect entries.

Members are not refreshed by heartbeats: 2,100 members refreshed once a second need about 12 KB/s received per node at 6 bytes each, more than the whole budget of 9 KB/s. Instead a member that misses two exchanges in a row with another one reports it as silent, and the reported member contradicts with a higher beat.

--- /dev/null
+++ b/entry/internal/control/tablecodec.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/settings"
+	"bramleystand.org/common/shard"
+)
+
+// TablePrefix begins the names of platform objects that hold routing tables.
+const TablePrefix = "assignments/"
+
+type tableWire struct {
+	Service    string          `json:"service"`
+	Centre     string          `json:"centre"`
+	Term       uint32          `json:"term"`
+	Sequence   uint64          `json:"sequence"`
+	Placements []placementWire `json:"placements"`
+}
+
+type placementWire struct {
+	Upstream    string     `json:"upstream"`
+	Leaseholder memberWire `json:"leaseholder"`
+	Fence       uint64     `json:"fence"`
+	Revision    uint32     `json:"revision"`
+	Shards      []uint32   `json:"shards"`
+}
+
+// DecodeTable parses the platform's JSON form of a routing table.
+func DecodeTable(data []byte) (Table, error) {
+	var w tableWire
+	if err := settings.Decode(data, &w); err != nil {
+		return Table{}, fmt.Errorf("control: table: %w", err)
+	}
+	t := Table{Pair: Pair{Service: w.Service, DataCentre: w.Centre}, Term: w.Term, Sequence: w.Sequence}
+	for _, p := range w.Placements {
+		placement := Placement{
+			Upstream: p.Upstream, Leaseholder: p.Leaseholder.member(),
+			Fence: fence.Fence(p.Fence), Revision: p.Revision,
+		}
+		for _, s := range p.Shards {
+			placement.Shards = append(placement.Shards, shard.Shard(s))
+		}
+		t.Placements = append(t.Placements, placement)
+	}
+	return t, nil
+}
+
+// EncodeTable returns the platform's JSON form of a routing table.
+func EncodeTable(t Table) ([]byte, error) {
+	w := tableWire{
+		Service: t.Pair.Service, Centre: t.Pair.DataCentre,
+		Term: t.Term, Sequence: t.Sequence, Placements: []placementWire{},
+	}
+	for _, p := range t.Placements {
+		placement := placementWire{
+			Upstream: p.Upstream, Leaseholder: wireOf(p.Leaseholder),
+			Fence: uint64(p.Fence), Revision: p.Revision, Shards: []uint32{},
+		}
+		for _, s := range p.Shards {
+			placement.Shards = append(placement.Shards, uint32(s))
+		}
+		w.Placements = append(w.Placements, placement)
+	}
+	return json.Marshal(w)
+}
--- /dev/null
+++ b/entry/internal/directory/directory_test.go
@@ -0,0 +1,262 @@
+package directory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/control"
+	"bramleystand.org/entry/internal/directory"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func member(name string, incarnation int64) control.Member {
+	return control.Member{
+		Name: name, Incarnation: incarnation, DataCentre: name[:3],
+		Address: netip.MustParseAddrPort("127.0.0.1:7002"),
+	}
+}
+
+func newDirectory(name string, incarnation int64) *directory.Directory {
+	return directory.New(start, member(name, incarnation), nil, rand.New(rand.NewPCG(1, 2)))
+}
+
+// exchange runs one exchange without losses and returns its number of round trips.
+func exchange(now time.Time, from, to *directory.Directory) int {
+	message := from.Digest(now)
+	for n := 1; ; n++ {
+		next, more := from.Merge(now, to.Offer(now, message))
+		if !more || n == directory.Rounds {
+			return n
+		}
+		message = next
+	}
+}
+
+func serviceObject(version int64, upstreams int) control.Object {
+	s := configuration.Service{Name: "seat-desk", Shards: 16}
+	for i := range upstreams {
+		s.Upstreams = append(s.Upstreams, configuration.Upstream{
+			Name: fmt.Sprintf("seat-%d", i), DataCentre: []string{"klm", "tvm"}[i%2], Slots: 4, Connections: 110,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+		})
+	}
+	s.Homes = configuration.DefaultHomes(s.Shards, s.Upstreams)
+	value, err := configuration.EncodeService(s)
+	if err != nil {
+		panic(err)
+	}
+	return control.Object{Name: "services/seat-desk", Version: version, Value: value}
+}
+
+func leavingObject(vm string, version int64) control.Object {
+	value, err := configuration.EncodeLeaving(configuration.Leaving{VM: vm, Author: "mika", Since: start})
+	if err != nil {
+		panic(err)
+	}
+	return control.Object{Name: configuration.LeavingObject(vm), Version: version, Value: value}
+}
+
+// Guards against an old watch event or a paused peer bringing back an earlier version or a deleted object.
+func TestVersionsNeverGoBack(t *testing.T) {
+	d := newDirectory("tvm-1", 1)
+	must.True(t, d.PutObject(start, leavingObject("vm-1", 5)))
+	must.False(t, d.PutObject(start, leavingObject("vm-1", 5)))
+	must.True(t, d.PutObject(start, control.Object{Name: "leaving/vm-1", Version: 8, Deleted: true}))
+	paused := newDirectory("tvm-2", 1)
+	paused.PutObject(start, leavingObject("vm-1", 7))
+	exchange(start, d, paused)
+	for _, each := range []*directory.Directory{d, paused} {
+		_, marked := each.Leaving("vm-1")
+		must.False(t, marked)
+		must.Eq(t, 8, each.Versions()["leaving/vm-1"])
+	}
+	table := control.Table{Pair: control.Pair{Service: "a", DataCentre: "tvm"}, Term: 2, Sequence: 1}
+	must.True(t, d.PutTable(start, table))
+	table.Term, table.Sequence = 1, 9
+	must.False(t, d.PutTable(start, table))
+}
+
+// Guards against an invalid or foreign object replacing the one in force.
+func TestInvalidObject(t *testing.T) {
+	d := newDirectory("tvm-1", 1)
+	must.True(t, d.PutObject(start, serviceObject(3, 2)))
+	must.True(t, d.PutObject(start, control.Object{Name: "services/seat-desk", Version: 4, Value: []byte(`{"name":"seat-desk"}`)}))
+	must.Eq(t, 3, d.Versions()["services/seat-desk"])
+	must.ErrorContains(t, d.Problems()["services/seat-desk"], "services/seat-desk version 4")
+	s, ok := d.Service("seat-desk")
+	must.True(t, ok)
+	must.Len(t, 2, s.Upstreams)
+	other := serviceObject(5, 2)
+	other.Name = "services/log-store"
+	d.PutObject(start, other)
+	must.ErrorContains(t, d.Problems()["services/log-store"], `holds service "seat-desk"`)
+	d.PutObject(start, serviceObject(6, 3))
+	must.MapNotContainsKey(t, d.Problems(), "services/seat-desk")
+	must.False(t, d.PutObject(start, control.Object{Name: "status/tvm-1", Version: 9}))
+}
+
+// Guards against requests being routed by a table of another data centre than the shard's home,
+// and against an upstream that was removed from the service leaving its shards without a route.
+func TestRoute(t *testing.T) {
+	d := newDirectory("tvm-1", 1)
+	table := func(centre, upstream string, shards ...shard.Shard) control.Table {
+		return control.Table{Pair: control.Pair{Service: "seat-desk", DataCentre: centre}, Term: 1, Sequence: 1, Placements: []control.Placement{
+			{Upstream: upstream, Leaseholder: member(centre+"-1", 1), Fence: fence.New(1, 1), Shards: shards},
+		}}
+	}
+	d.PutTable(start, table("klm", "seat-0", 0, 1, 9, 99))
+	_, _, ok := d.Route("seat-desk", 0)
+	must.False(t, ok)
+	d.PutObject(start, serviceObject(3, 2))
+	d.PutTable(start, table("tvm", "gone", 8, 9))
+	placement, upstream, ok := d.Route("seat-desk", 1)
+	must.True(t, ok)
+	must.Eq(t, "klm-1", placement.Leaseholder.Name)
+	must.Eq(t, 4, upstream.Slots)
+	placement, upstream, ok = d.Route("seat-desk", 9)
+	must.True(t, ok)
+	must.Eq(t, "tvm-1", placement.Leaseholder.Name)
+	must.Eq(t, "gone", upstream.Name)
+	for _, n := range []shard.Shard{2, 10, 16, 99} {
+		_, _, ok = d.Route("seat-desk", n)
+		must.False(t, ok)
+	}
+	d.PutObject(start, control.Object{Name: "services/seat-desk", Version: 4, Deleted: true})
+	_, _, ok = d.Route("seat-desk", 1)
+	must.False(t, ok)
+}
+
+// Guards against a switch of the preset that is not seen by users or that is lost with its object.
+func TestPreset(t *testing.T) {
+	d := newDirectory("tvm-1", 1)
+	changed, cancel := d.Subscribe()
+	defer cancel()
+	must.Eq(t, "ordinary", d.Preset().Name)
+	p := configuration.DefaultPresets()
+	p.Active = "peak"
+	value, err := configuration.EncodePresets(p)
+	must.NoError(t, err)
+	before := d.Changes()
+	d.PutObject(start, control.Object{Name: "preset", Version: 2, Value: value})
+	must.Eq(t, "peak", d.Preset().Name)
+	must.Greater(t, before, d.Changes())
+	must.Eq(t, 1, len(changed))
+	d.PutObject(start, control.Object{Name: "preset", Version: 3, Deleted: true})
+	must.Eq(t, "peak", d.Preset().Name)
+}
+
+// Guards against equal directories sending more than a hash, and against items that both
+// sides learned long ago never being found.
+func TestExchange(t *testing.T) {
+	a, b := newDirectory("tvm-1", 1), newDirectory("tvm-2", 1)
+	for i := range 500 {
+		a.PutObject(start, leavingObject(fmt.Sprintf("vm-%d", i), int64(i+1)))
+	}
+	b.PutObject(start, leavingObject("vm-7", 1000))
+	b.PutSuspect(start, control.Suspect{Name: "f", Version: 1, Value: []byte{1}, Expires: start.Add(time.Hour)})
+	later := start.Add(time.Minute)
+	must.LessEq(t, directory.Rounds, exchange(later, a, b))
+	must.Eq(t, a.Versions(), b.Versions())
+	must.MapLen(t, 500, b.Versions())
+	must.Eq(t, 1000, a.Versions()["leaving/vm-7"])
+	must.Len(t, 1, a.Suspects(later))
+	later = later.Add(time.Minute)
+	must.Eq(t, 1, exchange(later, a, b))
+	must.Eq(t, control.Sync{Hash: a.Digest(later).Hash}, b.Offer(later, a.Digest(later)))
+	b.PutObject(later, leavingObject("vm-8", 1001))
+	must.LessEq(t, 2, exchange(later, a, b))
+	must.Eq(t, 1001, a.Versions()["leaving/vm-8"])
+}
+
+// Guards against suspect entries of the same version differing between processes, and against
+// entries that stay after they have expired or come back from a paused process.
+func TestSuspects(t *testing.T) {
+	a, b := newDirectory("tvm-1", 1), newDirectory("tvm-2", 1)
+	entry := control.Suspect{Name: "f", Version: 1, Value: []byte("a"), Expires: start.Add(time.Minute)}
+	a.PutSuspect(start, entry)
+	entry.Value = []byte("b")
+	b.PutSuspect(start, entry)
+	exchange(start, a, b)
+	must.Eq(t, a.Suspects(start), b.Suspects(start))
+	late := start.Add(time.Minute)
+	a.Digest(late)
+	must.Len(t, 0, a.Suspects(late))
+	must.False(t, a.PutSuspect(late, entry))
+}
+
+// Guards against members that are lost without being seen as silent, and against a member that was only slow staying so.
+func TestSilent(t *testing.T) {
+	a, b := newDirectory("tvm-1", 1), newDirectory("tvm-2", 1)
+	exchange(start, a, b)
+	must.Len(t, 2, a.Live("tvm"))
+	a.Missed(start, member("tvm-2", 1))
+	partner, ok := a.Partner(true)
+	must.True(t, ok)
+	must.Eq(t, "tvm-2", partner.Name)
+	a.Missed(start, partner)
+	must.Len(t, 2, a.Live("tvm"), must.Sprint("a member that reaches nobody reports others"))
+	a.Reached(start, member("tvm-3", 1))
+	a.Missed(start, partner)
+	a.Missed(start, partner)
+	must.Len(t, 1, a.Live("tvm"))
+	must.Len(t, 2, a.Members(start))
+	must.Len(t, 1, a.Members(start.Add(30*time.Second)))
+	exchange(start, a, b)
+	must.Len(t, 2, a.Live("tvm"))
+	must.Len(t, 2, b.Live("tvm"))
+
+	a.Missed(start, partner)
+	a.Missed(start, partner)
+	b = newDirectory("tvm-2", 2)
+	exchange(start, b, a)
+	must.Len(t, 2, a.Live("tvm"), must.Sprint("a restarted member"))
+	b.Announce(start, true)
+	exchange(start, b, a)
+	must.Eq(t, []control.Member{member("tvm-1", 1)}, a.Live("tvm"))
+	a.PutObject(start, leavingObject("tvm-1", 1))
+	must.Len(t, 0, a.Live("tvm"))
+	must.True(t, a.Watching())
+}
+
+// Guards against no member or every member watching the platform.
+func TestWatching(t *testing.T) {
+	var all []*directory.Directory
+	for i := range 10 {
+		all = append(all, newDirectory(fmt.Sprintf("tvm-%d", i), 1))
+		exchange(start, all[i], all[0])
+	}
+	count := 0
+	for _, d := range all {
+		exchange(start, d, all[0])
+		if d.Watching() {
+			count++
+		}
+	}
+	must.Eq(t, 2, count)
+}
+
+// Measures the lookups of one request.
+func BenchmarkRoute(b *testing.B) {
+	d := newDirectory("tvm-1", 1)
+	d.PutObject(start, serviceObject(3, 20))
+	d.PutTable(start, control.Table{Pair: control.Pair{Service: "seat-desk", DataCentre: "klm"}, Term: 1, Sequence: 1, Placements: []control.Placement{
+		{Upstream: "seat-0", Leaseholder: member("klm-1", 1), Shards: []shard.Shard{0, 1, 2, 3, 4, 5, 6, 7}},
+	}})
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for i := shard.Shard(0); p.Next(); i++ {
+			if _, _, ok := d.Route("seat-desk", i%8); !ok {
+				b.Error("no route")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/internal/directory/partner.go
@@ -0,0 +1,124 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleystand.org/entry/internal/control"
+)
+
+const (
+	// missesUntilSilent is the number of failed exchanges in a row after which a member
+	// is reported as silent; a single lost message must not change the set of live members.
+	// contactFor is the time after a successful exchange during which misses count. A
+	// member that reaches nobody is itself cut off and must not report the others.
+	contactFor = 2 * time.Second
+	// strayOneIn is how often an exchange goes to a silent member or to a seed that is no
+	// live member, through which parts of the fleet find each other again after a partition.
+	strayOneIn = 16
+	// watchers is the number of members per data centre that watch the platform.
+	watchers = 2
+)
+
+// contacts remembers the latest exchanges of this member.
+type contacts struct {
+	reached time.Time
+	// missed holds members that did not answer the last exchange with them.
+	missed map[string]control.Announcement
+}
+
+// Partner picks a member of the own or of another data centre for an exchange. A seed
+// that is not known as a member has only an address.
+func (d *Directory) Partner(own bool) (control.Member, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var live, strays []control.Member
+	for _, a := range d.draft.members {
+		if (a.Member.DataCentre == d.self.Member.DataCentre) != own || a.Member.Name == d.self.Member.Name {
+			continue
+		}
+		if missed, ok := d.contacts.missed[a.Member.Name]; ok {
+			if missed == a {
+				return a.Member, true
+			}
+			delete(d.contacts.missed, a.Member.Name)
+		}
+		if a.Silent {
+			strays = append(strays, a.Member)
+		} else {
+			live = append(live, a.Member)
+		}
+	}
+	if d.random.IntN(strayOneIn) == 0 || len(live) == 0 {
+		strays = append(strays, d.unknownSeeds()...)
+		if len(strays) > 0 {
+			return strays[d.random.IntN(len(strays))], true
+		}
+	}
+	if len(live) == 0 {
+		return control.Member{}, false
+	}
+	return live[d.random.IntN(len(live))], true
+}
+
+// unknownSeeds returns the seeds whose addresses are not those of members.
+func (d *Directory) unknownSeeds() []control.Member {
+	var unknown []control.Member
+	for _, s := range d.seeds {
+		hasAddress := func(a control.Announcement) bool { return a.Member.Address == s }
+		if !slices.ContainsFunc(d.draft.members, hasAddress) {
+			unknown = append(unknown, control.Member{Address: s})
+		}
+	}
+	return unknown
+}
+
+// Reached notes that an exchange with a member succeeded.
+func (d *Directory) Reached(now time.Time, m control.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.contacts.reached = now
+	delete(d.contacts.missed, m.Name)
+}
+
+// Missed notes that a member did not answer. The second miss in a row reports it as silent; a
+// single lost message must not change the set of live members.
+func (d *Directory) Missed(now time.Time, m control.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i, ok := d.store.get(keyOf("member", m.Name))
+	if !ok || i.member.Silent || !i.member.Member.Same(m) {
+		return
+	}
+	if missed, again := d.contacts.missed[m.Name]; !again || missed != *i.member {
+		d.contacts.missed[m.Name] = *i.member
+		return
+	}
+	delete(d.contacts.missed, m.Name)
+	if now.Sub(d.contacts.reached) >= contactFor {
+		return
+	}
+	report := *i.member
+	report.Silent, report.Since = true, now
+	d.put(now, memberItem(report))
+	d.publish(now)
+}
+
+// Watching reports whether this member is one of those of its data centre that watch the
+// platform. Members are ranked by a hash of their names, so that a member that joins or
+// leaves moves at most one watch.
+func (d *Directory) Watching() bool {
+	self := d.Self().Member
+	live := slices.Clone(d.Live(self.DataCentre))
+	if len(live) == 0 {
+		// All members of the data centre leave, but somebody has to watch until the end.
+		return true
+	}
+	slices.SortFunc(live, func(a, b control.Member) int {
+		return cmp.Compare(xxhash.Sum64String("watch\x00"+a.Name), xxhash.Sum64String("watch\x00"+b.Name))
+	})
+	return slices.Contains(live[:min(watchers, len(live))], self)
+}
