--- /dev/null
+++ b/replay/internal/trace/request.go
@@ -0,0 +1,20 @@
+package trace
+
+import (
+	"time"
+
+	"bramleystand.org/common/rank"
+)
+
+// Request is one arrival.
+type Request struct {
+	// Arrival is the time since the start of the trace.
+	Arrival time.Duration
+	Service string
+	Key     string
+	Rank    rank.Rank
+	// Size is the length of the body in bytes.
+	Size int64
+	// Target is the response time that the caller wants.
+	Target time.Duration
+}
--- /dev/null
+++ b/replay/internal/trace/trace.go
@@ -0,0 +1,33 @@
+// Package trace holds recorded or generated arrivals of requests and their file
+// format: JSON lines, the first of which describes the trace.
+//
+// # Usage
+//
+//	t, err := trace.Read(file)
+//	for _, r := range t.Requests {
+//		schedule(start.Add(r.Arrival), r)
+//	}
+package trace
+
+import (
+	"time"
+
+	"bramleystand.org/common/rank"
+)
+
+// Trace is a sequence of requests in order of arrival.
+type Trace struct {
+	Deployment   string
+	Day          string
+	Seed         uint64
+	Expectations [rank.Count]Expectation
+	Requests     []Request
+}
+
+// Duration returns the arrival time of the last request.
+func (t *Trace) Duration() time.Duration {
+	if len(t.Requests) == 0 {
+		return 0
+	}
+	return t.Requests[len(t.Requests)-1].Arrival
+}
