--- /dev/null
+++ b/replay/internal/body/body.go
@@ -0,0 +1,41 @@
+// Package body generates request bodies that differ for each operation, so that
+// an answer to another request is recognised by its digest.
+//
+// # Usage
+//
+//	r := body.New("run-17", 48<<10)
+//	digest := body.Digest("run-17", 48<<10)
+package body
+
+import (
+	"io"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Body is a reader of a reproducible body.
+type Body struct {
+	source    *rand.ChaCha8
+	remaining int64
+}
+
+// New returns the body of an operation.
+func New(operation string, size int64) *Body {
+	var seed [32]byte
+	copy(seed[:], operation)
+	for i, v := 0, xxhash.Sum64String(operation); i < 8; i++ {
+		seed[24+i] ^= byte(v >> (8 * i))
+	}
+	return &Body{source: rand.NewChaCha8(seed), remaining: size}
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	if b.remaining == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.source.Read(p[:min(int64(len(p)), b.remaining)])
+	b.remaining -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/replay/internal/caller/check.go
@@ -0,0 +1,49 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"bramleystand.org/replay/internal/execution"
+	"bramleystand.org/replay/internal/operation"
+)
+
+// answerJSON is the answer of a stand-in server; it describes the request that it ran.
+type answerJSON struct {
+	Server      string `json:"server"`
+	Incarnation int64  `json:"incarnation"`
+	Key         string `json:"key"`
+	Operation   string `json:"operation"`
+	Execution   uint64 `json:"execution"`
+	SHA256      string `json:"sha256"`
+	Length      int64  `json:"length"`
+}
+
+// check completes an attempt whose answer has arrived, with a fault if it is not the answer to this request.
+func check(a operation.Attempt, o operation.Operation, content []byte) operation.Attempt {
+	var got answerJSON
+	if err := json.Unmarshal(content, &got); err != nil {
+		a.Fault = fmt.Sprintf("answer of %d bytes is not whole: %v", len(content), err)
+		return a
+	}
+	a.Server, a.Incarnation, a.Execution = got.Server, got.Incarnation, got.Execution
+	switch {
+	case got.Key != o.Key:
+		a.Fault = fmt.Sprintf("answer for key %q", got.Key)
+	case !belongs(got.Operation, a):
+		a.Fault = fmt.Sprintf("answer for operation %q", got.Operation)
+	case got.Length != o.Size || got.SHA256 != a.Digest:
+		a.Fault = fmt.Sprintf("answer for a body of %d bytes with SHA-256 %s instead of %d bytes with %s",
+			got.Length, got.SHA256, o.Size, a.Digest)
+	}
+	return a
+}
+
+// belongs accepts an earlier attempt too: the answer to a resent ticket is the stored one.
+func belongs(label string, a operation.Attempt) bool {
+	if label == "" || label == a.Ticket {
+		return true
+	}
+	name, attempt := execution.ParseLabel(label)
+	return name == a.Operation && attempt <= a.Number
+}
--- a/replay/internal/command/command.go
+++ b/replay/internal/command/command.go
@@ -10,4 +10,6 @@
 // Command is the command line of replay.
 type Command struct {
 	Generate Generate `cmd:"" help:"Write a trace of a deployment's load."`
+	Run      Run      `cmd:"" help:"Replay a trace against entry VMs."`
+	Verify   Verify   `cmd:"" help:"Compare operation logs with what backend servers ran."`
 }
--- /dev/null
+++ b/replay/internal/execution/execution.go
@@ -0,0 +1,55 @@
+// Package execution reads the execution logs of backend servers, which tell what
+// a server really ran.
+//
+// # Usage
+//
+//	c := execution.NewCollector(http.DefaultClient, servers)
+//	if err := c.Collect(ctx); err != nil {
+//		// A server did not answer; what it reported earlier is kept.
+//	}
+//	oracle.New(attempts, c.Executions())
+package execution
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Execution is one request that started on a backend server.
+type Execution struct {
+	Server string
+	// Incarnation tells processes of the same server apart.
+	Incarnation int64
+	Number      uint64
+	Key         string
+	Shard       uint32
+	Rank        string
+	Operation   string
+	// Attempt is the number of the attempt that the server ran, or 0 if the request did not name it.
+	Attempt int
+	Fence   uint64
+	// Started and Ended are times on a clock that all servers of a machine share.
+	Started time.Duration
+	Ended   time.Duration
+	// Ran is true if the execution took effect.
+	Ran bool
+}
+
+// Label returns the header value that names an attempt at an operation.
+func Label(operation string, attempt int) string {
+	return operation + "/" + strconv.Itoa(attempt)
+}
+
+// ParseLabel splits a label; one without an attempt belongs to attempt 0.
+func ParseLabel(label string) (operation string, attempt int) {
+	i := strings.LastIndexByte(label, '/')
+	if i < 0 {
+		return label, 0
+	}
+	n, err := strconv.Atoi(label[i+1:])
+	if err != nil {
+		return label, 0
+	}
+	return label[:i], n
+}
--- /dev/null
+++ b/replay/internal/operation/log.go
@@ -0,0 +1,106 @@
+package operation
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/rank"
+)
+
+type attemptLine struct {
+	Operation   string `json:"operation"`
+	Attempt     int    `json:"attempt"`
+	Service     string `json:"service"`
+	Key         string `json:"key"`
+	Rank        string `json:"rank"`
+	Ticket      string `json:"ticket,omitempty"`
+	Digest      string `json:"digest,omitempty"`
+	Entry       string `json:"entry"`
+	Sent        int64  `json:"sent"`
+	Answered    int64  `json:"answered,omitempty"`
+	Outcome     string `json:"outcome"`
+	Status      int    `json:"status,omitempty"`
+	Server      string `json:"server,omitempty"`
+	Incarnation int64  `json:"incarnation,omitempty"`
+	Execution   uint64 `json:"execution,omitempty"`
+	Fault       string `json:"fault,omitempty"`
+	Problem     string `json:"problem,omitempty"`
+}
+
+// Log writes attempts as JSON lines; it is safe for concurrent use.
+type Log struct {
+	mu      sync.Mutex
+	buffer  *bufio.Writer
+	encoder *json.Encoder
+	err     error
+}
+
+// NewLog returns a log that writes to w.
+func NewLog(w io.Writer) *Log {
+	b := bufio.NewWriter(w)
+	return &Log{buffer: b, encoder: json.NewEncoder(b)}
+}
+
+// Add writes one attempt; Close reports the first error. Times are in microseconds since the Unix epoch.
+func (l *Log) Add(a Attempt) {
+	line := attemptLine{
+		Operation: a.Operation, Attempt: a.Number, Service: a.Service, Key: a.Key, Rank: a.Rank.String(),
+		Ticket: a.Ticket, Digest: a.Digest, Entry: a.Entry, Sent: a.Sent.UnixMicro(), Outcome: a.Outcome.String(),
+		Status: a.Status, Server: a.Server, Incarnation: a.Incarnation, Execution: a.Execution, Fault: a.Fault, Problem: a.Problem,
+	}
+	if a.Told {
+		line.Answered = a.Answered.UnixMicro()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.encoder.Encode(line); err != nil && l.err == nil {
+		l.err = err
+	}
+}
+
+// Close writes what is buffered.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := errors.Join(l.err, l.buffer.Flush()); err != nil {
+		return fmt.Errorf("operation: write log: %w", err)
+	}
+	return nil
+}
+
+// ReadLog reads all attempts of a log.
+func ReadLog(r io.Reader) ([]Attempt, error) {
+	d := json.NewDecoder(bufio.NewReader(r))
+	d.DisallowUnknownFields()
+	var attempts []Attempt
+	for n := 1; ; n++ {
+		var line attemptLine
+		err := d.Decode(&line)
+		if errors.Is(err, io.EOF) {
+			return attempts, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("operation: log line %d: %w", n, err)
+		}
+		k, err := rank.Parse(line.Rank)
+		if err != nil {
+			return nil, fmt.Errorf("operation: log line %d: %w", n, err)
+		}
+		a := Attempt{
+			Operation: line.Operation, Number: line.Attempt, Service: line.Service, Key: line.Key, Rank: k,
+			Ticket: line.Ticket, Digest: line.Digest, Entry: line.Entry, Sent: time.UnixMicro(line.Sent),
+			Told: line.Answered != 0, Outcome: outcome.Parse(line.Outcome), Status: line.Status,
+			Server: line.Server, Incarnation: line.Incarnation, Execution: line.Execution, Fault: line.Fault, Problem: line.Problem,
+		}
+		if a.Told {
+			a.Answered = time.UnixMicro(line.Answered)
+		}
+		attempts = append(attempts, a)
+	}
+}
--- /dev/null
+++ b/replay/internal/report/output.go
@@ -0,0 +1,89 @@
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"bramleystand.org/common/rank"
+	"bramleystand.org/replay/internal/operation"
+)
+
+type reportJSON struct {
+	Attempts int           `json:"attempts"`
+	Faults   int           `json:"faults"`
+	Ranks    []serviceJSON `json:"ranks"`
+}
+
+type serviceJSON struct {
+	Rank    string         `json:"rank"`
+	Total   int            `json:"total"`
+	Ends    map[string]int `json:"ends"`
+	Share   float64        `json:"share"`
+	Expect  float64        `json:"expect"`
+	Target  int64          `json:"target"`
+	Met     bool           `json:"met"`
+	Median  int64          `json:"median"`
+	P99     int64          `json:"p99"`
+	P999    int64          `json:"p999"`
+	Longest int64          `json:"longest"`
+}
+
+// WriteJSON writes the report as JSON; times are in microseconds, the target in milliseconds.
+func (r *Report) WriteJSON(w io.Writer) error {
+	out := reportJSON{Attempts: r.attempts, Faults: r.Faults()}
+	for i := range rank.Count {
+		s := r.Service(rank.Rank(i))
+		ends := map[string]int{}
+		for _, c := range operation.Classes {
+			ends[c.String()] = s.Counts[c]
+		}
+		out.Ranks = append(out.Ranks, serviceJSON{
+			Rank: s.Rank.String(), Total: s.Total, Ends: ends, Share: s.Share(), Expect: s.Expectation.Share,
+			Target: s.Expectation.Target.Milliseconds(), Met: s.Met(), Median: s.Median.Microseconds(),
+			P99: s.P99.Microseconds(), P999: s.P999.Microseconds(), Longest: s.Max.Microseconds(),
+		})
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(out); err != nil {
+		return fmt.Errorf("report: write: %w", err)
+	}
+	return nil
+}
+
+// WriteTable prints the report as a table.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "rank\ttotal\tcompleted\tlate\trefused\tunknown\tlost\tin target %\texpected\tmedian\t99%\t99.9%\tlongest\t\n")
+	for i := range rank.Count {
+		s := r.Service(rank.Rank(i))
+		fmt.Fprintf(t, "%s\t%d\t", s.Rank, s.Total)
+		for _, c := range operation.Classes {
+			fmt.Fprintf(t, "%d\t", s.Counts[c])
+		}
+		fmt.Fprintf(t, "%.2f\t%s\t%s\t%s\t%s\t%s\t\n", s.Share(), s.expected(),
+			short(s.Median), short(s.P99), short(s.P999), short(s.Max))
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("report: write table: %w", err)
+	}
+	return nil
+}
+
+func (s *Service) expected() string {
+	verdict := "missed"
+	if s.Met() {
+		verdict = "met"
+	}
+	if s.Expectation.Lossless {
+		return "none lost: " + verdict
+	}
+	return fmt.Sprintf("%g in %s: %s", s.Expectation.Share, s.Expectation.Target, verdict)
+}
+
+func short(d time.Duration) string {
+	return d.Round(100 * time.Microsecond).String()
+}
--- /dev/null
+++ b/replay/internal/report/report.go
@@ -0,0 +1,89 @@
+// Package report counts how operations ended and how long they took, by rank.
+//
+// # Usage
+//
+//	r := report.New(trace.Expectations)
+//	r.Add(result)
+//	r.WriteTable(os.Stdout)
+package report
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bramleystand.org/common/rank"
+	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/trace"
+)
+
+const (
+	// highest is the longest response time that the histograms hold.
+	highest = 10 * time.Minute
+	// digits is the number of significant digits of the histograms.
+	digits = 3
+)
+
+// Report collects results; it is safe for concurrent use.
+type Report struct {
+	expectations [rank.Count]trace.Expectation
+	mu           sync.Mutex
+	times        [rank.Count]*hdrhistogram.Histogram
+	counts       [rank.Count]map[operation.Class]int
+	faults       int
+	attempts     int
+}
+
+// New returns an empty report.
+func New(expectations [rank.Count]trace.Expectation) *Report {
+	r := &Report{expectations: expectations}
+	for i := range rank.Count {
+		r.times[i] = hdrhistogram.New(1, highest.Microseconds(), digits)
+		r.counts[i] = map[operation.Class]int{}
+	}
+	return r
+}
+
+// Add counts a result. Response times are kept for operations that ran.
+func (r *Report) Add(result operation.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := result.Operation.Rank
+	c := result.Class()
+	r.counts[k][c]++
+	r.attempts += len(result.Attempts)
+	for _, a := range result.Attempts {
+		if a.Fault != "" {
+			r.faults++
+		}
+	}
+	if c == operation.InTarget || c == operation.Late {
+		// The value is in range by the bound, so recording cannot fail.
+		_ = r.times[k].RecordValue(min(max(result.Elapsed().Microseconds(), 1), highest.Microseconds()))
+	}
+}
+
+// Service returns the figures of one rank.
+func (r *Report) Service(k rank.Rank) Service {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Service{Rank: k, Counts: map[operation.Class]int{}, Expectation: r.expectations[k]}
+	for c, n := range r.counts[k] {
+		s.Counts[c] = n
+		s.Total += n
+	}
+	at := func(q float64) time.Duration {
+		return time.Duration(r.times[k].ValueAtQuantile(q)) * time.Microsecond
+	}
+	s.Median, s.P99, s.P999 = at(50), at(99), at(99.9)
+	s.Max = time.Duration(r.times[k].Max()) * time.Microsecond
+	return s
+}
+
+// Faults returns the number of answers that did not belong to their request.
+func (r *Report) Faults() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
--- /dev/null
+++ b/replay/internal/report/report_test.go
@@ -0,0 +1,53 @@
+package report_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/rank"
+	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/report"
+	"bramleystand.org/replay/internal/trace"
+)
+
+func result(k rank.Rank, elapsed time.Duration, ends ...operation.Attempt) operation.Result {
+	start := time.Unix(100, 0)
+	return operation.Result{
+		Operation: operation.Operation{Rank: k, Intended: start, Target: time.Second},
+		Attempts:  ends, Ended: start.Add(elapsed),
+	}
+}
+
+// Guards against failed operations that are counted as completed or under a milder class.
+func TestClasses(t *testing.T) {
+	ran := operation.Attempt{Told: true, Outcome: outcome.Ran}
+	notRun := operation.Attempt{Told: true, Outcome: outcome.NotRun}
+	unknown := operation.Attempt{Told: true, Outcome: outcome.Unknown}
+	silent := operation.Attempt{Outcome: outcome.Unknown}
+	r := report.New([rank.Count]trace.Expectation{{Share: 50}, {Share: 20}, {Lossless: true}})
+	for _, x := range []operation.Result{
+		result(rank.Lookup, time.Millisecond, ran),
+		result(rank.Lookup, 2*time.Second, notRun, ran),
+		result(rank.Lookup, time.Second, notRun, notRun),
+		result(rank.Lookup, time.Second, unknown, notRun),
+		result(rank.Lookup, time.Second, silent, silent),
+		result(rank.Upload, time.Second, notRun),
+	} {
+		r.Add(x)
+	}
+	s := r.Service(rank.Lookup)
+	for _, c := range operation.Classes {
+		must.Eq(t, 1, s.Counts[c], must.Sprint(c))
+	}
+	must.Eq(t, 20, s.Share())
+	must.Eq(t, 3, s.Failed())
+	must.True(t, s.Met())
+	uploads := r.Service(rank.Upload)
+	must.False(t, uploads.Met())
+	must.NoError(t, r.WriteTable(new(bytes.Buffer)))
+	must.NoError(t, r.WriteJSON(new(bytes.Buffer)))
+}
