--- a/replay/internal/address/address.go
+++ b/replay/internal/address/address.go
@@ -7,21 +7,38 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// Ports below the range from which the kernel picks the local ports of outgoing
+// connections; a port from that range could be taken before the child listens on it.
+const (
+	firstPort = 15000
+	lastPort  = 32000
 )
 
 // Free returns n different loopback addresses that nothing listens on.
 func Free(n int) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	start := rand.IntN(lastPort - firstPort)
+	for i := range lastPort - firstPort {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		a := netip.AddrPortFrom(loopback, uint16(firstPort+(start+i)%(lastPort-firstPort)))
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
 		if err != nil {
-			return nil, fmt.Errorf("address: find free port: %w", err)
+			continue
+		}
+		if err := l.Close(); err != nil {
+			return nil, fmt.Errorf("address: close %s: %w", a, err)
 		}
-		// All listeners stay open until the last is found, so that no port is returned twice.
-		defer l.Close()
-		addresses = append(addresses, l.Addr().(*net.TCPAddr).AddrPort())
+		addresses = append(addresses, a)
 	}
-	return addresses, nil
+	return nil, eris.Errorf("address: only %d of %d free ports between %d and %d", len(addresses), n, firstPort, lastPort)
 }
--- /dev/null
+++ b/replay/internal/fleet/configure.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/common/configuration"
+)
+
+// shards is the number of shards of each service, the default of the system.
+const shards = 1024
+
+// author is the name under which objects are written.
+const author = "replay"
+
+// configure stores the presets and the services on the platform.
+func (f *Fleet) configure(ctx context.Context) error {
+	presets, err := configuration.EncodePresets(configuration.DefaultPresets())
+	if err != nil {
+		return fmt.Errorf("encode presets: %w", err)
+	}
+	if err := f.Put(ctx, configuration.PresetObject, presets); err != nil {
+		return err
+	}
+	for _, s := range f.Services() {
+		content, err := configuration.EncodeService(s)
+		if err != nil {
+			return fmt.Errorf("encode service %s: %w", s.Name, err)
+		}
+		if err := f.Put(ctx, configuration.ServiceObject(s.Name), content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Services returns the configuration of each service that has servers.
+func (f *Fleet) Services() []configuration.Service {
+	var list []configuration.Service
+	for _, d := range f.options.Deployment.Services {
+		s := configuration.Service{Name: d.Name, Shards: shards}
+		for _, b := range f.Servers {
+			if b.Service != d.Name {
+				continue
+			}
+			s.Upstreams = append(s.Upstreams, configuration.Upstream{
+				Name: b.Name, DataCentre: b.DataCentre, Address: b.Address,
+				Slots: b.Slots, Connections: b.Connections, Fenced: !f.options.Unfenced,
+			})
+		}
+		if len(s.Upstreams) == 0 {
+			continue
+		}
+		s.Homes = configuration.DefaultHomes(s.Shards, s.Upstreams)
+		list = append(list, s)
+	}
+	return list
+}
+
+// Put stores an object on the platform over whatever version it has.
+func (f *Fleet) Put(ctx context.Context, name string, content []byte) error {
+	_, version, err := f.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, f.object(name), bytes.NewReader(content))
+	if err != nil {
+		return fmt.Errorf("put %s: %w", name, err)
+	}
+	r.Header.Set("If-Version", strconv.FormatInt(version, 10))
+	r.Header.Set("Author", author)
+	r.Header.Set("Change", fmt.Sprintf("%s-%d", name, version))
+	response, err := f.client.Do(r)
+	if err != nil {
+		return fmt.Errorf("put %s: %w", name, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		reason, _ := io.ReadAll(response.Body)
+		return eris.Errorf("put %s: status %d: %s", name, response.StatusCode, reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/internal/fleet/entry.go
@@ -0,0 +1,17 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"bramleystand.org/replay/internal/process"
+)
+
+// Entry is an entry VM.
+type Entry struct {
+	Name       string
+	DataCentre string
+	Caller     netip.AddrPort
+	Peer       netip.AddrPort
+	Admin      netip.AddrPort
+	Process    *process.Process
+}
--- /dev/null
+++ b/replay/internal/fleet/ready.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/replay/internal/process"
+)
+
+const (
+	// readyTimeout bounds the time in which all processes must answer after their start.
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Ready waits until every entry VM tells the balancer that it is healthy and every backend server answers.
+func (f *Fleet) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, s := range f.Servers {
+		if err := f.await(ctx, s.Process, "http://"+s.Admin.String()+"/executions"); err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+	}
+	for _, e := range f.Entries {
+		if err := f.await(ctx, e.Process, "http://"+e.Caller.String()+"/healthz"); err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+	}
+	return nil
+}
+
+// await polls an address until it answers with 200, the process ends, or ctx ends.
+func (f *Fleet) await(ctx context.Context, p *process.Process, url string) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		err := f.poll(ctx, url)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-p.Done():
+			return fmt.Errorf("%s ended before it was ready: %w", p.Name, p.Wait(ctx))
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w", p.Name, err)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *Fleet) poll(ctx context.Context, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := f.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("%s answered with status %d", url, response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/internal/fleet/start.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+)
+
+// settingsJSON is the settings file of an entry process.
+type settingsJSON struct {
+	Name     string           `json:"name"`
+	Centre   string           `json:"centre"`
+	Region   string           `json:"region"`
+	Caller   netip.AddrPort   `json:"caller"`
+	Peer     netip.AddrPort   `json:"peer"`
+	Admin    netip.AddrPort   `json:"admin"`
+	Platform netip.AddrPort   `json:"platform"`
+	Seeds    []netip.AddrPort `json:"seeds"`
+	Stop     string           `json:"stop"`
+	Body     int64            `json:"body"`
+}
+
+// StartEntry starts the process of an entry VM.
+func (f *Fleet) StartEntry(e *Entry) error {
+	s := settingsJSON{
+		Name: e.Name, Centre: e.DataCentre, Region: f.options.Deployment.Region, Caller: e.Caller, Peer: e.Peer,
+		Admin: e.Admin, Platform: f.Address, Stop: "20s", Body: f.options.Body,
+	}
+	for _, o := range f.Entries {
+		if o != e {
+			s.Seeds = append(s.Seeds, o.Peer)
+		}
+	}
+	content, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode settings of %s: %w", e.Name, err)
+	}
+	path := filepath.Join(f.options.Directory, e.Name+".json")
+	if err := os.WriteFile(path, content, 0o644); err != nil {
+		return fmt.Errorf("write settings of %s: %w", e.Name, err)
+	}
+	e.Process, err = f.run(e.Name, "entry", "--settings", path)
+	return err
+}
+
+// StartServer starts the process of a backend server.
+func (f *Fleet) StartServer(s *Server) error {
+	args := []string{
+		"--name", s.Name, "--listen", s.Address.String(), "--admin", s.Admin.String(),
+		"--slots", fmt.Sprint(s.Slots), "--connections", fmt.Sprint(s.Connections),
+	}
+	if f.options.Unfenced {
+		args = append(args, "--no-fenced")
+	}
+	process, err := f.run(s.Name, "backendd", append(args, f.options.Backend...)...)
+	s.Process = process
+	return err
+}
--- /dev/null
+++ b/replay/internal/probe/probe.go
@@ -0,0 +1,118 @@
+// Package probe looks up chosen keys, continuously or once each.
+//
+// # Usage
+//
+//	p := probe.New(caller.Do, "seat-desk", "probe")
+//	owners, err := p.Sweep(ctx, keys)
+//	p.Run(ctx, keys, 50*time.Millisecond)
+package probe
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/rank"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/replay/internal/operation"
+)
+
+const (
+	// timeout is the deadline of a lookup; it exceeds the 3 s within which a key is served again.
+	timeout = 5 * time.Second
+	target  = 300 * time.Millisecond
+	// workers is the number of lookups at once in a sweep.
+	workers = 32
+)
+
+// Probe looks up keys of one service.
+type Probe struct {
+	do      func(context.Context, operation.Operation) operation.Result
+	service string
+	name    string
+	count   atomic.Uint64
+}
+
+// New returns a probe whose operations are named after the given name.
+func New(do func(context.Context, operation.Operation) operation.Result, service, name string) *Probe {
+	return &Probe{do: do, service: service, name: name}
+}
+
+// Keys returns one key for each of a service's shards.
+func Keys(prefix string, shards uint32) []string {
+	keys := make([]string, shards)
+	for i, found := 0, uint32(0); found < shards; i++ {
+		k := fmt.Sprintf("%s-probe-%d", prefix, i)
+		if s := shard.Of(k, shards); keys[s] == "" {
+			keys[s] = k
+			found++
+		}
+	}
+	return keys
+}
+
+// Run looks up each key at each interval until ctx ends, without waiting for answers, then waits for the last ones.
+func (p *Probe) Run(ctx context.Context, keys []string, interval time.Duration) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ticker := time.NewTicker(interval / time.Duration(len(keys)))
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		key := keys[i%len(keys)]
+		group.Go(func() { p.lookup(context.WithoutCancel(ctx), key) })
+	}
+}
+
+// Sweep looks up each key once and returns the servers that answered.
+func (p *Probe) Sweep(ctx context.Context, keys []string) (map[string]string, error) {
+	owners := make([]string, len(keys))
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for i := range next {
+				owners[i] = owner(p.lookup(ctx, keys[i]))
+			}
+		})
+	}
+	for i := range keys {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	found := map[string]string{}
+	for i, o := range owners {
+		if o == "" {
+			return nil, eris.Errorf("probe: key %s of %s is not served", keys[i], p.service)
+		}
+		found[keys[i]] = o
+	}
+	return found, nil
+}
+
+func (p *Probe) lookup(ctx context.Context, key string) operation.Result {
+	now := time.Now()
+	return p.do(ctx, operation.Operation{
+		ID: fmt.Sprintf("%s-%d", p.name, p.count.Add(1)), Service: p.service, Key: key, Rank: rank.Lookup,
+		Intended: now, Target: target, Deadline: now.Add(timeout),
+	})
+}
+
+func owner(r operation.Result) string {
+	for _, a := range r.Attempts {
+		if a.Outcome == outcome.Ran {
+			return a.Server
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/replay/internal/recovery/recovery.go
@@ -0,0 +1,70 @@
+// Package recovery measures from callers' attempts how long keys were not served.
+//
+// # Usage
+//
+//	w := recovery.Window{Attempts: attempts, Keys: keys, From: killed, To: end}
+//	served, missing := w.Recovered()
+//	stall := w.Stall()
+package recovery
+
+import (
+	"slices"
+	"time"
+
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/replay/internal/operation"
+)
+
+// Window is the time after a failure and the keys that it concerns.
+type Window struct {
+	Attempts []operation.Attempt
+	Keys     []string
+	From     time.Time
+	To       time.Time
+}
+
+// Recovered returns the time from the start of the window until each key has been
+// served at least once by an attempt sent in the window, and the keys that never were.
+func (w *Window) Recovered() (time.Duration, []string) {
+	first := map[string]time.Time{}
+	for _, a := range w.Attempts {
+		if a.Outcome != outcome.Ran || a.Sent.Before(w.From) || a.Answered.After(w.To) {
+			continue
+		}
+		if f, ok := first[a.Key]; !ok || a.Answered.Before(f) {
+			first[a.Key] = a.Answered
+		}
+	}
+	var longest time.Duration
+	var missing []string
+	for _, k := range w.Keys {
+		f, ok := first[k]
+		if !ok {
+			missing = append(missing, k)
+			continue
+		}
+		longest = max(longest, f.Sub(w.From))
+	}
+	return longest, missing
+}
+
+// Stall returns the longest time in the window during which no answer arrived for one of the keys.
+func (w *Window) Stall() time.Duration {
+	answered := map[string][]time.Time{}
+	for _, a := range w.Attempts {
+		if a.Outcome == outcome.Ran && a.Answered.After(w.From) && a.Answered.Before(w.To) {
+			answered[a.Key] = append(answered[a.Key], a.Answered)
+		}
+	}
+	var longest time.Duration
+	for _, k := range w.Keys {
+		times := answered[k]
+		slices.SortFunc(times, time.Time.Compare)
+		last := w.From
+		for _, t := range append(times, w.To) {
+			longest = max(longest, t.Sub(last))
+			last = t
+		}
+	}
+	return longest
+}
