--- a/replay/internal/command/command.go
+++ b/replay/internal/command/command.go
@@ -12,4 +12,6 @@
 	Generate Generate `cmd:"" help:"Write a trace of a deployment's load."`
 	Run      Run      `cmd:"" help:"Replay a trace against entry VMs."`
 	Verify   Verify   `cmd:"" help:"Compare operation logs with what backend servers ran."`
+	Demo     Demo     `cmd:"" help:"Run the whole path with stand-ins and print the service per rank."`
+	Faults   Faults   `cmd:"" help:"Run real processes under failure and check the stated bounds."`
 }
--- /dev/null
+++ b/replay/internal/command/faults.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/replay/internal/deployment"
+	"bramleystand.org/replay/internal/faults"
+)
+
+// Faults runs real processes under failure.
+type Faults struct {
+	Setup
+	Case       string  `required:"" help:"Case to run, or all."`
+	Deployment string  `default:"kerala" enum:"chikushi,kerala" help:"Deployment to imitate: ${enum}."`
+	Platform   string  `default:"both" enum:"both,up,down" help:"State of the platform: ${enum}."`
+	Rate       float64 `default:"60" help:"Background load in requests a second."`
+	Report     string  `default:"faults.json" help:"File for the results."`
+}
+
+// Run runs the cases, prints a table and fails if a stated bound is broken.
+func (f *Faults) Run() error {
+	ctx, stop := interruptible()
+	defer stop()
+	d, err := deployment.Parse(f.Deployment)
+	if err != nil {
+		return err
+	}
+	var verdicts []faults.Verdict
+	known, failed := false, false
+	for _, c := range faults.Cases() {
+		if f.Case != "all" && f.Case != c.Name {
+			continue
+		}
+		known = true
+		for _, outage := range []bool{false, true} {
+			if outage && (!c.Outage || f.Platform == "up") || !outage && f.Platform == "down" {
+				continue
+			}
+			v, err := f.run(ctx, d, c, outage)
+			if err != nil {
+				return err
+			}
+			failed = failed || len(v.Broken) > 0
+			verdicts = append(verdicts, v)
+		}
+	}
+	if !known {
+		return eris.Errorf("faults: case %q is unknown", f.Case)
+	}
+	if err := f.write(verdicts); err != nil {
+		return err
+	}
+	if failed {
+		return eris.New("faults: a stated bound is broken")
+	}
+	return nil
+}
+
+func (f *Faults) run(ctx context.Context, d deployment.Deployment, c faults.Case, outage bool) (v faults.Verdict, err error) {
+	options, clean, err := f.options(d)
+	if err != nil {
+		return v, err
+	}
+	defer func() { clean(err != nil) }()
+	fmt.Fprintf(os.Stderr, "%s, platform down: %t\n", c.Name, outage)
+	r, err := faults.New(options, f.Rate, os.Stderr).Run(ctx, c, outage)
+	if err != nil {
+		return v, err
+	}
+	return faults.Verdict{Result: *r, Broken: r.Broken(c)}, nil
+}
+
+func (f *Faults) write(verdicts []faults.Verdict) error {
+	if err := faults.WriteTable(os.Stdout, verdicts); err != nil {
+		return err
+	}
+	file, err := os.Create(f.Report)
+	if err != nil {
+		return fmt.Errorf("faults: create report: %w", err)
+	}
+	defer file.Close()
+	if err := faults.WriteJSON(file, verdicts); err != nil {
+		return err
+	}
+	return file.Close()
+}
--- a/replay/internal/fleet/configure.go
+++ b/replay/internal/fleet/configure.go
@@ -13,8 +13,8 @@
 	"bramleystand.org/common/configuration"
 )
 
-// shards is the number of shards of each service, the default of the system.
-const shards = 1024
+// Shards is the number of shards of each service, the default of the system.
+const Shards = 1024
 
 // author is the name under which objects are written.
 const author = "replay"
@@ -44,7 +44,7 @@
 func (f *Fleet) Services() []configuration.Service {
 	var list []configuration.Service
 	for _, d := range f.options.Deployment.Services {
-		s := configuration.Service{Name: d.Name, Shards: shards}
+		s := configuration.Service{Name: d.Name, Shards: Shards}
 		for _, b := range f.Servers {
 			if b.Service != d.Name {
 				continue
--- /dev/null
+++ b/replay/internal/trial/trial.go
@@ -0,0 +1,149 @@
+// Package trial runs one experiment: it starts a fleet, records what callers were
+// told and what backend servers ran, and compares both.
+//
+// # Usage
+//
+//	t, err := trial.Open(ctx, options, "demo")
+//	if err != nil {
+//		return err
+//	}
+//	defer t.Fleet.Kill()
+//	violations, err := t.Judge(ctx)
+//	err = t.Fleet.Stop(ctx)
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"bramleystand.org/replay/internal/caller"
+	"bramleystand.org/replay/internal/deployment"
+	"bramleystand.org/replay/internal/execution"
+	"bramleystand.org/replay/internal/fleet"
+	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/oracle"
+	"bramleystand.org/replay/internal/probe"
+)
+
+const (
+	// servedTimeout bounds the time from the first healthy entry VM until all shards are served.
+	servedTimeout = 20 * time.Second
+	// collectInterval is the longest part of a killed server's log that is lost.
+	collectInterval = 100 * time.Millisecond
+	// collectTimeout bounds the last reading of all logs.
+	collectTimeout = 10 * time.Second
+)
+
+// Trial is a running experiment.
+type Trial struct {
+	Fleet     *fleet.Fleet
+	Caller    *caller.Caller
+	Collector *execution.Collector
+
+	name     string
+	client   *http.Client
+	mu       sync.Mutex
+	attempts []operation.Attempt
+}
+
+// Open starts a fleet and waits until every shard of every service is served. It leaves no process running if it fails.
+func Open(ctx context.Context, o fleet.Options, name string) (*Trial, error) {
+	f, err := fleet.Start(ctx, o)
+	if err != nil {
+		return nil, fmt.Errorf("trial: %w", err)
+	}
+	client := caller.Client()
+	t := &Trial{Fleet: f, name: name, client: client}
+	t.Caller = caller.New(client, f.Callers(), t.record)
+	t.Collector = execution.NewCollector(client, f.Admins())
+	if err := t.serve(ctx, o.Deployment); err != nil {
+		f.Kill()
+		return nil, fmt.Errorf("trial: %w", err)
+	}
+	return t, nil
+}
+
+func (t *Trial) record(a operation.Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempts = append(t.attempts, a)
+}
+
+// Attempts returns everything that callers have been told so far.
+func (t *Trial) Attempts() []operation.Attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.attempts)
+}
+
+// serve waits until all processes answer and a key of every shard is served.
+func (t *Trial) serve(ctx context.Context, d deployment.Deployment) error {
+	if err := t.Fleet.Ready(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, servedTimeout)
+	defer cancel()
+	for _, s := range d.Services {
+		for i := 0; ; i++ {
+			_, err := t.Sweep(ctx, s, fmt.Sprintf("ready-%d", i))
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Join(err, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// Sweep returns the server that answers for one key of each shard.
+func (t *Trial) Sweep(ctx context.Context, s deployment.Service, name string) (map[string]string, error) {
+	p := probe.New(t.Caller.Do, s.Name, fmt.Sprintf("%s-%s-%s", t.name, s.Name, name))
+	return p.Sweep(ctx, probe.Keys(s.Prefix, fleet.Shards))
+}
+
+// Collect reads the execution logs again and again until ctx ends, so that little is lost with a killed server.
+func (t *Trial) Collect(ctx context.Context) {
+	ticker := time.NewTicker(collectInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			// A server that is down does not answer; Judge reports those that should.
+			_ = t.Collector.Collect(ctx)
+		}
+	}
+}
+
+// Oracle reads all logs for the last time and returns an oracle on the whole trial.
+// The error names servers that did not answer; those that were ended on purpose are left out.
+func (t *Trial) Oracle(ctx context.Context) (*oracle.Oracle, error) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	err := t.Collector.Collect(ctx)
+	alive := true
+	for _, s := range t.Fleet.Servers {
+		if s.Process.Ended() {
+			t.Collector.Lose(s.Admin)
+			alive = false
+		}
+	}
+	o := oracle.New(t.Attempts(), t.Collector.Executions(), t.Collector.Incomplete())
+	if err != nil && alive {
+		return o, fmt.Errorf("trial: %w", err)
+	}
+	return o, nil
+}
+
+// Close releases the connections of the callers.
+func (t *Trial) Close() {
+	t.client.CloseIdleConnections()
+}
