--- a/replay/internal/command/command.go
+++ b/replay/internal/command/command.go
@@ -14,4 +14,5 @@
 	Verify   Verify   `cmd:"" help:"Compare operation logs with what backend servers ran."`
 	Demo     Demo     `cmd:"" help:"Run the whole path with stand-ins and print the service per rank."`
 	Faults   Faults   `cmd:"" help:"Run real processes under failure and check the stated bounds."`
+	Latency  Latency  `cmd:"" help:"Measure the latency and memory of the path through the entry VMs."`
 }
--- /dev/null
+++ b/replay/internal/command/latency.go
@@ -0,0 +1,154 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/replay/internal/caller"
+	"bramleystand.org/replay/internal/deployment"
+	"bramleystand.org/replay/internal/fleet"
+	"bramleystand.org/replay/internal/latency"
+	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/probe"
+	"bramleystand.org/replay/internal/trial"
+)
+
+// Latency measures what the path through the entry VMs costs.
+type Latency struct {
+	Programs string `default:"bin" help:"Directory of the programs entry, platformd and backendd."`
+	Keep     bool   `help:"Keep settings files and output of the processes."`
+	Seconds  int    `default:"10" help:"Length of each measurement in seconds."`
+	Upload   int64  `default:"512" help:"Size of the upload whose memory is measured, in MiB; 0 leaves it out."`
+}
+
+// Backend servers that answer at once and check no grants, so that only the path
+// counts and that they can be called directly.
+var instant = []string{"--dial-cost", "0s", "--cold", "0s", "--confirmation", "0s", "--lookup", "0s", "--upload", "0s"}
+
+// slots is the number of slots and connections of such a server; 64 callers never wait for one.
+const slots = 128
+
+// Run prints the added latency for 1 and for 64 callers, and the memory during an upload.
+func (l *Latency) Run() (err error) {
+	ctx, stop := interruptible()
+	defer stop()
+	d, err := deployment.Parse("kerala")
+	if err != nil {
+		return err
+	}
+	for i := range d.Services {
+		d.Services[i].Slots, d.Services[i].Connections = slots, 2*slots
+	}
+	setup := Setup{Programs: l.Programs, Keep: l.Keep, Centres: 1, Entries: 2, Servers: 4}
+	options, clean, err := setup.options(d)
+	if err != nil {
+		return err
+	}
+	defer func() { clean(err != nil) }()
+	options.Unfenced, options.Backend = true, instant
+	t, err := trial.Open(ctx, options, "latency")
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	defer t.Fleet.Kill()
+	if err := l.compare(ctx, t, d.Services[0]); err != nil {
+		return err
+	}
+	if l.Upload > 0 {
+		if err := l.upload(ctx, t, d.Services[1]); err != nil {
+			return err
+		}
+	}
+	return t.Fleet.Stop(ctx)
+}
+
+// compare measures lookups of keys whose servers are known.
+func (l *Latency) compare(ctx context.Context, t *trial.Trial, s deployment.Service) error {
+	owners, err := t.Sweep(ctx, s, "latency")
+	if err != nil {
+		return err
+	}
+	client := caller.Client()
+	defer client.CloseIdleConnections()
+	keys := probe.Keys(s.Prefix, fleet.Shards)
+	direct := func(ctx context.Context, worker int) error {
+		key := keys[worker%len(keys)]
+		return lookup(ctx, client, "http://"+t.Fleet.Server(owners[key]).Address.String()+"/keys/"+url.PathEscape(key))
+	}
+	entries := t.Fleet.Callers()
+	through := func(ctx context.Context, worker int) error {
+		key := keys[worker%len(keys)]
+		return lookup(ctx, client, "http://"+entries[worker%len(entries)].String()+"/v1/keys/"+s.Name+"/"+url.PathEscape(key))
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "callers\tdirect median\t99%\tthrough entry VM median\t99%\tadded median\t99%\tcalls\t\n")
+	for _, workers := range []int{1, 64} {
+		c, err := latency.New(direct, through).Measure(ctx, workers, time.Duration(l.Seconds)*time.Second)
+		if err != nil {
+			return err
+		}
+		median, p99 := c.Added()
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t\n", workers, micros(c.Direct.Median), micros(c.Direct.P99),
+			micros(c.Through.Median), micros(c.Through.P99), micros(median), micros(p99), c.Direct.Calls+c.Through.Calls)
+	}
+	return w.Flush()
+}
+
+func lookup(ctx context.Context, client *http.Client, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("%s: status %d: %s", url, response.StatusCode, content)
+	}
+	return nil
+}
+
+func micros(d time.Duration) string {
+	return d.Round(time.Microsecond).String()
+}
+
+// upload sends one large body and prints the memory of each entry process before and at its highest.
+func (l *Latency) upload(ctx context.Context, t *trial.Trial, s deployment.Service) error {
+	before, err := resident(t)
+	if err != nil {
+		return err
+	}
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	highest := make(chan []int64, 1)
+	go func() { highest <- watch(watching, t) }()
+	begin := time.Now()
+	r := t.Caller.Do(ctx, largeUpload(s, l.Upload<<20, begin))
+	took := time.Since(begin)
+	stop()
+	peak := <-highest
+	last := r.Attempts[len(r.Attempts)-1]
+	if r.Class() != operation.InTarget || last.Fault != "" {
+		return eris.Errorf("upload of %d MiB ended as %s with status %d: %s%s", l.Upload, r.Class(), last.Status, last.Problem, last.Fault)
+	}
+	fmt.Printf("upload of %d MiB in %s, %d attempts\n", l.Upload, took.Round(time.Millisecond), len(r.Attempts))
+	for i, e := range t.Fleet.Entries {
+		fmt.Printf("%s: resident %d MiB before, %d MiB at most during the upload\n", e.Name, before[i]>>20, max(before[i], peak[i])>>20)
+	}
+	return nil
+}
