--- /dev/null
+++ b/entry/internal/ticket/answer.go
@@ -0,0 +1,12 @@
+package ticket
+
+import "bramleystand.org/common/outcome"
+
+// Answer is the result of an operation.
+type Answer struct {
+	Outcome outcome.Outcome
+	Status  int
+	Body    []byte
+	// Truncated is set if the body was too long to be kept; Body is then empty.
+	Truncated bool
+}
--- /dev/null
+++ b/entry/internal/ticket/state.go
@@ -0,0 +1,16 @@
+package ticket
+
+import "bramleystand.org/common/fence"
+
+// State is a snapshot of a table for dumps and metrics.
+type State struct {
+	Service    string
+	Fence      fence.Fence
+	Shards     int
+	Issued     uint64
+	Operations int
+	Running    int
+	Bytes      int
+	// Verdicts counts the verdicts of Spend.
+	Verdicts map[string]uint64
+}
