Add list of requests suspected of crashing servers

Cause: a request that crashes its server is sent again by its caller and would crash one server after another. Change: fingerprints, verdicts clear, alone and condemned, exchange between entry VMs by versions, bounded size that evicts the least severe entry. Conclusion: Check has to be repeated right before sending, because a copy of the request may crash the server while this one waits.

--- /dev/null
+++ b/entry/internal/suspect/list_test.go
@@ -0,0 +1,130 @@
+package suspect_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"bramleystand.org/entry/internal/suspect"
+)
+
+var epoch = time.Unix(0, 0)
+
+// Guards against fingerprints that depend on where one part ends and the next begins, or on more than the first 64 KiB.
+func TestOf(t *testing.T) {
+	must.NotEq(t, suspect.Of("a", "bc", "GET", "", nil), suspect.Of("ab", "c", "GET", "", nil))
+	long := make([]byte, suspect.BodyPrefix+1)
+	must.Eq(t, suspect.Of("a", "b", "PUT", "", long), suspect.Of("a", "b", "PUT", "", long[:suspect.BodyPrefix]))
+	must.NotEq(t, suspect.Of("a", "b", "PUT", "", long), suspect.Of("a", "b", "PUT", "", long[:3]))
+}
+
+// Guards against a request that crashes the whole fleet by being sent again, and against the condemnation of
+// requests that were in flight beside it.
+func TestCrashingRequest(t *testing.T) {
+	const culprit = suspect.Fingerprint(1)
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		lists := []*suspect.List{suspect.New(64), suspect.New(64), suspect.New(64)}
+		now, crashes := epoch, 0
+		for range 100 {
+			now = now.Add(time.Second)
+			list := lists[random.IntN(len(lists))]
+			inFlight := []suspect.Fingerprint{culprit}
+			switch list.Check(now, culprit) {
+			case suspect.Condemned:
+				inFlight = nil
+			case suspect.Clear:
+				for range random.IntN(5) {
+					innocent := suspect.Fingerprint(2 + random.IntN(20))
+					if list.Check(now, innocent) == suspect.Clear {
+						inFlight = append(inFlight, innocent)
+					}
+				}
+			}
+			if len(inFlight) > 0 {
+				crashes++
+				list.Crash(now, inFlight)
+			}
+			for _, peer := range lists {
+				peer.Merge(now, list.Entries(now))
+			}
+			innocent := suspect.Fingerprint(2 + random.IntN(20))
+			if list.Check(now, innocent) == suspect.Alone {
+				list.Success(now, innocent)
+			}
+		}
+		must.LessEq(t, 2, crashes)
+		for _, list := range lists {
+			for _, e := range list.Entries(now) {
+				must.Eq(t, e.Fingerprint == culprit, e.Verdict == suspect.Condemned)
+			}
+		}
+	}
+}
+
+// Guards against an old entry of a peer that brings a cleared suspect back or lifts a condemnation.
+func TestMergeOrder(t *testing.T) {
+	list, peer := suspect.New(8), suspect.New(8)
+	list.Crash(epoch, []suspect.Fingerprint{1, 2})
+	old := list.Entries(epoch)
+	peer.Merge(epoch, old)
+	peer.Success(epoch, 1)
+	must.Eq(t, []suspect.Verdict{suspect.Condemned}, peer.Crash(epoch, []suspect.Fingerprint{2}))
+	list.Merge(epoch, peer.Entries(epoch))
+	list.Merge(epoch, old)
+	must.Eq(t, suspect.Clear, list.Check(epoch, 1))
+	must.Eq(t, suspect.Condemned, list.Check(epoch, 2))
+	must.Eq(t, peer.Digest(epoch), list.Digest(epoch))
+	must.Eq(t, suspect.Clear, list.Check(epoch.Add(suspect.Lifetime), 2))
+}
+
+// Guards against lists that differ after an exchange, grow without bound, or keep an entry alive by passing it around.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		lists := []*suspect.List{suspect.New(8), suspect.New(8)}
+		exchange := func() {
+			entries := [][]suspect.Entry{lists[0].Entries(now), lists[1].Entries(now)}
+			now = now.Add(5 * time.Millisecond)
+			lists[0].Merge(now, entries[1])
+			lists[1].Merge(now, entries[0])
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"crash": func(t *rapid.T) {
+				f := rapid.SliceOfNDistinct(rapid.Uint64Range(1, 6), 1, 4, rapid.ID).Draw(t, "in flight")
+				inFlight := make([]suspect.Fingerprint, len(f))
+				for i := range f {
+					inFlight[i] = suspect.Fingerprint(f[i])
+				}
+				rapid.SampledFrom(lists).Draw(t, "list").Crash(now, inFlight)
+			},
+			"success": func(t *rapid.T) {
+				rapid.SampledFrom(lists).Draw(t, "list").Success(now, suspect.Fingerprint(rapid.IntRange(1, 6).Draw(t, "f")))
+			},
+			"exchange": func(t *rapid.T) {
+				exchange()
+				must.Eq(t, lists[0].Digest(now), lists[1].Digest(now))
+			},
+			"pass": func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "s")) * time.Second) },
+		})
+		for last := now.Add(suspect.Lifetime + time.Second); now.Before(last); now = now.Add(time.Second) {
+			exchange()
+		}
+		must.SliceEmpty(t, lists[0].Entries(now))
+	})
+}
+
+// Guards against a full list that forgets a condemnation while it holds less severe entries.
+func TestEviction(t *testing.T) {
+	list := suspect.New(3)
+	list.Crash(epoch, []suspect.Fingerprint{1})
+	list.Crash(epoch, []suspect.Fingerprint{1})
+	for f := range suspect.Fingerprint(100) {
+		list.Crash(epoch.Add(time.Second), []suspect.Fingerprint{f + 2, f + 3})
+	}
+	must.Len(t, 3, list.Entries(epoch))
+	must.Eq(t, suspect.Condemned, list.Check(epoch, 1))
+}
