--- a/entry/internal/caller/parse.go
+++ b/entry/internal/caller/parse.go
@@ -92,7 +92,10 @@
 	if err != nil {
 		return exchange.Refuse(http.StatusRequestTimeout, "the body did not arrive whole before the deadline")
 	}
-	request.Prefix, request.Rest = prefix, rest
+	request.Prefix, request.Rest, request.Length = prefix, rest, r.ContentLength
+	if rest == nil {
+		request.Length = int64(len(prefix))
+	}
 	return nil
 }
 
--- a/entry/internal/exchange/request.go
+++ b/entry/internal/exchange/request.go
@@ -35,6 +35,8 @@
 	Header     http.Header
 	// Prefix holds the first bytes of the body, up to PrefixBytes.
 	Prefix []byte
+	// Length is the length of the whole body, or -1 if it is not known.
+	Length int64
 	// Rest reads what follows Prefix; it is nil if Prefix is the whole body.
 	Rest io.Reader
 	// Fingerprint identifies the same request sent again.
