--- /dev/null
+++ b/entry/internal/detector/state.go
@@ -0,0 +1,18 @@
+package detector
+
+import "time"
+
+// State is a snapshot of a detector for dumps.
+type State struct {
+	Server      string
+	Since       time.Time
+	Heard       time.Time
+	Misses      int
+	InFlight    int
+	Silent      int
+	ProbeSent   time.Time
+	ProbeDue    time.Time
+	RejoinAfter time.Time
+	Failures    uint64
+	Probes      uint64
+}
