--- a/replay/internal/command/latency.go
+++ b/replay/internal/command/latency.go
@@ -47,13 +47,13 @@
 	for i := range d.Services {
 		d.Services[i].Slots, d.Services[i].Connections = slots, 2*slots
 	}
-	setup := Setup{Programs: l.Programs, Keep: l.Keep, Centres: 1, Entries: 2, Servers: 4}
+	setup := Setup{Programs: l.Programs, Keep: l.Keep, Centres: 1, Entries: 2, Servers: 4, Unfenced: true}
 	options, clean, err := setup.options(d)
 	if err != nil {
 		return err
 	}
 	defer func() { clean(err != nil) }()
-	options.Unfenced, options.Backend = true, instant
+	options.Backend = instant
 	t, err := trial.Open(ctx, options, "latency")
 	if err != nil {
 		return err
--- a/replay/internal/command/setup.go
+++ b/replay/internal/command/setup.go
@@ -14,6 +14,7 @@
 	Centres  int    `default:"2" help:"Data centres."`
 	Entries  int    `default:"2" help:"Entry VMs in each data centre."`
 	Servers  int    `default:"8" help:"Backend servers in each data centre."`
+	Unfenced bool   `help:"Backend servers check no grants."`
 	Keep     bool   `help:"Keep settings files and output of the processes."`
 }
 
@@ -29,7 +30,7 @@
 	}
 	o := fleet.Options{
 		Deployment: d, Programs: s.Programs, Directory: directory, Body: body,
-		Centres: s.Centres, Entries: s.Entries, Servers: s.Servers,
+		Centres: s.Centres, Entries: s.Entries, Servers: s.Servers, Unfenced: s.Unfenced,
 	}
 	return o, func(failed bool) {
 		if s.Keep || failed {
--- a/replay/internal/faults/faults.go
+++ b/replay/internal/faults/faults.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"bramleystand.org/common/rank"
 	"bramleystand.org/replay/internal/fleet"
 	"bramleystand.org/replay/internal/load"
 	"bramleystand.org/replay/internal/operation"
@@ -35,6 +36,8 @@
 	window = 10 * time.Second
 	// outageLead is the time from the platform's outage to the event.
 	outageLead = time.Second
+	// uploadTimeout is shorter than callers' usual one, so that a case whose uploads are stuck ends soon.
+	uploadTimeout = 20 * time.Second
 	// probeInterval is the time between two lookups of a key.
 	probeInterval = 50 * time.Millisecond
 )
@@ -101,6 +104,7 @@
 		r.Violations[v.Rule]++
 		fmt.Fprintln(f.output, v)
 	}
+	r.Untraced = o.Unchecked()
 	if c.check != nil {
 		c.check(s, r)
 	}
@@ -113,6 +117,7 @@
 		Deployment: f.options.Deployment, Day: workload.Ordinary, Rate: f.rate, Duration: settle + window, Seed: 1,
 	}
 	tr := w.Trace()
+	tr.Expectations[rank.Upload].Timeout = uploadTimeout
 	calls := report.New(tr.Expectations)
 	var loadErr error
 	var group sync.WaitGroup
--- a/replay/internal/faults/output.go
+++ b/replay/internal/faults/output.go
@@ -19,6 +19,7 @@
 	Unserved  int                 `json:"unserved"`
 	Stall     int64               `json:"stall"`
 	Rules     map[oracle.Rule]int `json:"rules"`
+	Untraced  int                 `json:"untraced"`
 	Calls     int                 `json:"calls"`
 	Failed    int                 `json:"failed"`
 	Uncertain int                 `json:"unknown"`
@@ -43,7 +44,7 @@
 	for _, v := range verdicts {
 		list = append(list, resultJSON{
 			Case: v.Case, Platform: v.platform(), Recovery: v.Recovery.Milliseconds(), Unserved: v.Unserved,
-			Stall: v.Stall.Milliseconds(), Rules: v.Violations, Calls: v.Calls, Failed: v.Failed, Uncertain: v.Uncertain,
+			Stall: v.Stall.Milliseconds(), Rules: v.Violations, Untraced: v.Untraced, Calls: v.Calls, Failed: v.Failed, Uncertain: v.Uncertain,
 			Moved: v.Moved, Least: v.Least, Quiet: v.Quiet.Milliseconds(), Stop: v.Stop.Milliseconds(),
 			Switch: v.Switch.Milliseconds(), Crashed: v.Crashed, Broken: v.Broken,
 		})
--- a/replay/internal/probe/probe.go
+++ b/replay/internal/probe/probe.go
@@ -75,13 +75,13 @@
 
 // Sweep looks up each key once and returns the servers that answered.
 func (p *Probe) Sweep(ctx context.Context, keys []string) (map[string]string, error) {
-	owners := make([]string, len(keys))
+	results := make([]operation.Result, len(keys))
 	next := make(chan int)
 	var group sync.WaitGroup
 	for range workers {
 		group.Go(func() {
 			for i := range next {
-				owners[i] = owner(p.lookup(ctx, keys[i]))
+				results[i] = p.lookup(ctx, keys[i])
 			}
 		})
 	}
@@ -91,11 +91,12 @@
 	close(next)
 	group.Wait()
 	found := map[string]string{}
-	for i, o := range owners {
-		if o == "" {
-			return nil, eris.Errorf("probe: key %s of %s is not served", keys[i], p.service)
+	for i, r := range results {
+		last := r.Attempts[len(r.Attempts)-1]
+		if last.Outcome != outcome.Ran {
+			return nil, eris.Errorf("probe: key %s of %s is not served: status %d: %s", keys[i], p.service, last.Status, last.Problem)
 		}
-		found[keys[i]] = o
+		found[keys[i]] = last.Server
 	}
 	return found, nil
 }
@@ -107,12 +108,3 @@
 		Intended: now, Target: target, Deadline: now.Add(timeout),
 	})
 }
-
-func owner(r operation.Result) string {
-	for _, a := range r.Attempts {
-		if a.Outcome == outcome.Ran {
-			return a.Server
-		}
-	}
-	return ""
-}
--- a/replay/internal/recovery/recovery.go
+++ b/replay/internal/recovery/recovery.go
@@ -24,7 +24,8 @@
 }
 
 // Recovered returns the time from the start of the window until each key has been
-// served at least once by an attempt sent in the window, and the keys that never were.
+// served at least once by an attempt sent in the window, and the keys that never
+// were; for those the time is the length of the window.
 func (w *Window) Recovered() (time.Duration, []string) {
 	first := map[string]time.Time{}
 	for _, a := range w.Attempts {
@@ -41,7 +42,7 @@
 		f, ok := first[k]
 		if !ok {
 			missing = append(missing, k)
-			continue
+			f = w.To
 		}
 		longest = max(longest, f.Sub(w.From))
 	}
--- a/replay/internal/recovery/recovery_test.go
+++ b/replay/internal/recovery/recovery_test.go
@@ -29,7 +29,8 @@
 	must.Eq(t, 2*time.Second, longest)
 	must.SliceEmpty(t, missing)
 	w.Keys = append(w.Keys, "d")
-	_, missing = w.Recovered()
+	longest, missing = w.Recovered()
+	must.Eq(t, time.Minute, longest)
 	must.Eq(t, []string{"d"}, missing)
 }
 
--- a/replay/internal/trial/trial.go
+++ b/replay/internal/trial/trial.go
@@ -33,6 +33,8 @@
 const (
 	// servedTimeout bounds the time from the first healthy entry VM until all shards are served.
 	servedTimeout = 20 * time.Second
+	// serveInterval is the pause between two sweeps of all shards.
+	serveInterval = 100 * time.Millisecond
 	// collectInterval is the longest part of a killed server's log that is lost.
 	collectInterval = 100 * time.Millisecond
 	// collectTimeout bounds the last reading of all logs.
@@ -94,8 +96,10 @@
 			if err == nil {
 				break
 			}
-			if ctx.Err() != nil {
+			select {
+			case <-ctx.Done():
 				return errors.Join(err, ctx.Err())
+			case <-time.After(serveInterval):
 			}
 		}
 	}
