--- a/replay/internal/caller/caller.go
+++ b/replay/internal/caller/caller.go
@@ -25,6 +25,8 @@
 	// firstPause is the pause before a resend if the answer names none; it doubles up to longestPause.
 	firstPause   = 50 * time.Millisecond
 	longestPause = time.Second
+	// grace is the time after a deadline in which the answer may still arrive that names the outcome.
+	grace = 100 * time.Millisecond
 )
 
 // patience is the longest time that a caller waits for one answer before it tries
@@ -59,8 +61,6 @@
 
 // Do performs an operation and returns after its last attempt.
 func (c *Caller) Do(ctx context.Context, o operation.Operation) operation.Result {
-	ctx, cancel := context.WithDeadline(ctx, o.Deadline)
-	defer cancel()
 	result := operation.Result{Operation: o}
 	ticket, pause := "", firstPause
 	for n := 1; ; n++ {
@@ -68,7 +68,7 @@
 		a, after := c.attempt(ctx, o, n, entry, &ticket)
 		c.log(a)
 		result.Attempts = append(result.Attempts, a)
-		if finished(a) || !wait(ctx, max(pause, after)) {
+		if finished(a) || !wait(ctx, max(pause, after), o.Deadline) {
 			result.Ended = time.Now()
 			return result
 		}
@@ -89,8 +89,8 @@
 }
 
 // wait pauses and reports whether there is time left for another attempt.
-func wait(ctx context.Context, pause time.Duration) bool {
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= pause {
+func wait(ctx context.Context, pause time.Duration, deadline time.Time) bool {
+	if time.Until(deadline) <= pause {
 		return false
 	}
 	t := time.NewTimer(pause)
@@ -110,8 +110,7 @@
 	if o.Deadline.Before(deadline) {
 		deadline = o.Deadline
 	}
-	// The answer to a request that ran out of time arrives shortly after its deadline.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(firstPause))
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
 	defer cancel()
 	a := operation.Attempt{
 		Operation: o.ID, Number: n, Service: o.Service, Key: o.Key, Rank: o.Rank, Entry: entry.String(), Sent: time.Now(),
--- a/replay/internal/command/demo.go
+++ b/replay/internal/command/demo.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	defer t.Close()
+	defer func() { err = errors.Join(err, t.Close()) }()
 	defer t.Fleet.Kill()
 	fmt.Printf("%s: %d entry VMs and %d backend servers in %d data centres, all shards served after %s\n",
 		x.Name, len(t.Fleet.Entries), len(t.Fleet.Servers), options.Centres, time.Since(begin).Round(time.Millisecond))
--- a/replay/internal/command/latency.go
+++ b/replay/internal/command/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -58,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	defer t.Close()
+	defer func() { err = errors.Join(err, t.Close()) }()
 	defer t.Fleet.Kill()
 	if err := l.compare(ctx, t, d.Services[0]); err != nil {
 		return err
--- a/replay/internal/faults/faults.go
+++ b/replay/internal/faults/faults.go
@@ -55,15 +55,15 @@
 }
 
 // Run runs a case, with the platform down if outage is set.
-func (f *Faults) Run(ctx context.Context, c Case, outage bool) (*Result, error) {
+func (f *Faults) Run(ctx context.Context, c Case, outage bool) (r *Result, err error) {
 	t, err := trial.Open(ctx, f.options, c.Name)
 	if err != nil {
 		return nil, fmt.Errorf("faults: %s: %w", c.Name, err)
 	}
-	defer t.Close()
+	defer func() { err = errors.Join(err, t.Close()) }()
 	defer t.Fleet.Kill()
 	s := &scene{trial: t, service: f.options.Deployment.Services[0]}
-	r := &Result{Case: c.Name, Outage: outage, Violations: map[oracle.Rule]int{}}
+	r = &Result{Case: c.Name, Outage: outage, Violations: map[oracle.Rule]int{}}
 	if err := f.run(ctx, c, s, r); err != nil {
 		return nil, errors.Join(fmt.Errorf("faults: %s: %w", c.Name, err), t.Fleet.Stop(ctx))
 	}
--- a/replay/internal/report/output.go
+++ b/replay/internal/report/output.go
@@ -33,7 +33,7 @@
 
 // WriteJSON writes the report as JSON; times are in microseconds, the target in milliseconds.
 func (r *Report) WriteJSON(w io.Writer) error {
-	out := reportJSON{Attempts: r.attempts, Faults: r.Faults()}
+	out := reportJSON{Attempts: r.Attempts(), Faults: r.Faults()}
 	for i := range rank.Count {
 		s := r.Service(rank.Rank(i))
 		ends := map[string]int{}
--- a/replay/internal/report/report.go
+++ b/replay/internal/report/report.go
@@ -87,3 +87,10 @@
 	defer r.mu.Unlock()
 	return r.faults
 }
+
+// Attempts returns the number of requests sent.
+func (r *Report) Attempts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.attempts
+}
--- a/replay/internal/trace/codec_test.go
+++ b/replay/internal/trace/codec_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +52,19 @@
 		must.ErrorContains(t, err, "trace: line")
 	}
 }
+
+// Guards against recorded traces that the current format no longer reads.
+func TestRecorded(t *testing.T) {
+	paths, err := filepath.Glob("../../traces/*.jsonl")
+	must.NoError(t, err)
+	must.Len(t, 2, paths)
+	for _, p := range paths {
+		content, err := os.ReadFile(p)
+		must.NoError(t, err)
+		recorded, err := trace.Read(bytes.NewReader(content))
+		must.NoError(t, err)
+		var again bytes.Buffer
+		must.NoError(t, trace.Write(&again, recorded))
+		must.True(t, bytes.Equal(content, again.Bytes()))
+	}
+}
--- a/replay/internal/trial/trial.go
+++ b/replay/internal/trial/trial.go
@@ -8,8 +8,9 @@
 //		return err
 //	}
 //	defer t.Fleet.Kill()
-//	violations, err := t.Judge(ctx)
-//	err = t.Fleet.Stop(ctx)
+//	o, err := t.Oracle(ctx)
+//	violations := o.Check()
+//	err = errors.Join(t.Fleet.Stop(ctx), t.Close())
 package trial
 
 import (
@@ -17,6 +18,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +52,8 @@
 
 	name     string
 	client   *http.Client
+	file     *os.File
+	log      *operation.Log
 	mu       sync.Mutex
 	attempts []operation.Attempt
 }
@@ -59,18 +64,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("trial: %w", err)
 	}
+	file, err := os.Create(filepath.Join(o.Directory, "operations.jsonl"))
+	if err != nil {
+		f.Kill()
+		return nil, fmt.Errorf("trial: create operation log: %w", err)
+	}
 	client := caller.Client()
-	t := &Trial{Fleet: f, name: name, client: client}
+	t := &Trial{Fleet: f, name: name, client: client, file: file, log: operation.NewLog(file)}
 	t.Caller = caller.New(client, f.Callers(), t.record)
 	t.Collector = execution.NewCollector(client, f.Admins())
 	if err := t.serve(ctx, o.Deployment); err != nil {
 		f.Kill()
-		return nil, fmt.Errorf("trial: %w", err)
+		return nil, errors.Join(fmt.Errorf("trial: %w", err), t.Close())
 	}
 	return t, nil
 }
 
 func (t *Trial) record(a operation.Attempt) {
+	t.log.Add(a)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.attempts = append(t.attempts, a)
@@ -121,7 +132,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			// A server that is down does not answer; Judge reports those that should.
+			// A server that is down does not answer; Oracle reports those that should.
 			_ = t.Collector.Collect(ctx)
 		}
 	}
@@ -147,7 +158,8 @@
 	return o, nil
 }
 
-// Close releases the connections of the callers.
-func (t *Trial) Close() {
+// Close releases the connections of the callers and completes the operation log.
+func (t *Trial) Close() error {
 	t.client.CloseIdleConnections()
+	return errors.Join(t.log.Close(), t.file.Close())
 }
