--- a/replay/internal/command/run.go
+++ b/replay/internal/command/run.go
@@ -13,6 +13,7 @@
 	"bramleystand.org/replay/internal/caller"
 	"bramleystand.org/replay/internal/load"
 	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/operationlog"
 	"bramleystand.org/replay/internal/report"
 	"bramleystand.org/replay/internal/trace"
 )
@@ -38,7 +39,7 @@
 		return fmt.Errorf("run: create operation log: %w", err)
 	}
 	defer f.Close()
-	log := operation.NewLog(f)
+	log := operationlog.New(f)
 	result, runErr := replayTrace(ctx, t, r.Entry, runName(t), log.Add)
 	return errors.Join(runErr, log.Close(), result.WriteTable(os.Stdout), writeReport(r.Report, result))
 }
--- a/replay/internal/command/verify.go
+++ b/replay/internal/command/verify.go
@@ -13,6 +13,7 @@
 	"bramleystand.org/replay/internal/caller"
 	"bramleystand.org/replay/internal/execution"
 	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/operationlog"
 	"bramleystand.org/replay/internal/oracle"
 )
 
@@ -71,5 +72,5 @@
 		return nil, fmt.Errorf("open operation log: %w", err)
 	}
 	defer f.Close()
-	return operation.ReadLog(f)
+	return operationlog.Read(f)
 }
--- a/replay/internal/operation/operation.go
+++ b/replay/internal/operation/operation.go
@@ -1,11 +1,11 @@
-// Package operation defines what callers do, how each attempt at it ended, and
-// the operation log: JSON lines, one for each attempt.
+// Package operation defines what callers do and how each attempt at it ended.
 //
 // # Usage
 //
-//	log := operation.NewLog(file)
-//	log.Add(attempt)
-//	err := log.Close()
+//	result := caller.Do(ctx, operation.Operation{Service: "seat-desk", Key: "seat-1", Rank: rank.Lookup})
+//	if result.Class() == operation.Lost {
+//		// No attempt was answered.
+//	}
 package operation
 
 import (
--- a/replay/internal/operation/log.go
+++ b/replay/internal/operationlog/log.go
@@ -1,4 +1,11 @@
-package operation
+// Package operationlog stores what callers were told: JSON lines, one for each attempt.
+//
+// # Usage
+//
+//	log := operationlog.New(file)
+//	log.Add(attempt)
+//	err := log.Close()
+package operationlog
 
 import (
 	"bufio"
@@ -11,6 +18,7 @@
 
 	"bramleystand.org/common/outcome"
 	"bramleystand.org/common/rank"
+	"bramleystand.org/replay/internal/operation"
 )
 
 type attemptLine struct {
@@ -41,14 +49,14 @@
 	err     error
 }
 
-// NewLog returns a log that writes to w.
-func NewLog(w io.Writer) *Log {
+// New returns a log that writes to w.
+func New(w io.Writer) *Log {
 	b := bufio.NewWriter(w)
 	return &Log{buffer: b, encoder: json.NewEncoder(b)}
 }
 
 // Add writes one attempt; Close reports the first error. Times are in microseconds since the Unix epoch.
-func (l *Log) Add(a Attempt) {
+func (l *Log) Add(a operation.Attempt) {
 	line := attemptLine{
 		Operation: a.Operation, Attempt: a.Number, Service: a.Service, Key: a.Key, Rank: a.Rank.String(),
 		Ticket: a.Ticket, Digest: a.Digest, Entry: a.Entry, Sent: a.Sent.UnixMicro(), Outcome: a.Outcome.String(),
@@ -69,16 +77,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := errors.Join(l.err, l.buffer.Flush()); err != nil {
-		return fmt.Errorf("operation: write log: %w", err)
+		return fmt.Errorf("operationlog: write: %w", err)
 	}
 	return nil
 }
 
-// ReadLog reads all attempts of a log.
-func ReadLog(r io.Reader) ([]Attempt, error) {
+// Read reads all attempts of a log.
+func Read(r io.Reader) ([]operation.Attempt, error) {
 	d := json.NewDecoder(bufio.NewReader(r))
 	d.DisallowUnknownFields()
-	var attempts []Attempt
+	var attempts []operation.Attempt
 	for n := 1; ; n++ {
 		var line attemptLine
 		err := d.Decode(&line)
@@ -86,13 +94,13 @@
 			return attempts, nil
 		}
 		if err != nil {
-			return nil, fmt.Errorf("operation: log line %d: %w", n, err)
+			return nil, fmt.Errorf("operationlog: line %d: %w", n, err)
 		}
 		k, err := rank.Parse(line.Rank)
 		if err != nil {
-			return nil, fmt.Errorf("operation: log line %d: %w", n, err)
+			return nil, fmt.Errorf("operationlog: line %d: %w", n, err)
 		}
-		a := Attempt{
+		a := operation.Attempt{
 			Operation: line.Operation, Number: line.Attempt, Service: line.Service, Key: line.Key, Rank: k,
 			Ticket: line.Ticket, Digest: line.Digest, Entry: line.Entry, Sent: time.UnixMicro(line.Sent),
 			Told: line.Answered != 0, Outcome: outcome.Parse(line.Outcome), Status: line.Status,
--- a/replay/internal/trial/trial.go
+++ b/replay/internal/trial/trial.go
@@ -29,6 +29,7 @@
 	"bramleystand.org/replay/internal/execution"
 	"bramleystand.org/replay/internal/fleet"
 	"bramleystand.org/replay/internal/operation"
+	"bramleystand.org/replay/internal/operationlog"
 	"bramleystand.org/replay/internal/oracle"
 	"bramleystand.org/replay/internal/probe"
 )
@@ -53,7 +54,7 @@
 	name     string
 	client   *http.Client
 	file     *os.File
-	log      *operation.Log
+	log      *operationlog.Log
 	mu       sync.Mutex
 	attempts []operation.Attempt
 }
@@ -70,7 +71,7 @@
 		return nil, fmt.Errorf("trial: create operation log: %w", err)
 	}
 	client := caller.Client()
-	t := &Trial{Fleet: f, name: name, client: client, file: file, log: operation.NewLog(file)}
+	t := &Trial{Fleet: f, name: name, client: client, file: file, log: operationlog.New(file)}
 	t.Caller = caller.New(client, f.Callers(), t.record)
 	t.Collector = execution.NewCollector(client, f.Admins())
 	if err := t.serve(ctx, o.Deployment); err != nil {
