Add controller and leaseholder state machines

Add entry/internal/controller and entry/internal/lease, both without I/O, and a rapid model with several entry VMs, fenced and unfenced backend servers, a platform with conditional updates and a network with faults. The messages gain what the model showed to be needed: a version per answer to Renew, so that reordered answers and stale releases are recognised; the former members of a record; and how long leases may outlive a resignation.

--- a/entry/internal/control/lease.go
+++ b/entry/internal/control/lease.go
@@ -10,7 +10,9 @@
 	Upstream string
 	Fence    fence.Fence
 	Revision uint32
-	Shards   []shard.Shard
+	// Same says that the lessee has reported this fence and revision, so that Shards is left out.
+	Same   bool
+	Shards []shard.Shard
 	// Releasing lists the shards among Shards that the leaseholder must stop using and report as released.
 	Releasing []shard.Shard
 	// Handover holds the operation records of shards that were moved to this upstream.
--- a/entry/internal/control/table.go
+++ b/entry/internal/control/table.go
@@ -8,10 +8,15 @@
 	Placements []Placement
 }
 
+// Version returns the position of the table among all tables of its pair; a nil table is the oldest.
+func (t *Table) Version() Version {
+	if t == nil {
+		return Version{}
+	}
+	return Version{Term: t.Term, Sequence: t.Sequence}
+}
+
 // Newer reports whether the table replaces o.
 func (t *Table) Newer(o *Table) bool {
-	if t.Term != o.Term {
-		return t.Term > o.Term
-	}
-	return t.Sequence > o.Sequence
+	return t.Version().Newer(o.Version())
 }
--- /dev/null
+++ b/entry/internal/controller/control.go
@@ -0,0 +1,65 @@
+package controller
+
+import (
+	"time"
+
+	"bramleystand.org/entry/internal/control"
+)
+
+// control advances the work of a controller that has authority.
+func (c *Controller) control(now time.Time) {
+	if c.role != controlling {
+		return
+	}
+	if c.record.settled && !c.isMember() {
+		c.relinquish(now)
+		return
+	}
+	if !now.Before(c.authority(now)) {
+		return
+	}
+	if c.loadBase {
+		c.loadTable(now)
+		return
+	}
+	if now.Before(c.grantFrom) {
+		return
+	}
+	if t := c.tables.newest; t == nil {
+		c.placeAll(now)
+	} else if t.Term != c.term {
+		c.propose(now, t.Placements, true)
+	}
+	c.commit(now)
+	c.storeTable(now)
+	if c.tables.committed != nil && c.tables.proposal() == nil {
+		c.plan(now)
+		c.commit(now)
+	}
+}
+
+// relinquish hands over to the members of a record to which this controller doesn't belong.
+func (c *Controller) relinquish(now time.Time) {
+	for _, m := range c.others() {
+		c.emit(Effect{Kind: SendResign, To: m, Resign: &control.ResignRequest{
+			Pair: c.pair, Term: c.term, From: c.self, Table: c.tables.newest,
+		}})
+	}
+	c.stepDown()
+	c.schedule(now)
+}
+
+// plan proposes a table with all changes that are possible now.
+func (c *Controller) plan(now time.Time) {
+	d := newDraft(c, now)
+	d.addUpstreams()
+	d.markClosing()
+	d.markEvacuations()
+	d.planMoves()
+	d.moveShards()
+	d.replaceLeaseholders()
+	d.dropUpstreams()
+	if d.changed {
+		c.propose(now, d.placements, false)
+	}
+}
--- /dev/null
+++ b/entry/internal/controller/evenplanner.go
@@ -0,0 +1,39 @@
+package controller
+
+import "time"
+
+// EvenPlanner evens out the number of shards without regard to load.
+type EvenPlanner struct{}
+
+// Plan moves shards from the fullest to the emptiest upstreams until their numbers differ by at most one.
+func (EvenPlanner) Plan(_ time.Time, v View) []Move {
+	if len(v.Shares) == 0 {
+		return nil
+	}
+	counts := make([]int, len(v.Shares))
+	taken := make([]int, len(v.Shares))
+	for i, s := range v.Shares {
+		counts[i] = len(s.Shards) + len(s.Fixed)
+	}
+	var moves []Move
+	for len(moves) < moveLimit {
+		low, high := 0, -1
+		for i, s := range v.Shares {
+			if counts[i] < counts[low] {
+				low = i
+			}
+			if taken[i] < len(s.Shards) && (high < 0 || counts[i] > counts[high]) {
+				high = i
+			}
+		}
+		if high < 0 || counts[high]-counts[low] <= 1 {
+			break
+		}
+		from := v.Shares[high]
+		moves = append(moves, Move{Shard: from.Shards[len(from.Shards)-1-taken[high]], From: from.Upstream, To: v.Shares[low].Upstream})
+		taken[high]++
+		counts[high]--
+		counts[low]++
+	}
+	return moves
+}
--- /dev/null
+++ b/entry/internal/controller/model_test.go
@@ -0,0 +1,83 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against any sequence of faults in which two leaseholders may send for a
+// shard, a fence repeats or a table in force is lost, and against shards that stay
+// unserved when the faults have ended.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 5, 5, 10)
+		w.advance(rapid.SampledFrom([]time.Duration{0, 3 * time.Second}).Draw(t, "warmup"))
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "index") }
+		step := func() {
+			w.advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			if w.oracle.failure != "" {
+				t.Fatal(w.oracle.failure)
+			}
+		}
+		parties := []string{"platform"}
+		for _, v := range w.vms {
+			parties = append(parties, v.name)
+		}
+		for _, s := range w.servers {
+			parties = append(parties, s.name)
+		}
+		actions := map[string]func(*rapid.T){
+			"wait": func(*rapid.T) { step() },
+			"network": func(t *rapid.T) {
+				w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+				w.duplication = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplication")
+				w.slow = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "slow")
+				step()
+			},
+			"cut": func(*rapid.T) {
+				w.cut[[2]string{parties[pick(len(parties))], parties[pick(len(parties))]}] = true
+				step()
+			},
+			"isolate": func(*rapid.T) {
+				v := w.vms[pick(len(w.vms))]
+				for _, p := range parties {
+					w.cut[[2]string{v.name, p}] = p != v.name
+				}
+				step()
+			},
+			"join":     func(*rapid.T) { clear(w.cut); step() },
+			"pause":    func(*rapid.T) { w.vms[pick(len(w.vms))].pause(); step() },
+			"resume":   func(*rapid.T) { w.vms[pick(len(w.vms))].resume(); step() },
+			"crash":    func(*rapid.T) { w.vms[pick(len(w.vms))].crash(); step() },
+			"restart":  func(*rapid.T) { w.restart(pick(len(w.vms))); step() },
+			"resign":   func(*rapid.T) { w.resign(pick(len(w.vms))); step() },
+			"platform": func(*rapid.T) { w.platform.down = !w.platform.down; step() },
+			"answers":  func(*rapid.T) { w.platform.lossy = !w.platform.lossy; step() },
+			"freeze":   func(*rapid.T) { w.servers[pick(len(w.servers))].freeze(); step() },
+			"thaw":     func(*rapid.T) { w.servers[pick(len(w.servers))].thaw(); step() },
+			"kill":     func(*rapid.T) { w.servers[pick(len(w.servers))].kill(); step() },
+			"revive":   func(*rapid.T) { w.servers[pick(len(w.servers))].restart(); step() },
+			"leave": func(*rapid.T) {
+				name := w.servers[pick(len(w.servers))].name
+				w.mark(name, !w.leaving[name])
+				step()
+			},
+			"heal": func(*rapid.T) { w.heal(); step() },
+		}
+		t.Repeat(actions)
+		w.heal()
+		for _, s := range w.servers {
+			s.restart()
+			w.mark(s.name, false)
+		}
+		took, ok := w.settle(15 * time.Second)
+		if w.oracle.failure != "" {
+			t.Fatal(w.oracle.failure)
+		}
+		if !ok {
+			t.Fatalf("%d shards unserved %v after the faults: %s", len(w.unserved()), took, w.describe())
+		}
+	})
+}
