Add drpc between entry processes and the runner of a pair

Cause: the state machines had no messages and no clock. Change: package peer carries requests and control messages over pooled drpc connections with CBOR; package pair drives the controller and the leases of one service and data centre. Ruled out: one connection for all calls, because a drpc connection carries one call at a time; taking a connection error as not run, because it says nothing about the far side.

--- a/entry/internal/lease/holder.go
+++ b/entry/internal/lease/holder.go
@@ -293,3 +293,20 @@
 	}
 	return fresh
 }
+
+// Lease returns the fence and the shards that aren't being released of an upstream's lease, and whether the lease
+// is current. The fence is zero if there is no lease.
+func (h *Holder) Lease(now time.Time, upstream string) (fence.Fence, []shard.Shard, bool) {
+	u := h.upstreams[upstream]
+	if u == nil {
+		return 0, nil, false
+	}
+	var list []shard.Shard
+	for s, state := range u.shards {
+		if !state.releasing {
+			list = append(list, s)
+		}
+	}
+	slices.Sort(list)
+	return u.fence, list, now.Before(h.deadline)
+}
--- /dev/null
+++ b/entry/internal/pair/pair.go
@@ -0,0 +1,304 @@
+// Package pair runs one entry process's part in controlling one pair of service
+// and data centre: the controller state machine, the leases that this process
+// holds, and the messages and platform writes that both ask for.
+//
+// One goroutine per pair drives both state machines; messages from peers and
+// answers come in on other goroutines. The state machines have a mutex each, of
+// which no goroutine holds both.
+//
+// # Usage
+//
+//	p := pair.New(id, self, directory, peers, store, logger)
+//	go p.Run(ctx)
+//	response := p.HandleRenew(now, request)
+package pair
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/control"
+	"bramleystand.org/entry/internal/controller"
+	"bramleystand.org/entry/internal/lease"
+)
+
+// Directory gives configuration, members and tables, and takes new tables.
+type Directory interface {
+	Service(name string) (configuration.Service, bool)
+	Leaving(vm string) (configuration.Leaving, bool)
+	Live(centre string) []control.Member
+	Centres() []string
+	Removed() map[string]bool
+	Succession(p control.Pair) (control.Succession, bool)
+	Table(p control.Pair) (control.Table, bool)
+	PutTable(now time.Time, t control.Table) bool
+	Subscribe() (changed <-chan struct{}, cancel func())
+}
+
+// Peers sends control messages to other entry processes.
+type Peers interface {
+	Renew(ctx context.Context, to netip.AddrPort, r control.RenewRequest) (control.RenewResponse, error)
+	Support(ctx context.Context, to netip.AddrPort, r control.SupportRequest) (control.SupportResponse, error)
+	Resign(ctx context.Context, to netip.AddrPort, r control.ResignRequest) error
+}
+
+// Store reads and writes the objects of the pair on the platform.
+type Store interface {
+	LoadTable(ctx context.Context, p control.Pair) (t *control.Table, version int64, ok bool)
+	StoreTable(ctx context.Context, t *control.Table, expected int64) (version int64, result controller.Result)
+	LoadSuccession(ctx context.Context, p control.Pair) (s control.Succession, found, ok bool)
+	StoreSuccession(ctx context.Context, s *control.Succession, expected int64) (version int64, result controller.Result)
+}
+
+// Pair is this process's part in one pair.
+type Pair struct {
+	id        control.Pair
+	self      control.Member
+	directory Directory
+	peers     Peers
+	store     Store
+	logger    log.Interface
+	// wake makes Run look at the state machines at once.
+	wake chan struct{}
+
+	controllerMu sync.Mutex
+	controller   *controller.Controller
+
+	holderMu sync.Mutex
+	// holder is nil in other data centres, whose backend servers this process never sends to.
+	holder *lease.Holder
+	// applied receives after each accepted renewal.
+	applied chan struct{}
+}
+
+// New returns the part of the process self in a pair.
+func New(id control.Pair, self control.Member, planner controller.Planner, d Directory, peers Peers, store Store, logger log.Interface) *Pair {
+	p := &Pair{
+		id: id, self: self, directory: d, peers: peers, store: store, logger: logger.WithField("pair", id.String()),
+		wake: make(chan struct{}, 1), applied: make(chan struct{}, 1),
+		controller: controller.New(id, self, planner),
+	}
+	if id.DataCentre == self.DataCentre {
+		p.holder = lease.New(id, self)
+	}
+	return p
+}
+
+// Applied returns a channel that receives after each change of this process's leases.
+func (p *Pair) Applied() <-chan struct{} {
+	return p.applied
+}
+
+// Run drives the state machines until the context ends.
+func (p *Pair) Run(ctx context.Context) {
+	changed, cancel := p.directory.Subscribe()
+	defer cancel()
+	p.configure(time.Now())
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			p.configure(time.Now())
+		case <-p.wake:
+		case <-timer.C:
+		}
+		now := time.Now()
+		next := p.tick(ctx, now)
+		if renew := p.renew(ctx, now); renew.Before(next) {
+			next = renew
+		}
+		timer.Reset(time.Until(next))
+	}
+}
+
+// configure passes the newest configuration to the state machines.
+func (p *Pair) configure(now time.Time) {
+	service, known := p.directory.Service(p.id.Service)
+	leaving := make(map[string]bool)
+	for _, u := range service.Upstreams {
+		if _, ok := p.directory.Leaving(u.Name); ok {
+			leaving[u.Name] = true
+		}
+	}
+	live := p.live(leaving)
+	succession, recorded := p.directory.Succession(p.id)
+	table, hasTable := p.directory.Table(p.id)
+	p.controllerMu.Lock()
+	defer p.controllerMu.Unlock()
+	if recorded {
+		p.controller.Adopt(now, succession)
+	}
+	if hasTable {
+		p.controller.Restore(now, &table)
+	}
+	p.controller.Observe(now, live, p.directory.Removed())
+	if known {
+		p.controller.Configure(now, &service, leaving)
+	}
+}
+
+// live returns the live entry VMs, those of the pair's data centre first, and notes those with a leaving mark.
+func (p *Pair) live(leaving map[string]bool) []control.Member {
+	live := append([]control.Member(nil), p.directory.Live(p.id.DataCentre)...)
+	for _, c := range p.directory.Centres() {
+		if c != p.id.DataCentre {
+			live = append(live, p.directory.Live(c)...)
+		}
+	}
+	for _, m := range live {
+		if _, ok := p.directory.Leaving(m.Name); ok {
+			leaving[m.Name] = true
+		}
+	}
+	return live
+}
+
+// tick drives the controller and returns when it is due again.
+func (p *Pair) tick(ctx context.Context, now time.Time) time.Time {
+	p.controllerMu.Lock()
+	p.controller.Tick(now)
+	next := p.controller.Next(now)
+	table := p.controller.Table()
+	p.controllerMu.Unlock()
+	if table != nil {
+		p.directory.PutTable(now, *table)
+	}
+	p.perform(ctx)
+	return next
+}
+
+// renew asks for leases if that is due and returns when it is due again.
+func (p *Pair) renew(ctx context.Context, now time.Time) time.Time {
+	if p.holder == nil {
+		return now.Add(control.LeaseTTL)
+	}
+	succession := p.succession()
+	p.holderMu.Lock()
+	p.holder.Follow(succession)
+	var requests []lease.Renewal
+	if !now.Before(p.holder.Next()) {
+		requests = p.holder.Renew(now)
+	}
+	next := p.holder.Next()
+	p.holderMu.Unlock()
+	for _, r := range requests {
+		go p.sendRenewal(ctx, now, r)
+	}
+	return next
+}
+
+func (p *Pair) succession() control.Succession {
+	p.controllerMu.Lock()
+	defer p.controllerMu.Unlock()
+	return p.controller.Succession()
+}
+
+func (p *Pair) sendRenewal(ctx context.Context, sent time.Time, r lease.Renewal) {
+	var response control.RenewResponse
+	if r.To.Same(p.self) {
+		response = p.HandleRenew(time.Now(), r.Request)
+	} else {
+		var err error
+		if response, err = p.peers.Renew(ctx, r.To.Address, r.Request); err != nil {
+			p.logger.WithError(err).Debug("renewal failed")
+			return
+		}
+	}
+	p.holderMu.Lock()
+	p.holder.Answered(time.Now(), sent, response)
+	p.holderMu.Unlock()
+	signal(p.applied)
+}
+
+// signal makes a channel of capacity one ready.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// HandleRenew answers a leaseholder.
+func (p *Pair) HandleRenew(now time.Time, r control.RenewRequest) control.RenewResponse {
+	p.controllerMu.Lock()
+	defer p.controllerMu.Unlock()
+	response := p.controller.HandleRenew(now, r)
+	signal(p.wake)
+	return response
+}
+
+// HandleSupport answers a candidate or controller.
+func (p *Pair) HandleSupport(now time.Time, r control.SupportRequest) control.SupportResponse {
+	p.controllerMu.Lock()
+	defer p.controllerMu.Unlock()
+	response := p.controller.HandleSupport(now, r)
+	signal(p.wake)
+	return response
+}
+
+// HandleResign notes that the controller stops.
+func (p *Pair) HandleResign(now time.Time, r control.ResignRequest) {
+	p.controllerMu.Lock()
+	defer p.controllerMu.Unlock()
+	p.controller.HandleResign(now, r)
+	signal(p.wake)
+}
+
+// Leave asks for all leases to be given to others and gives up control.
+func (p *Pair) Leave(now time.Time) {
+	if p.holder != nil {
+		p.holderMu.Lock()
+		p.holder.Resign(now)
+		p.holderMu.Unlock()
+	}
+	signal(p.wake)
+}
+
+// Resign gives up control for good.
+func (p *Pair) Resign(ctx context.Context, now time.Time) {
+	p.controllerMu.Lock()
+	p.controller.Resign(now)
+	p.controllerMu.Unlock()
+	p.perform(ctx)
+}
+
+// Allowed implements upstream.Lease.
+func (p *Pair) Allowed(now time.Time, upstream string, s shard.Shard) (fence.Fence, bool) {
+	p.holderMu.Lock()
+	defer p.holderMu.Unlock()
+	return p.holder.Allowed(now, upstream, s)
+}
+
+// Deadline implements upstream.Lease.
+func (p *Pair) Deadline() time.Time {
+	p.holderMu.Lock()
+	defer p.holderMu.Unlock()
+	return p.holder.Deadline()
+}
+
+// Holder calls a function with the lease holder locked.
+func (p *Pair) Holder(f func(h *lease.Holder)) {
+	p.holderMu.Lock()
+	defer p.holderMu.Unlock()
+	f(p.holder)
+	if !p.holder.Next().After(time.Now()) {
+		signal(p.wake)
+	}
+}
+
+// Dump returns the state of the controller.
+func (p *Pair) Dump(now time.Time) controller.Dump {
+	p.controllerMu.Lock()
+	defer p.controllerMu.Unlock()
+	return p.controller.Dump(now)
+}
--- /dev/null
+++ b/entry/internal/peer/frame.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/rank"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/exchange"
+)
+
+// pieceBytes is the size of a body piece on the wire.
+const pieceBytes = 32 << 10
+
+// wireRequest is the first message of a Forward stream. Timeout is relative,
+// because the clocks of two VMs differ.
+type wireRequest struct {
+	_           struct{} `cbor:",toarray"`
+	Service     string
+	Key         string
+	Shard       uint32
+	Rank        uint8
+	Timeout     int64
+	Ticket      string
+	WantTicket  bool
+	TicketOnly  bool
+	Method      string
+	Query       string
+	Header      http.Header
+	Prefix      []byte
+	Length      int64
+	More        bool
+	Fingerprint uint64
+}
+
+// wireResponse is the first message of an answer; Proceed alone asks for the rest of the request body.
+type wireResponse struct {
+	_       struct{} `cbor:",toarray"`
+	Proceed bool
+	Outcome uint8
+	Status  int
+	Header  http.Header
+	Reason  string
+	Retry   int64
+	Moved   bool
+	Ticket  string
+	Crashed bool
+	Data    []byte
+	Last    bool
+}
+
+// wirePiece is a piece of a body. A body without a Last piece is truncated.
+type wirePiece struct {
+	_      struct{} `cbor:",toarray"`
+	Data   []byte
+	Last   bool
+	Failed bool
+}
+
+func encodeRequest(now time.Time, r *exchange.Request) *wireRequest {
+	return &wireRequest{
+		Service:     r.Service,
+		Key:         r.Key,
+		Shard:       uint32(r.Shard),
+		Rank:        uint8(r.Rank),
+		Timeout:     int64(r.Deadline.Sub(now)),
+		Ticket:      r.Ticket,
+		WantTicket:  r.WantTicket,
+		TicketOnly:  r.TicketOnly,
+		Method:      r.Method,
+		Query:       r.Query,
+		Header:      r.Header,
+		Prefix:      r.Prefix,
+		Length:      r.Length,
+		More:        r.Rest != nil,
+		Fingerprint: r.Fingerprint,
+	}
+}
+
+func decodeRequest(now time.Time, w *wireRequest) *exchange.Request {
+	return &exchange.Request{
+		Service:     w.Service,
+		Key:         w.Key,
+		Shard:       shard.Shard(w.Shard),
+		Rank:        rank.Rank(w.Rank),
+		Deadline:    now.Add(time.Duration(w.Timeout)),
+		Ticket:      w.Ticket,
+		WantTicket:  w.WantTicket,
+		TicketOnly:  w.TicketOnly,
+		Method:      w.Method,
+		Query:       w.Query,
+		Header:      w.Header,
+		Prefix:      w.Prefix,
+		Length:      w.Length,
+		Fingerprint: w.Fingerprint,
+	}
+}
+
+func encodeResponse(now time.Time, r *exchange.Response) *wireResponse {
+	w := &wireResponse{
+		Outcome: uint8(r.Outcome),
+		Status:  r.Status,
+		Header:  r.Header,
+		Reason:  r.Reason,
+		Moved:   r.Moved,
+		Ticket:  r.Ticket,
+		Crashed: r.Crashed,
+	}
+	if !r.RetryAt.IsZero() {
+		w.Retry = max(1, int64(r.RetryAt.Sub(now)))
+	}
+	return w
+}
+
+func decodeResponse(now time.Time, w *wireResponse) *exchange.Response {
+	r := &exchange.Response{
+		Outcome: outcome.Outcome(w.Outcome),
+		Status:  w.Status,
+		Header:  w.Header,
+		Reason:  w.Reason,
+		Moved:   w.Moved,
+		Ticket:  w.Ticket,
+		Crashed: w.Crashed,
+	}
+	if w.Retry > 0 {
+		r.RetryAt = now.Add(time.Duration(w.Retry))
+	}
+	return r
+}
--- /dev/null
+++ b/entry/internal/peer/wirerenew.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"time"
+
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/control"
+)
+
+type wireRecord struct {
+	_         struct{} `cbor:",toarray"`
+	Ticket    string
+	Outcome   uint8
+	Done      bool
+	Status    int
+	Body      []byte
+	Remaining int64
+}
+
+type wireEpoch struct {
+	_         struct{} `cbor:",toarray"`
+	Fence     uint64
+	First     uint64
+	Next      uint64
+	Age       int64
+	Remaining int64
+}
+
+type wireRelease struct {
+	_       struct{} `cbor:",toarray"`
+	Shard   uint32
+	History uint64
+	Epochs  []wireEpoch
+	Records []wireRecord
+}
+
+type wireShardLoad struct {
+	_     struct{} `cbor:",toarray"`
+	Shard uint32
+	Load  float32
+}
+
+type wireReport struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Fence    uint64
+	Revision uint32
+	State    uint8
+	Load     []wireShardLoad
+	Released []wireRelease
+	Received []wireRelease
+}
+
+type wireLease struct {
+	_         struct{} `cbor:",toarray"`
+	Upstream  string
+	Fence     uint64
+	Revision  uint32
+	Same      bool
+	Shards    []uint32
+	Releasing []uint32
+	Handover  []wireRelease
+}
+
+type wireRenewRequest struct {
+	_         struct{} `cbor:",toarray"`
+	Pair      wirePair
+	Member    wireMember
+	Sequence  uint64
+	Applied   wireVersion
+	Reports   []wireReport
+	Resigning bool
+}
+
+type wireRenewResponse struct {
+	_          struct{} `cbor:",toarray"`
+	Pair       wirePair
+	Accepted   bool
+	Term       uint32
+	Sequence   uint64
+	Controller wireMember
+	Remaining  int64
+	Leases     []wireLease
+}
+
+func encodeRecord(r control.Record) wireRecord {
+	return wireRecord{
+		Ticket: r.Ticket, Outcome: uint8(r.Outcome), Done: r.Done,
+		Status: r.Status, Body: r.Body, Remaining: int64(r.Remaining),
+	}
+}
+
+func decodeRecord(w wireRecord) control.Record {
+	return control.Record{
+		Ticket: w.Ticket, Outcome: outcome.Outcome(w.Outcome), Done: w.Done,
+		Status: w.Status, Body: w.Body, Remaining: time.Duration(w.Remaining),
+	}
+}
+
+func encodeEpoch(e control.Epoch) wireEpoch {
+	return wireEpoch{Fence: uint64(e.Fence), First: e.First, Next: e.Next, Age: int64(e.Age), Remaining: int64(e.Remaining)}
+}
+
+func decodeEpoch(w wireEpoch) control.Epoch {
+	return control.Epoch{
+		Fence: fence.Fence(w.Fence), First: w.First, Next: w.Next,
+		Age: time.Duration(w.Age), Remaining: time.Duration(w.Remaining),
+	}
+}
+
+func encodeRelease(r control.Release) wireRelease {
+	return wireRelease{
+		Shard: uint32(r.Shard), History: uint64(r.History),
+		Epochs: mapAll(r.Epochs, encodeEpoch), Records: mapAll(r.Records, encodeRecord),
+	}
+}
+
+func decodeRelease(w wireRelease) control.Release {
+	return control.Release{
+		Shard: shard.Shard(w.Shard), History: fence.Fence(w.History),
+		Epochs: mapAll(w.Epochs, decodeEpoch), Records: mapAll(w.Records, decodeRecord),
+	}
+}
+
+func encodeReport(r control.Report) wireReport {
+	return wireReport{
+		Upstream: r.Upstream, Fence: uint64(r.Fence), Revision: r.Revision, State: uint8(r.State),
+		Load: mapAll(r.Load, func(l control.ShardLoad) wireShardLoad {
+			return wireShardLoad{Shard: uint32(l.Shard), Load: float32(l.Load)}
+		}),
+		Released: mapAll(r.Released, encodeRelease),
+		Received: mapAll(r.Received, encodeRelease),
+	}
+}
+
+func decodeReport(w wireReport) control.Report {
+	return control.Report{
+		Upstream: w.Upstream, Fence: fence.Fence(w.Fence), Revision: w.Revision, State: control.ServerState(w.State),
+		Load: mapAll(w.Load, func(l wireShardLoad) control.ShardLoad {
+			return control.ShardLoad{Shard: shard.Shard(l.Shard), Load: float64(l.Load)}
+		}),
+		Released: mapAll(w.Released, decodeRelease),
+		Received: mapAll(w.Received, decodeRelease),
+	}
+}
+
+func encodeLease(l control.Lease) wireLease {
+	return wireLease{
+		Upstream: l.Upstream, Fence: uint64(l.Fence), Revision: l.Revision, Same: l.Same, Shards: encodeShards(l.Shards),
+		Releasing: encodeShards(l.Releasing), Handover: mapAll(l.Handover, encodeRelease),
+	}
+}
+
+func decodeLease(w wireLease) control.Lease {
+	return control.Lease{
+		Upstream: w.Upstream, Fence: fence.Fence(w.Fence), Revision: w.Revision, Same: w.Same, Shards: decodeShards(w.Shards),
+		Releasing: decodeShards(w.Releasing), Handover: mapAll(w.Handover, decodeRelease),
+	}
+}
+
+func encodeRenewRequest(r control.RenewRequest) *wireRenewRequest {
+	return &wireRenewRequest{
+		Pair: encodePair(r.Pair), Member: encodeMember(r.Member),
+		Sequence: r.Sequence, Applied: encodeVersion(r.Applied),
+		Reports: mapAll(r.Reports, encodeReport), Resigning: r.Resigning,
+	}
+}
+
+func decodeRenewRequest(w *wireRenewRequest) control.RenewRequest {
+	return control.RenewRequest{
+		Pair: decodePair(w.Pair), Member: decodeMember(w.Member),
+		Sequence: w.Sequence, Applied: decodeVersion(w.Applied),
+		Reports: mapAll(w.Reports, decodeReport), Resigning: w.Resigning,
+	}
+}
+
+func encodeRenewResponse(r control.RenewResponse) *wireRenewResponse {
+	return &wireRenewResponse{
+		Pair: encodePair(r.Pair), Accepted: r.Accepted, Term: r.Term, Sequence: r.Sequence, Controller: encodeMember(r.Controller),
+		Remaining: int64(r.Remaining), Leases: mapAll(r.Leases, encodeLease),
+	}
+}
+
+func decodeRenewResponse(w *wireRenewResponse) control.RenewResponse {
+	return control.RenewResponse{
+		Pair: decodePair(w.Pair), Accepted: w.Accepted, Term: w.Term, Sequence: w.Sequence, Controller: decodeMember(w.Controller),
+		Remaining: time.Duration(w.Remaining), Leases: mapAll(w.Leases, decodeLease),
+	}
+}
