Add backend, the client of one backend server

Cause: a leaseholder must know of each failure whether the server can have run the request, and net/http's Transport repeats some requests by itself. Change: an HTTP/1.1 client on a pool of connections of which each carries one request at a time, at most two of them being opened at once. Ruled out: http.Transport with one connection per host, because it repeats a request on a reused connection that broke and does not tell how much was sent.

--- /dev/null
+++ b/entry/internal/backend/dialer.go
@@ -0,0 +1,30 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Dialer opens connections; *net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dial opens a connection when fewer than parallelDials are being opened.
+func (c *Client) dial(ctx context.Context) (*conn, error) {
+	select {
+	case c.permits <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("backend: wait to connect: %w", ctx.Err())
+	}
+	defer func() { <-c.permits }()
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(dialTimeout))
+	defer cancel()
+	inner, err := c.dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, fmt.Errorf("backend: connect: %w", err)
+	}
+	return newConn(inner), nil
+}
