entry: add model test of configuration spread and traffic measurement

TestSpread runs 2 to 10 members in 1 to 4 data centres with 20% loss, duplicates, late messages, pauses, restarts with empty memory, partitions and platform outages, and checks that no version goes back within an incarnation and that all members have everything 10 s after recovery.

The lists of members were computed again at every change of one member; in a partition of 420 members this took most of the time. They are now updated in place, and the choice of watchers is computed once per change.

--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -93,7 +93,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.put(now, memberItem(d.self))
-	d.publish(now)
+	d.publish()
 	return d
 }
 
--- a/entry/internal/directory/draft.go
+++ b/entry/internal/directory/draft.go
@@ -14,7 +14,9 @@
 	changed bool
 	// rerouted lists the services whose routes have to be computed again.
 	rerouted map[string]configuration.Service
-	// stale says whether the lists of members have to be computed again.
+	// owned says that no published snapshot shares the list of members.
+	owned bool
+	// stale says that live has to be computed again.
 	stale bool
 }
 
--- a/entry/internal/directory/exchange.go
+++ b/entry/internal/directory/exchange.go
@@ -74,7 +74,7 @@
 		took = d.put(now, suspectItem(s)) || took
 	}
 	if took {
-		d.publish(now)
+		d.publish()
 	}
 }
 
--- /dev/null
+++ b/entry/internal/directory/fleet_test.go
@@ -0,0 +1,263 @@
+package directory_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"bramleystand.org/entry/internal/control"
+	"bramleystand.org/entry/internal/directory"
+)
+
+const (
+	timeout    = 300 * time.Millisecond
+	watchEvery = 100 * time.Millisecond
+	// pausedStep is how often a paused node looks whether it continues.
+	pausedStep = 50 * time.Millisecond
+)
+
+// fleet runs directories on simulated time, with a network and a platform that fail on request.
+type fleet struct {
+	random   *rand.Rand
+	now      time.Time
+	events   events
+	order    int
+	nodes    []*node
+	byName   map[string]*node
+	byAddr   map[netip.AddrPort]*node
+	loss     float64
+	cut      func(a, b *node) bool
+	blind    func(n *node) bool
+	objects  map[string]control.Object
+	history  []control.Object
+	down     bool
+	upSince  time.Time
+	count    func(from, to *node, message control.Sync)
+	problems []string
+}
+
+// node is one member; a restart gives it a new directory.
+type node struct {
+	member    control.Member
+	directory *directory.Directory
+	paused    time.Time
+	seen      map[string]int64
+	after     int
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// newFleet returns a fleet whose members know each other if known is set, and otherwise only two seeds.
+func newFleet(seed uint64, size, centres int, known bool) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 1)), now: start, cut: func(_, _ *node) bool { return false }, blind: func(*node) bool { return false },
+		byName: map[string]*node{}, byAddr: map[netip.AddrPort]*node{}, objects: map[string]control.Object{},
+	}
+	var all []control.Announcement
+	for i := range size {
+		centre := []string{"tvm", "klm", "alp", "fka", "ktq"}[i%centres]
+		m := control.Member{
+			Name: fmt.Sprintf("%s-%d", centre, i), DataCentre: centre, Incarnation: start.UnixNano(),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 7002),
+		}
+		n := &node{member: m}
+		f.nodes = append(f.nodes, n)
+		f.byName[m.Name], f.byAddr[m.Address] = n, n
+		all = append(all, control.Announcement{Member: m, Beat: 1})
+	}
+	for _, n := range f.nodes {
+		f.restart(n)
+		if known {
+			n.directory.Merge(start, control.Sync{Members: all})
+		}
+		f.every(n, directory.Interval, func() { f.exchange(n, true) })
+		f.every(n, directory.RemoteInterval, func() { f.exchange(n, false) })
+		f.every(n, watchEvery, func() { f.watch(n) })
+	}
+	return f
+}
+
+// restart gives a node an empty directory and a new incarnation.
+func (f *fleet) restart(n *node) {
+	n.member.Incarnation = f.now.UnixNano()
+	n.seen, n.after, n.paused = map[string]int64{}, 0, time.Time{}
+	seeds := []netip.AddrPort{f.nodes[0].member.Address, f.nodes[min(1, len(f.nodes)-1)].member.Address}
+	n.directory = directory.New(f.now, n.member, seeds, rand.New(rand.NewPCG(f.random.Uint64(), 1)))
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.events, event{f.now.Add(d), f.order, do})
+}
+
+// every runs do periodically from a random phase. A paused node does nothing until it continues.
+func (f *fleet) every(n *node, interval time.Duration, do func()) {
+	var tick func()
+	tick = func() {
+		if n.paused.After(f.now) {
+			f.after(pausedStep, tick)
+			return
+		}
+		do()
+		f.after(interval, tick)
+	}
+	f.after(time.Duration(f.random.Int64N(int64(interval))), tick)
+}
+
+// run lets the time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// deliver hands a message to a node after the network's delay, or once it is no longer paused.
+func (f *fleet) deliver(from, to *node, message control.Sync, receive func()) {
+	if f.cut(from, to) || f.random.Float64() < f.loss {
+		return
+	}
+	if f.count != nil {
+		f.count(from, to, message)
+	}
+	delay := time.Millisecond + time.Duration(f.random.Int64N(int64(2*time.Millisecond)))
+	if f.random.Float64() < f.loss {
+		// Late messages arrive after later ones and after their caller has given up.
+		delay += time.Duration(f.random.Int64N(int64(2 * time.Second)))
+	}
+	var arrive func()
+	arrive = func() {
+		if to.paused.After(f.now) {
+			f.after(pausedStep, arrive)
+			return
+		}
+		receive()
+		f.check(to)
+	}
+	f.after(delay, arrive)
+	if f.random.Float64() < f.loss {
+		f.after(2*delay, arrive)
+	}
+}
+
+// exchange runs one exchange of a node as the entry process does.
+func (f *fleet) exchange(n *node, own bool) {
+	partner, ok := n.directory.Partner(own)
+	if !ok {
+		return
+	}
+	d, finished := n.directory, false
+	f.after(timeout, func() {
+		if !finished {
+			finished = true
+			d.Missed(f.now, partner)
+		}
+	})
+	to := f.byAddr[partner.Address]
+	var send func(control.Sync, int)
+	send = func(message control.Sync, round int) {
+		f.deliver(n, to, message, func() {
+			answer := to.directory.Offer(f.now, message)
+			f.deliver(to, n, answer, func() {
+				next, more := d.Merge(f.now, answer)
+				if more && round < directory.Rounds {
+					send(next, round+1)
+				} else if !finished {
+					finished = true
+					d.Reached(f.now, partner)
+				}
+			})
+		})
+	}
+	send(n.directory.Digest(f.now), 1)
+}
+
+// write stores a new version of an object at the platform.
+func (f *fleet) write(o control.Object) {
+	o.Version = int64(len(f.history) + 1)
+	f.history = append(f.history, o)
+	f.objects[o.Name] = o
+}
+
+// watch reads the platform's changes, at times with an old event among them.
+func (f *fleet) watch(n *node) {
+	if f.down || f.now.Sub(f.upSince) < 1500*time.Millisecond || f.blind(n) || !n.directory.Watching() {
+		return
+	}
+	for ; n.after < len(f.history); n.after++ {
+		n.directory.PutObject(f.now, f.history[n.after])
+	}
+	if len(f.history) > 0 && f.random.Float64() < f.loss {
+		n.directory.PutObject(f.now, f.history[f.random.IntN(len(f.history))])
+	}
+	f.check(n)
+}
+
+// check is the oracle for versions that go back.
+func (f *fleet) check(n *node) {
+	if f.loss == 0 {
+		return
+	}
+	versions := n.directory.Versions()
+	for name, version := range n.seen {
+		if versions[name] < version {
+			f.problems = append(f.problems, fmt.Sprintf("%s: %s went from %d to %d", n.member.Name, name, version, versions[name]))
+		}
+	}
+	n.seen = versions
+}
+
+// converged reports whether all directories have the newest version of everything.
+func (f *fleet) converged() bool {
+	want := map[string]int64{}
+	for name, o := range f.objects {
+		want[name] = o.Version
+	}
+	for _, n := range f.nodes {
+		if !maps.Equal(want, n.directory.Versions()) {
+			return false
+		}
+	}
+	return true
+}
+
+// untilConverged returns the time until all directories have everything, or false after the limit.
+func (f *fleet) untilConverged(limit time.Duration) (time.Duration, bool) {
+	const step = 50 * time.Millisecond
+	for took := time.Duration(0); took <= limit; took += step {
+		if f.converged() {
+			return took, true
+		}
+		f.run(step)
+	}
+	return limit, false
+}
--- a/entry/internal/directory/members.go
+++ b/entry/internal/directory/members.go
@@ -21,7 +21,7 @@
 	d.self.Leaving = leaving
 	d.self.Beat++
 	d.put(now, memberItem(d.self))
-	d.publish(now)
+	d.publish()
 }
 
 // Self returns the latest announcement of this member.
@@ -52,22 +52,49 @@
 	return a.Silent && now.Sub(a.Since) >= dropAfter
 }
 
-// recount computes the lists of members again.
-func (d *draft) recount(s *store, now time.Time) {
-	d.stale, d.changed = false, true
-	d.members, d.live = nil, map[string][]control.Member{}
-	for b := range s.items {
-		for _, i := range s.items[b] {
-			if i.member != nil && !i.expired(now) {
-				d.members = append(d.members, *i.member)
-			}
-		}
+// putMember replaces or inserts an announcement.
+func (d *draft) putMember(a control.Announcement) {
+	d.ownMembers()
+	i, known := d.find(a.Member.Name)
+	if known {
+		d.members[i] = a
+	} else {
+		d.members = slices.Insert(d.members, i, a)
 	}
-	slices.SortFunc(d.members, func(a, b control.Announcement) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
+	d.stale = true
+}
+
+// dropMember removes the announcement of a forgotten member.
+func (d *draft) dropMember(name string) {
+	if i, known := d.find(name); known {
+		d.ownMembers()
+		d.members = slices.Delete(d.members, i, i+1)
+		d.stale = true
+	}
+}
+
+func (d *draft) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(d.members, name, func(a control.Announcement, name string) int {
+		return cmp.Compare(a.Member.Name, name)
+	})
+}
+
+// ownMembers copies the list of members if it is part of a published snapshot.
+func (d *draft) ownMembers() {
+	if !d.owned {
+		d.members, d.owned = slices.Clone(d.members), true
+	}
+}
+
+// recount computes again who is live and whether this member watches the platform.
+func (d *draft) recount(self control.Member) {
+	d.stale, d.changed = false, true
+	d.live = map[string][]control.Member{}
 	for _, a := range d.members {
 		_, marked := d.leaving[a.Member.Name]
 		if !a.Silent && !a.Leaving && !marked {
 			d.live[a.Member.DataCentre] = append(d.live[a.Member.DataCentre], a.Member)
 		}
 	}
+	d.watching = isWatcher(self, d.live[self.DataCentre])
 }
--- a/entry/internal/directory/partner.go
+++ b/entry/internal/directory/partner.go
@@ -1,12 +1,9 @@
 package directory
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bramleystand.org/entry/internal/control"
 )
 
@@ -19,8 +16,6 @@
 	// strayOneIn is how often an exchange goes to a silent member or to a seed that is no
 	// live member, through which parts of the fleet find each other again after a partition.
 	strayOneIn = 16
-	// watchers is the number of members per data centre that watch the platform.
-	watchers = 2
 )
 
 // contacts remembers the latest exchanges of this member.
@@ -35,8 +30,8 @@
 func (d *Directory) Partner(own bool) (control.Member, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var live, strays []control.Member
-	for _, a := range d.draft.members {
+	var live, silent []int
+	for i, a := range d.draft.members {
 		if (a.Member.DataCentre == d.self.Member.DataCentre) != own || a.Member.Name == d.self.Member.Name {
 			continue
 		}
@@ -47,21 +42,33 @@
 			delete(d.contacts.missed, a.Member.Name)
 		}
 		if a.Silent {
-			strays = append(strays, a.Member)
+			silent = append(silent, i)
 		} else {
-			live = append(live, a.Member)
+			live = append(live, i)
 		}
 	}
 	if d.random.IntN(strayOneIn) == 0 || len(live) == 0 {
-		strays = append(strays, d.unknownSeeds()...)
-		if len(strays) > 0 {
-			return strays[d.random.IntN(len(strays))], true
+		if stray, ok := d.stray(silent); ok {
+			return stray, true
 		}
 	}
 	if len(live) == 0 {
 		return control.Member{}, false
 	}
-	return live[d.random.IntN(len(live))], true
+	return d.draft.members[live[d.random.IntN(len(live))]].Member, true
+}
+
+// stray picks one of the silent members with the given indexes or an unknown seed.
+func (d *Directory) stray(silent []int) (control.Member, bool) {
+	seeds := d.unknownSeeds()
+	if len(silent)+len(seeds) == 0 {
+		return control.Member{}, false
+	}
+	n := d.random.IntN(len(silent) + len(seeds))
+	if n < len(seeds) {
+		return seeds[n], true
+	}
+	return d.draft.members[silent[n-len(seeds)]].Member, true
 }
 
 // unknownSeeds returns the seeds whose addresses are not those of members.
@@ -104,21 +111,5 @@
 	report := *i.member
 	report.Silent, report.Since = true, now
 	d.put(now, memberItem(report))
-	d.publish(now)
-}
-
-// Watching reports whether this member is one of those of its data centre that watch the
-// platform. Members are ranked by a hash of their names, so that a member that joins or
-// leaves moves at most one watch.
-func (d *Directory) Watching() bool {
-	self := d.Self().Member
-	live := slices.Clone(d.Live(self.DataCentre))
-	if len(live) == 0 {
-		// All members of the data centre leave, but somebody has to watch until the end.
-		return true
-	}
-	slices.SortFunc(live, func(a, b control.Member) int {
-		return cmp.Compare(xxhash.Sum64String("watch\x00"+a.Name), xxhash.Sum64String("watch\x00"+b.Name))
-	})
-	return slices.Contains(live[:min(watchers, len(live))], self)
+	d.publish()
 }
--- a/entry/internal/directory/publish.go
+++ b/entry/internal/directory/publish.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"bramleystand.org/entry/internal/control"
 )
@@ -18,15 +17,15 @@
 }
 
 // publish makes the draft visible to lookups and tells the subscribers.
-func (d *Directory) publish(now time.Time) {
+func (d *Directory) publish() {
 	if d.draft.stale {
-		d.draft.recount(&d.store, now)
+		d.draft.recount(d.self.Member)
 	}
 	if !d.draft.changed {
 		return
 	}
 	d.draft.reroute()
-	d.draft.changed = false
+	d.draft.changed, d.draft.owned = false, false
 	d.snapshot.Store(d.draft.clone())
 	d.changes.Add(1)
 	for c := range d.subscribers {
--- a/entry/internal/directory/put.go
+++ b/entry/internal/directory/put.go
@@ -46,7 +46,7 @@
 	if !d.put(now, i) {
 		return false
 	}
-	d.publish(now)
+	d.publish()
 	return true
 }
 
@@ -66,7 +66,7 @@
 	case i.table != nil:
 		d.draft.putTable(i.table)
 	case i.member != nil:
-		d.draft.stale = true
+		d.draft.putMember(*i.member)
 	}
 	return true
 }
@@ -74,9 +74,9 @@
 // expire removes what is too old to be kept.
 func (d *Directory) expire(now time.Time) {
 	for _, i := range d.store.expire(now) {
-		d.draft.stale = d.draft.stale || i.member != nil
-	}
-	if d.draft.stale {
-		d.publish(now)
+		if i.member != nil {
+			d.draft.dropMember(i.member.Member.Name)
+		}
 	}
+	d.publish()
 }
--- a/entry/internal/directory/snapshot.go
+++ b/entry/internal/directory/snapshot.go
@@ -23,6 +23,8 @@
 	members []control.Announcement
 	// live holds the members of each data centre that neither are silent nor leave.
 	live map[string][]control.Member
+	// watching says whether this member is to watch the platform.
+	watching bool
 }
 
 func newSnapshot() *snapshot {
--- /dev/null
+++ b/entry/internal/directory/traffic_test.go
@@ -0,0 +1,94 @@
+package directory_test
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleystand.org/entry/internal/control"
+)
+
+// perMessage is the assumed size of the headers of TCP, IP and drpc around a message.
+const perMessage = 100
+
+// plain turns a message into lists, which CBOR encodes without field names.
+func plain(v reflect.Value) any {
+	switch x := v.Interface().(type) {
+	case time.Time:
+		return x.UnixMilli()
+	case encoding.BinaryMarshaler:
+		b, _ := x.MarshalBinary()
+		return b
+	case []byte:
+		return x
+	}
+	var list []any
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			list = append(list, plain(v.Field(i)))
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			list = append(list, plain(v.Index(i)))
+		}
+	default:
+		return v.Interface()
+	}
+	return list
+}
+
+// Measures the bytes per second that one member sends and receives in exchanges, by the
+// size of the fleet, without changes and with one change a second.
+func BenchmarkTraffic(b *testing.B) {
+	const seconds = 10
+	changes := map[string]func(*fleet, int){
+		"steady":  func(*fleet, int) {},
+		"leaving": func(f *fleet, i int) { f.write(leavingObject(fmt.Sprintf("vm-%d", i), 0)) },
+		"service": func(f *fleet, _ int) { f.write(serviceObject(0, 30)) },
+	}
+	for _, size := range []int{10, 100, 420, 2100} {
+		for _, name := range []string{"steady", "leaving", "service"} {
+			b.Run(fmt.Sprintf("%s/%d", name, size), func(b *testing.B) {
+				var bytes, messages int
+				for range b.N {
+					f := newFleet(3, size, 5, true)
+					f.run(6 * time.Second)
+					f.count = func(_, _ *node, message control.Sync) {
+						data, err := cbor.Marshal(plain(reflect.ValueOf(message)))
+						if err != nil {
+							b.Fatal(err)
+						}
+						bytes += len(data)
+						messages++
+					}
+					for i := range seconds {
+						changes[name](f, i)
+						f.run(time.Second)
+					}
+				}
+				// Each message is sent by one member and received by another.
+				scale := 2 / float64(size*seconds*b.N)
+				b.ReportMetric(float64(bytes)*scale, "B/s")
+				b.ReportMetric(float64(bytes+perMessage*messages)*scale, "B/s-with-headers")
+			})
+		}
+	}
+}
+
+// Measures the time until a change is in force in a whole data centre.
+func BenchmarkSpreadTime(b *testing.B) {
+	for _, size := range []int{10, 420} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for range b.N {
+				calm, healed := spreadTime(b, size)
+				b.ReportMetric(calm.Seconds(), "s")
+				b.ReportMetric(healed.Seconds(), "s-after-partition")
+			}
+		})
+	}
+}
