--- a/entry/internal/control/successioncodec.go
+++ b/entry/internal/control/successioncodec.go
@@ -16,6 +16,8 @@
 	Centre  string       `json:"centre"`
 	Term    uint32       `json:"term"`
 	Members []memberWire `json:"members"`
+	Former  []memberWire `json:"former"`
+	Founded uint32       `json:"founded"`
 }
 
 type memberWire struct {
@@ -31,20 +33,34 @@
 	if err := settings.Decode(data, &w); err != nil {
 		return Succession{}, fmt.Errorf("control: succession: %w", err)
 	}
-	s := Succession{Pair: Pair{Service: w.Service, DataCentre: w.Centre}, Term: w.Term, Version: version}
-	for _, m := range w.Members {
-		s.Members = append(s.Members, m.member())
-	}
-	return s, nil
+	return Succession{
+		Pair: Pair{Service: w.Service, DataCentre: w.Centre}, Term: w.Term, Version: version,
+		Members: membersOf(w.Members), Former: membersOf(w.Former), Founded: w.Founded,
+	}, nil
 }
 
 // EncodeSuccession returns the platform's JSON form, without the version.
 func EncodeSuccession(s Succession) ([]byte, error) {
-	w := successionWire{Service: s.Pair.Service, Centre: s.Pair.DataCentre, Term: s.Term, Members: []memberWire{}}
-	for _, m := range s.Members {
-		w.Members = append(w.Members, wireOf(m))
+	return json.Marshal(successionWire{
+		Service: s.Pair.Service, Centre: s.Pair.DataCentre, Term: s.Term,
+		Members: wiresOf(s.Members), Former: wiresOf(s.Former), Founded: s.Founded,
+	})
+}
+
+func membersOf(wires []memberWire) []Member {
+	var members []Member
+	for _, w := range wires {
+		members = append(members, w.member())
+	}
+	return members
+}
+
+func wiresOf(members []Member) []memberWire {
+	wires := []memberWire{}
+	for _, m := range members {
+		wires = append(wires, wireOf(m))
 	}
-	return json.Marshal(w)
+	return wires
 }
 
 func (w memberWire) member() Member {
