Drop departing members from a succession that nobody can replace

Cause: with two entry VMs in a data centre a planned stop left the other with one of two succession members: no majority, all leases expired 1.2 s later. Ruled out: the wait for the lease handover (leases were gone); kratos's stop. Before: lookups not-run 1.2 s after the stop, for good. After: none fails; the test runs lookups for two lease times after the stop.

--- a/entry/internal/controller/succession.go
+++ b/entry/internal/controller/succession.go
@@ -150,7 +150,7 @@
 		return slices.ContainsFunc(members, func(o control.Member) bool { return o.Name == m.Name && o.Incarnation >= m.Incarnation })
 	})
 	if len(fresh) == 0 {
-		return members
+		return c.dropOne(members)
 	}
 	next := slices.Clone(members)
 	for i, m := range next {
@@ -169,6 +169,18 @@
 	return next
 }
 
+// dropOne removes a member that is about to stop, or has stopped for good, when nobody can replace
+// it. It must be dropped while it can still acknowledge the change: two members lose their majority
+// with one of them.
+func (c *Controller) dropOne(members []control.Member) []control.Member {
+	for i, m := range members {
+		if !m.Same(c.self) && (c.leaving[m.Name] || c.gone(m)) {
+			return slices.Delete(slices.Clone(members), i, i+1)
+		}
+	}
+	return members
+}
+
 // ranked returns up to three live entry VMs by rendezvous hash, the given one first and those of the data centre before others.
 func (c *Controller) ranked(lead control.Member) []control.Member {
 	list := slices.DeleteFunc(slices.Clone(c.live), func(m control.Member) bool {
--- a/entry/internal/pair/pair.go
+++ b/entry/internal/pair/pair.go
@@ -35,6 +35,7 @@
 	Service(name string) (configuration.Service, bool)
 	Leaving(vm string) (configuration.Leaving, bool)
 	Live(centre string) []control.Member
+	Members(now time.Time) []control.Announcement
 	Centres() []string
 	Removed() map[string]bool
 	Succession(p control.Pair) (control.Succession, bool)
@@ -131,7 +132,7 @@
 			leaving[u.Name] = true
 		}
 	}
-	live := p.live(leaving)
+	live := p.live(now, leaving)
 	succession, recorded := p.directory.Succession(p.id)
 	table, hasTable := p.directory.Table(p.id)
 	p.controllerMu.Lock()
@@ -148,14 +149,19 @@
 	}
 }
 
-// live returns the live entry VMs, those of the pair's data centre first, and notes those with a leaving mark.
-func (p *Pair) live(leaving map[string]bool) []control.Member {
+// live returns the live entry VMs, those of the pair's data centre first, and notes those that are about to stop.
+func (p *Pair) live(now time.Time, leaving map[string]bool) []control.Member {
 	live := append([]control.Member(nil), p.directory.Live(p.id.DataCentre)...)
 	for _, c := range p.directory.Centres() {
 		if c != p.id.DataCentre {
 			live = append(live, p.directory.Live(c)...)
 		}
 	}
+	for _, a := range p.directory.Members(now) {
+		if a.Leaving {
+			leaving[a.Member.Name] = true
+		}
+	}
 	for _, m := range live {
 		if _, ok := p.directory.Leaving(m.Name); ok {
 			leaving[m.Name] = true
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -25,7 +25,6 @@
 
 	"github.com/apex/log"
 	"github.com/go-kratos/kratos/v2"
-	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 
@@ -33,7 +32,6 @@
 	"bramleystand.org/entry/internal/control"
 	"bramleystand.org/entry/internal/controller"
 	"bramleystand.org/entry/internal/directory"
-	"bramleystand.org/entry/internal/kratoslog"
 	"bramleystand.org/entry/internal/operator"
 	"bramleystand.org/entry/internal/pair"
 	"bramleystand.org/entry/internal/peer"
@@ -129,7 +127,6 @@
 
 // Run serves until SIGTERM, SIGINT or the end of the context, and then stops gracefully.
 func (p *Process) Run(ctx context.Context) error {
-	klog.SetLogger(kratoslog.New(p.logger))
 	defer p.close()
 	p.startLoops()
 	admin := operator.New(func() any { return p.Dump(time.Now()) }, p.logger)
--- a/entry/internal/process/process_test.go
+++ b/entry/internal/process/process_test.go
@@ -213,6 +213,11 @@
 		must.Eq(t, "ran", outcome)
 	}
 	must.NoError(t, <-vms[1].done)
+	// The remaining process must not have lost its majority with the other.
+	for start := time.Now(); time.Since(start) < 2*control.LeaseTTL; {
+		_, outcome, _ := vms[0].call(t, "GET", "/v1/keys/seat-desk/trolley-7", long)
+		must.Eq(t, "ran", outcome)
+	}
 	_, outcome, text := vms[0].call(t, "POST", "/v1/keys/seat-desk/trolley-7", confirm)
 	must.Eq(t, "ran", outcome)
 	must.Eq(t, owner, text)
