Add platformd, the stand-in of the platform

Cause: configuration, succession records and assignments need an object API with the platform's faults. Change: versioned objects with one sequence, conditional writes, tombstones, a watch on a bounded history of changes, a lagging list of VMs, and outages, delays and lost answers that are switched while it runs. A name with a tombstone can only be used again by naming the tombstone's version, because a create that hung in an outage would otherwise undo a deletion made after it. Ruled out: watches on the objects themselves, which merge changes made in quick succession. Tested: go test -race -count=5 passes; the store is checked against a plain list of changes with rapid.

--- /dev/null
+++ b/platformd/internal/machine/list.go
@@ -0,0 +1,69 @@
+// Package machine keeps the list of VMs, which others see with a lag.
+//
+// # Usage
+//
+//	l.Replace(machines, time.Now())
+//	version, machines := l.View(time.Now())
+package machine
+
+import (
+	"sync"
+	"time"
+)
+
+// List holds the versions of the list that may still be seen.
+type List struct {
+	lag time.Duration
+
+	mu       sync.Mutex
+	versions []version
+	// stale is the version shown whatever the time, or 0.
+	stale int64
+}
+
+// version is one state of the list.
+type version struct {
+	number   int64
+	visible  time.Time
+	machines []Machine
+}
+
+// New returns a list whose first version is visible at once, and all others after the lag.
+func New(machines []Machine, lag time.Duration) *List {
+	return &List{lag: lag, versions: []version{{number: 1, machines: machines}}}
+}
+
+// Replace sets the machines.
+func (l *List) Replace(machines []Machine, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.versions[len(l.versions)-1].number
+	l.versions = append(l.versions, version{last + 1, now.Add(l.lag), machines})
+}
+
+// View returns the version that is visible, and its number.
+func (l *List) View(now time.Time) (int64, []Machine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.view(now)
+	return v.number, v.machines
+}
+
+// view forgets the versions before the visible one; the caller holds the lock.
+func (l *List) view(now time.Time) version {
+	for l.stale == 0 && len(l.versions) > 1 && !l.versions[1].visible.After(now) {
+		l.versions = l.versions[1:]
+	}
+	return l.versions[0]
+}
+
+// SetStale holds the view as it is now, or lets it go on.
+func (l *List) SetStale(stale bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stale = 0
+	v := l.view(now)
+	if stale {
+		l.stale = v.number
+	}
+}
--- /dev/null
+++ b/platformd/internal/server/json.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"bramleystand.org/platformd/internal/machine"
+	"bramleystand.org/platformd/internal/store"
+)
+
+// objectJSON is an object in a list or a watch; the value is in base64.
+type objectJSON struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Author  string `json:"author"`
+	Change  string `json:"change"`
+	Deleted bool   `json:"deleted,omitempty"`
+	Value   []byte `json:"value,omitempty"`
+}
+
+// objectsJSON holds objects and the version up to which they are complete.
+type objectsJSON struct {
+	Version int64        `json:"version"`
+	Objects []objectJSON `json:"objects"`
+}
+
+// versionJSON answers a write.
+type versionJSON struct {
+	Version int64 `json:"version"`
+}
+
+// problemJSON says why a call failed and, if it concerns an object, what is there.
+type problemJSON struct {
+	Error   string `json:"error"`
+	Version int64  `json:"version,omitempty"`
+	Author  string `json:"author,omitempty"`
+	Change  string `json:"change,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// machineJSON is a VM.
+type machineJSON struct {
+	Name  string `json:"name"`
+	DC    string `json:"dc"`
+	State string `json:"state"`
+}
+
+// machinesJSON is the list of VMs.
+type machinesJSON struct {
+	Version  int64         `json:"version"`
+	Machines []machineJSON `json:"machines"`
+}
+
+func encodeObjects(list []store.Object, version int64) objectsJSON {
+	n := objectsJSON{Version: version, Objects: make([]objectJSON, 0, len(list))}
+	for _, o := range list {
+		n.Objects = append(n.Objects, objectJSON{
+			Name:    o.Name,
+			Version: o.Version,
+			Author:  o.Author,
+			Change:  o.Change,
+			Deleted: o.Deleted,
+			Value:   o.Value,
+		})
+	}
+	return n
+}
+
+func encodeMachines(version int64, list []machine.Machine) machinesJSON {
+	n := machinesJSON{Version: version, Machines: make([]machineJSON, 0, len(list))}
+	for _, m := range list {
+		n.Machines = append(n.Machines, machineJSON{Name: m.Name, DC: m.DataCentre, State: m.State})
+	}
+	return n
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(value)
+}
