--- /dev/null
+++ b/common/platform/object.go
@@ -0,0 +1,13 @@
+package platform
+
+// Object is one version of a named value.
+type Object struct {
+	Name    string
+	Version int64
+	Author  string
+	// Change identifies the write.
+	Change string
+	// Deleted marks a tombstone, which has no value.
+	Deleted bool
+	Value   []byte
+}
