--- a/platformd/internal/server/server_test.go
+++ b/platformd/internal/server/server_test.go
@@ -18,15 +18,15 @@
 	"bramleystand.org/platformd/internal/store"
 )
 
-// platform runs the handler without a network.
-type platform struct{ *server.Server }
+// bench runs the handler without a network.
+type bench struct{ *server.Server }
 
-func newPlatform() platform {
-	return platform{server.New(store.New(2), machine.New(nil, time.Minute), fault.New())}
+func newBench() bench {
+	return bench{server.New(store.New(2), machine.New(nil, time.Minute), fault.New())}
 }
 
 // call returns nil if the connection was closed without an answer.
-func (p platform) call(ctx context.Context, method, path, body string, header ...string) (w *httptest.ResponseRecorder) {
+func (p bench) call(ctx context.Context, method, path, body string, header ...string) (w *httptest.ResponseRecorder) {
 	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
 	for i := 0; i < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
@@ -44,7 +44,7 @@
 }
 
 // write puts an object, or deletes it, and returns the answer.
-func (p platform) write(t *testing.T, method, name, version string) *httptest.ResponseRecorder {
+func (p bench) write(t *testing.T, method, name, version string) *httptest.ResponseRecorder {
 	t.Helper()
 	return p.call(t.Context(), method, "/objects/"+name, name+" value", "If-Version", version, "Author", "ada", "Change", "c"+version)
 }
@@ -64,7 +64,7 @@
 }
 
 // calls returns the numbers of calls.
-func (p platform) calls(t *testing.T) (n struct{ Get, Put, Watch, Total int }) {
+func (p bench) calls(t *testing.T) (n struct{ Get, Put, Watch, Total int }) {
 	t.Helper()
 	must.NoError(t, json.Unmarshal(p.call(t.Context(), "GET", "/calls", "").Body.Bytes(), &n))
 	return n
@@ -81,7 +81,7 @@
 
 // Guards against updates that are lost in a race, and against losers who are not told of the winner.
 func TestWrite(t *testing.T) {
-	p := newPlatform()
+	p := newBench()
 	must.Eq(t, 1, parse(t, 200, p.write(t, "PUT", "services/a", "0")).Version)
 	lost := parse(t, 409, p.write(t, "PUT", "services/a", "0"))
 	must.Eq(t, 1, lost.Version)
@@ -102,7 +102,7 @@
 
 // Guards against writes that are accepted without what makes them safe.
 func TestRejected(t *testing.T) {
-	p := newPlatform()
+	p := newBench()
 	call := func(body string, header ...string) int {
 		return p.call(t.Context(), "PUT", "/objects/a", body, header...).Code
 	}
@@ -118,7 +118,7 @@
 // Guards against a watch that loses a change, answers for other objects or polls.
 func TestWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPlatform()
+		p := newBench()
 		answers := make(chan *httptest.ResponseRecorder)
 		go func() { answers <- p.call(t.Context(), "GET", "/watch?prefix=a/&after=0&wait=30s", "") }()
 		synctest.Wait()
@@ -151,7 +151,7 @@
 // Guards against an outage that lets calls through, and against a lost answer whose change is lost too.
 func TestFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPlatform()
+		p := newBench()
 		set := func(faults string) parsed { return parse(t, 200, p.call(t.Context(), "POST", "/faults", faults)) }
 		set(`{"loseAnswers":1}`)
 		must.Nil(t, p.write(t, "PUT", "a", "0"))
@@ -186,7 +186,7 @@
 // Guards against an outage that a waiting watch does not notice.
 func TestWatchOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPlatform()
+		p := newBench()
 		answers := make(chan *httptest.ResponseRecorder)
 		go func() { answers <- p.call(t.Context(), "GET", "/watch?after=0&wait=30s", "") }()
 		synctest.Wait()
@@ -198,7 +198,7 @@
 // Guards against a list of VMs without its lag.
 func TestMachines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPlatform()
+		p := newBench()
 		must.Eq(t, 200, p.call(t.Context(), "POST", "/machines", `{"machines":[{"name":"a","dc":"klm","state":"live"}]}`).Code)
 		must.Eq(t, 400, p.call(t.Context(), "POST", "/machines", `{"machines":[{"name":"a","state":"x"}]}`).Code)
 		n := parse(t, 200, p.call(t.Context(), "GET", "/machines", ""))
