Let a candidate yield, and plan only when something changed

A candidate now yields to a rival that comes first in the succession.

Renew cloned and weighed the whole table on every message and rebuilt all shard states at the leaseholder. Loads are now reported once, messages no longer share lists that change, and planning runs on changes or every 50 ms.

--- a/entry/internal/control/support.go
+++ b/entry/internal/control/support.go
@@ -27,6 +27,8 @@
 type SupportResponse struct {
 	Pair     Pair
 	Accepted bool
+	// Rival says that the member refused because it is a candidate that comes first in the succession.
+	Rival bool
 	// Term is the highest term that the member has supported.
 	Term uint32
 	// Record is the version of the newest succession record that the member knows.
--- /dev/null
+++ b/entry/internal/controller/bench_test.go
@@ -0,0 +1,165 @@
+package controller_test
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/control"
+	"bramleystand.org/entry/internal/controller"
+	"bramleystand.org/entry/internal/lease"
+)
+
+// shardsPerUpstream is about the number at Chikushi: 1,024 shards over 30 upstreams.
+const shardsPerUpstream = 32
+
+// size returns the length of a message in CBOR with structs as arrays, as on the wire.
+func size(message any) float64 {
+	b, err := cbor.Marshal(plain(reflect.ValueOf(message)))
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(b))
+}
+
+// plain turns structs into lists of their fields.
+func plain(v reflect.Value) any {
+	if a, ok := v.Interface().(netip.AddrPort); ok {
+		b, _ := a.MarshalBinary()
+		return b
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			return nil
+		}
+		return plain(v.Elem())
+	case reflect.Struct:
+		var list []any
+		for _, f := range v.Fields() {
+			list = append(list, plain(f))
+		}
+		return list
+	case reflect.Slice:
+		list := make([]any, v.Len())
+		for i := range list {
+			list[i] = plain(v.Index(i))
+		}
+		return list
+	default:
+		return v.Interface()
+	}
+}
+
+// single returns a controller without other members and the leaseholder of all its upstreams.
+func single(tb testing.TB, upstreams int) (*controller.Controller, *lease.Holder, time.Time) {
+	tb.Helper()
+	self := control.Member{Name: "entry-00", Incarnation: 1, DataCentre: dataCentre, Address: netip.MustParseAddrPort("10.0.0.1:7000")}
+	service := &configuration.Service{
+		Name: pair.Service, Shards: uint32(upstreams * shardsPerUpstream),
+		Homes: []configuration.Home{{DataCentre: dataCentre, Last: shard.Shard(upstreams*shardsPerUpstream - 1)}},
+	}
+	for i := range upstreams {
+		service.Upstreams = append(service.Upstreams, configuration.Upstream{Name: fmt.Sprintf("server-%04d", i), DataCentre: dataCentre})
+	}
+	now := epoch
+	c, h := controller.New(pair, self, nil), lease.New(pair, self)
+	c.Observe(now, []control.Member{self}, nil)
+	c.Configure(now, service, nil)
+	c.Adopt(now, control.Succession{Pair: pair, Term: 1, Founded: 1, Version: 1, Members: []control.Member{self}})
+	h.Follow(c.Succession())
+	for range 5 {
+		now = now.Add(control.RenewInterval)
+		c.Tick(now)
+		for _, e := range c.Take() {
+			switch e.Kind {
+			case controller.LoadTable:
+				c.TableLoaded(now, nil, 0, true)
+			case controller.StoreTable:
+				c.TableStored(now, 2, controller.Stored)
+			}
+		}
+	}
+	must.NotNil(tb, c.Table())
+	return c, h, now
+}
+
+// loads returns a load for each shard of a placement.
+func loads(p control.Placement) []control.ShardLoad {
+	list := make([]control.ShardLoad, len(p.Shards))
+	for i, s := range p.Shards {
+		list[i] = control.ShardLoad{Shard: s, Load: float64(s) / 7}
+	}
+	return list
+}
+
+// BenchmarkRenew measures the state machines at both ends of one renewal and the size of its messages.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range []int{30, 300, 2100} {
+		for _, loaded := range []bool{false, true} {
+			b.Run(fmt.Sprintf("upstreams=%d/loads=%v", n, loaded), func(b *testing.B) {
+				c, h, now := single(b, n)
+				var load [][]control.ShardLoad
+				for _, l := range c.Table().Placements {
+					load = append(load, loads(l))
+				}
+				var q control.RenewRequest
+				var p control.RenewResponse
+				renew := func() {
+					now = now.Add(control.RenewInterval)
+					if loaded {
+						for i, name := range h.Upstreams() {
+							h.Report(now, name, control.Alive, load[i])
+						}
+					}
+					q = h.Renew(now)[0].Request
+					p = c.HandleRenew(now, q)
+					h.Answered(now, now, p)
+				}
+				renew()
+				full := size(p)
+				b.ResetTimer()
+				for b.Loop() {
+					renew()
+				}
+				b.ReportMetric(size(q), "request-B")
+				b.ReportMetric(size(p), "response-B")
+				b.ReportMetric(full, "first-response-B")
+			})
+		}
+	}
+}
+
+// BenchmarkSupport measures a member's handling of one request for support, and the size of its messages.
+func BenchmarkSupport(b *testing.B) {
+	for _, n := range []int{30, 300, 2100} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			c, _, now := single(b, n)
+			t := *c.Table()
+			lead := control.Member{Name: "entry-01", Incarnation: 1, DataCentre: dataCentre, Address: netip.MustParseAddrPort("10.0.0.2:7000")}
+			self := t.Placements[0].Leaseholder
+			m := controller.New(pair, self, nil)
+			r := control.Succession{Pair: pair, Term: 2, Founded: 1, Version: 9, Members: []control.Member{lead, self}}
+			q := control.SupportRequest{Pair: pair, Term: 2, Record: 9, Succession: &r, Candidate: lead, Elected: true, Version: t.Version(), Table: &t}
+			changed := size(q)
+			must.True(b, m.HandleSupport(now, q).Accepted)
+			q.Succession, q.Table = nil, nil
+			var p control.SupportResponse
+			b.ResetTimer()
+			for b.Loop() {
+				now = now.Add(control.RenewInterval)
+				p = m.HandleSupport(now, q)
+			}
+			b.ReportMetric(size(q), "request-B")
+			b.ReportMetric(size(p), "response-B")
+			b.ReportMetric(changed, "changed-request-B")
+		})
+	}
+}
--- a/entry/internal/controller/control.go
+++ b/entry/internal/controller/control.go
@@ -32,7 +32,7 @@
 	}
 	c.commit(now)
 	c.storeTable(now)
-	if c.tables.committed != nil && c.tables.proposal() == nil {
+	if c.tables.committed != nil && c.tables.proposal() == nil && !now.Before(c.planDue) {
 		c.plan(now)
 		c.commit(now)
 	}
@@ -51,6 +51,7 @@
 
 // plan proposes a table with all changes that are possible now.
 func (c *Controller) plan(now time.Time) {
+	c.planDue = now.Add(planPeriod)
 	d := newDraft(c, now)
 	d.addUpstreams()
 	d.markClosing()
--- a/entry/internal/controller/controller.go
+++ b/entry/internal/controller/controller.go
@@ -45,6 +45,8 @@
 	retryInterval = 500 * time.Millisecond
 	// promiseTime is how long a member supports no other controller.
 	promiseTime = control.LeaseTTL + control.ClockMargin
+	// planPeriod is the longest time after which a lease that has expired is noticed.
+	planPeriod = 50 * time.Millisecond
 	// gracePeriod is how long a new controller or leaseholder is given for the first renewal.
 	gracePeriod = 2 * control.RenewInterval
 )
@@ -57,6 +59,8 @@
 
 	service *configuration.Service
 	leaving map[string]bool
+	// wanted holds the names of the upstreams of the data centre that are not leaving, in order.
+	wanted  []string
 	live    []control.Member
 	removed map[string]bool
 
@@ -70,9 +74,11 @@
 	// inherited is when the leases of earlier controllers have expired.
 	inherited time.Time
 	// granted is when the last lease granted here expires.
-	granted   time.Time
-	nextAsk   time.Time
-	resigned  bool
+	granted  time.Time
+	nextAsk  time.Time
+	resigned bool
+	// yield says that a candidate before this one in the succession is asking for support.
+	yield     bool
 	candidate time.Time
 
 	tables      tables
@@ -84,6 +90,7 @@
 	grantFrom   time.Time
 	loadBase    bool
 	nextPlan    time.Time
+	planDue     time.Time
 	effects     []Effect
 	transitions int
 }
@@ -112,6 +119,8 @@
 func (c *Controller) Configure(now time.Time, service *configuration.Service, leaving map[string]bool) {
 	c.service = service
 	c.leaving = leaving
+	c.wanted = wanted(service, c.pair.DataCentre, leaving)
+	c.planDue = now
 	c.Tick(now)
 }
 
@@ -169,6 +178,7 @@
 	earlier(c.tables.proposedAt.Add(storeTimeout))
 	earlier(c.tables.retry)
 	earlier(c.grantFrom)
+	earlier(c.planDue)
 	for _, u := range c.upstreams {
 		earlier(u.expiry)
 	}
--- a/entry/internal/controller/draft.go
+++ b/entry/internal/controller/draft.go
@@ -22,7 +22,7 @@
 
 func newDraft(c *Controller, now time.Time) *draft {
 	return &draft{
-		c: c, now: now, placements: clonePlacements(c.tables.committed.Placements),
+		c: c, now: now, placements: slices.Clone(c.tables.committed.Placements),
 		gained: map[string]bool{}, lost: map[string]bool{},
 	}
 }
@@ -33,14 +33,14 @@
 	return fence.New(c.term, c.fences)
 }
 
-// wanted returns the names of the configured upstreams of the data centre that are not leaving.
-func (c *Controller) wanted() []string {
+// wanted returns the names of the configured upstreams of a data centre that are not leaving.
+func wanted(service *configuration.Service, dataCentre string, leaving map[string]bool) []string {
 	var names []string
-	if c.service == nil {
+	if service == nil {
 		return nil
 	}
-	for _, u := range c.service.Upstreams {
-		if u.DataCentre == c.pair.DataCentre && !c.leaving[u.Name] {
+	for _, u := range service.Upstreams {
+		if u.DataCentre == dataCentre && !leaving[u.Name] {
 			names = append(names, u.Name)
 		}
 	}
@@ -50,15 +50,16 @@
 
 // eligible reports whether an upstream may own shards.
 func (c *Controller) eligible(name string) bool {
-	if c.upstreamOf(name).state == control.Failed || c.leaving[name] {
+	if u := c.upstreams[name]; u != nil && u.state == control.Failed || c.leaving[name] {
 		return false
 	}
-	return c.service == nil || slices.Contains(c.wanted(), name)
+	_, ok := slices.BinarySearch(c.wanted, name)
+	return ok || c.service == nil
 }
 
 // placeAll proposes the first table of the pair. The set of shards is never changed afterwards.
 func (c *Controller) placeAll(now time.Time) {
-	upstreams := c.wanted()
+	upstreams := c.wanted
 	var members []control.Member
 	for _, m := range c.live {
 		if m.DataCentre == c.pair.DataCentre && !c.leaving[m.Name] {
@@ -85,8 +86,8 @@
 
 // addUpstreams gives new upstreams a leaseholder; they receive shards later, in steps.
 func (d *draft) addUpstreams() {
-	for _, name := range d.c.wanted() {
-		if slices.ContainsFunc(d.placements, func(p control.Placement) bool { return p.Upstream == name }) {
+	for _, name := range d.c.wanted {
+		if _, ok := d.c.tables.inForce[name]; ok {
 			continue
 		}
 		m, ok := d.leaseholder()
@@ -216,6 +217,9 @@
 
 // moveShards gives shards that nobody uses any more to their new upstreams.
 func (d *draft) moveShards() {
+	if len(d.c.moves.moving) == 0 {
+		return
+	}
 	w := d.weights()
 	for i := range d.placements {
 		p := &d.placements[i]
@@ -253,10 +257,11 @@
 	i := slices.IndexFunc(d.placements, func(p control.Placement) bool { return p.Upstream == to })
 	p := &d.placements[i]
 	at, _ := slices.BinarySearch(p.Shards, s)
-	p.Shards = slices.Insert(p.Shards, at, s)
 	if !d.gained[to] {
+		p.Shards = slices.Clone(p.Shards)
 		p.Revision++
 	}
+	p.Shards = slices.Insert(p.Shards, at, s)
 	d.gained[to] = true
 }
 
@@ -317,9 +322,14 @@
 	}
 	n := len(d.placements)
 	d.placements = slices.DeleteFunc(d.placements, func(p control.Placement) bool {
-		return len(p.Shards) == 0 && !d.lost[p.Upstream] && !slices.ContainsFunc(d.c.service.Upstreams, func(u configuration.Upstream) bool {
-			return u.Name == p.Upstream && u.DataCentre == d.c.pair.DataCentre
-		})
+		return len(p.Shards) == 0 && !d.lost[p.Upstream] && !d.c.eligible(p.Upstream) && !d.c.configured(p.Upstream)
 	})
 	d.changed = d.changed || len(d.placements) != n
 }
+
+// configured reports whether the service has the upstream, leaving or not.
+func (c *Controller) configured(name string) bool {
+	return slices.ContainsFunc(c.service.Upstreams, func(u configuration.Upstream) bool {
+		return u.Name == name && u.DataCentre == c.pair.DataCentre
+	})
+}
--- a/entry/internal/controller/renewal.go
+++ b/entry/internal/controller/renewal.go
@@ -22,6 +22,9 @@
 		h = &holder{member: q.Member}
 		c.holders[q.Member.Name] = h
 	}
+	if h.resigning != q.Resigning {
+		c.planDue = now
+	}
 	h.heard, h.sequence, h.resigning = now, q.Sequence, q.Resigning
 	if c.tables.committed != nil {
 		c.accept(q)
@@ -35,13 +38,16 @@
 
 // accept notes what a leaseholder reports of its upstreams.
 func (c *Controller) accept(q control.RenewRequest) {
-	placements := byUpstream(c.tables.committed)
+	placements := c.tables.inForce
 	for _, r := range q.Reports {
 		p, ok := placements[r.Upstream]
 		if !ok || p.Fence != r.Fence || !p.Leaseholder.Same(q.Member) {
 			continue
 		}
 		u := c.upstreamOf(r.Upstream)
+		if u.state != r.State || len(r.Released) > 0 {
+			c.planDue = time.Time{}
+		}
 		u.state = r.State
 		if len(r.Load) > 0 {
 			u.loads = make(map[shard.Shard]float64, len(r.Load))
@@ -49,7 +55,7 @@
 				u.loads[l.Shard] = l.Load
 			}
 		}
-		u.handover = slices.DeleteFunc(u.handover, func(o control.Release) bool {
+		u.handover = slices.DeleteFunc(slices.Clone(u.handover), func(o control.Release) bool {
 			return slices.ContainsFunc(r.Received, func(x control.Release) bool { return x.Shard == o.Shard && x.History == o.History })
 		})
 		if q.Applied.Term != c.term {
@@ -78,7 +84,7 @@
 			reported[r.Upstream] = r
 		}
 	}
-	next := byUpstream(c.tables.proposal())
+	next := c.tables.proposed
 	for _, l := range c.tables.committed.Placements {
 		if !l.Leaseholder.Same(q.Member) {
 			continue
--- a/entry/internal/controller/server_test.go
+++ b/entry/internal/controller/server_test.go
@@ -16,16 +16,18 @@
 	clock  clock
 	dead   bool
 	frozen bool
+	starts int
 	// backlog holds messages that arrived while the server was frozen.
 	backlog []func()
 	granted lease.Grant
 }
 
-func (s *server) do(fn func()) {
+// do runs fn in the process that the sender was connected to.
+func (s *server) do(starts int, fn func()) {
 	switch {
-	case s.dead:
+	case s.dead || s.starts != starts:
 	case s.frozen:
-		s.backlog = append(s.backlog, fn)
+		s.backlog = append(s.backlog, func() { s.do(starts, fn) })
 	default:
 		fn()
 	}
@@ -68,7 +70,7 @@
 	backlog := s.backlog
 	s.backlog = nil
 	for _, fn := range backlog {
-		s.do(fn)
+		fn()
 		s.world.oracle.check()
 	}
 }
@@ -76,6 +78,7 @@
 // restart loses the grant and all messages on open connections; the clock goes on.
 func (s *server) restart() {
 	s.dead, s.frozen, s.backlog = false, false, nil
+	s.starts++
 	s.granted = lease.Grant{}
 }
 
--- a/entry/internal/controller/support.go
+++ b/entry/internal/controller/support.go
@@ -21,6 +21,7 @@
 			p.Outstanding = o
 		}
 	}
+	p.Rival = !accepted && c.role == campaigning
 	c.highest = max(c.highest, q.Term)
 	p.Term = c.vote.term
 	p.Version = c.tables.newest.Version()
@@ -155,6 +156,7 @@
 		m.table = p.Version
 	}
 	if !p.Accepted {
+		c.yield = c.yield || p.Rival
 		c.refused(now, p)
 		return
 	}
--- a/entry/internal/controller/tables.go
+++ b/entry/internal/controller/tables.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"bramleystand.org/entry/internal/control"
@@ -13,6 +12,9 @@
 	newest *control.Table
 	// committed is the table from which a controller grants.
 	committed *control.Table
+	// inForce indexes the committed table, proposed the proposal.
+	inForce  map[string]control.Placement
+	proposed map[string]control.Placement
 	// waived says that the proposal changes nothing, so that the platform need not have it.
 	waived     bool
 	proposedAt time.Time
@@ -36,14 +38,14 @@
 
 // start prepares for a new term; nothing is known of the platform object.
 func (t *tables) start(now time.Time) {
-	t.committed = nil
+	t.stop()
 	t.known = false
 	t.proposedAt = now
 }
 
 // stop forgets what only a controller needs.
 func (t *tables) stop() {
-	t.committed = nil
+	t.committed, t.inForce, t.proposed = nil, nil, nil
 }
 
 // platformUp notes that the platform answers.
@@ -142,6 +144,7 @@
 		sequence = c.tables.newest.Sequence + 1
 	}
 	c.tables.newest = &control.Table{Pair: c.pair, Term: c.term, Sequence: sequence, Placements: placements}
+	c.tables.proposed = byUpstream(c.tables.newest)
 	c.tables.proposedAt = now
 	c.tables.waived = waived
 	c.storeTable(now)
@@ -171,15 +174,15 @@
 		}
 		t.down = true
 	}
-	former := t.committed
-	t.committed = p
-	c.committed(now, former)
+	former, before := t.committed, t.inForce
+	t.committed, t.inForce, t.proposed = p, t.proposed, nil
+	c.committed(now, former, before)
 }
 
 // committed adapts the state of the upstreams to a table that is now in force.
-func (c *Controller) committed(now time.Time, former *control.Table) {
-	before := byUpstream(former)
-	present := byUpstream(c.tables.committed)
+func (c *Controller) committed(now time.Time, former *control.Table, before map[string]control.Placement) {
+	c.planDue = now
+	present := c.tables.inForce
 	changed := map[string]bool{}
 	for name, p := range present {
 		u := c.upstreamOf(name)
@@ -214,12 +217,3 @@
 	}
 	return m
 }
-
-// clonePlacements copies placements so that they may be changed.
-func clonePlacements(ps []control.Placement) []control.Placement {
-	n := slices.Clone(ps)
-	for i := range n {
-		n[i].Shards = slices.Clone(n[i].Shards)
-	}
-	return n
-}
--- a/entry/internal/controller/takeover.go
+++ b/entry/internal/controller/takeover.go
@@ -58,6 +58,12 @@
 	if c.role == supporting || now.Before(c.nextAsk) {
 		return
 	}
+	if c.role == campaigning && c.yield {
+		// Repeated requests would renew the promises that the other candidate waits for.
+		c.stepDown()
+		c.candidate = now.Add(promiseTime + time.Duration(c.record.index(c.self))*succeedDelay)
+		return
+	}
 	if c.role == campaigning && c.highest > c.term {
 		c.start(now)
 	}
@@ -74,6 +80,7 @@
 		term = c.record.known.Term
 	}
 	c.role = campaigning
+	c.yield = false
 	c.term = term
 	c.inherited = later(c.inherited, later(c.vote.foreign, c.vote.leases))
 	c.nextAsk = now
--- a/entry/internal/controller/vm_test.go
+++ b/entry/internal/controller/vm_test.go
@@ -217,9 +217,9 @@
 }
 
 func (v *vm) probe(s *server, p *probe, g lease.Grant, ok bool) {
-	w, incarnation := v.world, v.member.Incarnation
+	w, incarnation, starts := v.world, v.member.Incarnation, s.starts
 	w.carry(v.name, s.name, func() {
-		s.do(func() {
+		s.do(starts, func() {
 			accepted := ok && s.grant(g)
 			reading := s.clock.reading(w.now)
 			w.carry(s.name, v.name, func() {
--- a/entry/internal/lease/held.go
+++ b/entry/internal/lease/held.go
@@ -14,8 +14,12 @@
 	fence    fence.Fence
 	revision uint32
 	shards   map[shard.Shard]*shardState
-	state    control.ServerState
+	// releasing lists the shards whose release is asked for.
+	releasing []shard.Shard
+	state     control.ServerState
+	// loads is reported until a request that was sent after loadsAt is answered.
 	loads    []control.ShardLoad
+	loadsAt  time.Time
 	handover []control.Release
 	received []control.Release
 	// grant is the revision of the latest grant sent to a fenced server, accepted the latest that it accepted.
@@ -49,7 +53,7 @@
 func (u *held) apply(l control.Lease) {
 	u.revision = l.Revision
 	u.handover = l.Handover
-	u.received = slices.DeleteFunc(u.received, func(r control.Release) bool {
+	u.received = slices.DeleteFunc(slices.Clone(u.received), func(r control.Release) bool {
 		return !slices.ContainsFunc(l.Handover, func(o control.Release) bool { return o.Shard == r.Shard && o.History == r.History })
 	})
 	if !l.Same {
@@ -62,15 +66,23 @@
 			}
 		}
 	}
-	releasing := make(map[shard.Shard]bool, len(l.Releasing))
+	former := u.releasing
+	u.releasing = nil
+	for _, s := range former {
+		if state := u.shards[s]; state != nil {
+			state.releasing = false
+		}
+	}
 	for _, s := range l.Releasing {
-		releasing[s] = true
+		if state := u.shards[s]; state != nil {
+			state.releasing = true
+			u.releasing = append(u.releasing, s)
+		}
 	}
-	for s, state := range u.shards {
-		if !releasing[s] {
+	for _, s := range former {
+		if state := u.shards[s]; state != nil && !state.releasing {
 			*state = shardState{}
 		}
-		state.releasing = releasing[s]
 	}
 }
 
@@ -88,8 +100,8 @@
 
 func (u *held) report(now time.Time, name string) control.Report {
 	r := control.Report{Upstream: name, Fence: u.fence, Revision: u.revision, State: u.state, Load: u.loads, Received: u.received}
-	for _, state := range u.shards {
-		if state.released(now, u.accepted) {
+	for _, s := range u.releasing {
+		if state := u.shards[s]; state.released(now, u.accepted) {
 			r.Released = append(r.Released, state.release)
 		}
 	}
--- a/entry/internal/lease/holder.go
+++ b/entry/internal/lease/holder.go
@@ -115,8 +115,8 @@
 func (h *Holder) schedule(now time.Time) {
 	h.next = now.Add(control.RenewInterval)
 	for _, u := range h.upstreams {
-		for _, state := range u.shards {
-			if state.idle && state.until.After(now) && state.until.Before(h.next) {
+		for _, s := range u.releasing {
+			if state := u.shards[s]; state.idle && state.until.After(now) && state.until.Before(h.next) {
 				h.next = state.until
 			}
 		}
@@ -157,6 +157,11 @@
 	h.heard = now
 	h.deadline = sent.Add(p.Remaining - p.Remaining/rateMargin)
 	h.apply(p.Leases)
+	for _, u := range h.upstreams {
+		if !sent.Before(u.loadsAt) {
+			u.loads = nil
+		}
+	}
 }
 
 // complete reports whether all shards of the leases are known.
@@ -215,12 +220,11 @@
 		return nil
 	}
 	var list []shard.Shard
-	for s, state := range u.shards {
-		if state.releasing && !state.idle {
+	for _, s := range u.releasing {
+		if !u.shards[s].idle {
 			list = append(list, s)
 		}
 	}
-	slices.Sort(list)
 	return list
 }
 
@@ -271,14 +275,14 @@
 		return
 	}
 	u.accepted = g.Revision
-	for _, state := range u.shards {
-		if state.idle && state.barredBy <= u.accepted {
+	for _, s := range u.releasing {
+		if state := u.shards[s]; state.idle && state.barredBy <= u.accepted {
 			h.next = now
 		}
 	}
 }
 
-// Report sets what is known of the backend server of an upstream; nil loads leave the last ones unreported.
+// Report sets what is known of the backend server of an upstream. Loads are reported once; nil leaves out the loads.
 func (h *Holder) Report(now time.Time, upstream string, state control.ServerState, loads []control.ShardLoad) {
 	u := h.upstreams[upstream]
 	if u == nil {
@@ -288,7 +292,9 @@
 		h.next = now
 	}
 	u.state = state
-	u.loads = loads
+	if loads != nil {
+		u.loads, u.loadsAt = loads, now
+	}
 }
 
 // Handover returns records that have been handed over and weren't returned before; the controller is told that they have arrived.
