bramleyctl: add commands for services, upstreams, presets, leaving VMs and state

The settings of the entry process move to common/entrysettings, so that 'bramleyctl check' finds the same errors as the process; entry/internal/settings keeps its names.

--- /dev/null
+++ b/bramleyctl/internal/command/command_test.go
@@ -0,0 +1,192 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/bramleyctl/internal/command"
+	"bramleystand.org/bramleyctl/internal/store"
+)
+
+const serviceFile = `{"name":"seat-desk","shards":16,"homes":[{"centre":"tvm","first":0,"last":15}],"upstreams":[
+	{"name":"seat-a","centre":"tvm","address":"10.0.0.1:80","slots":4,"connections":110,"fenced":true}]}`
+
+// objects is a fake platform. After each read, race may change an object for another operator.
+type objects struct {
+	all  map[string]store.Object
+	race func()
+	down bool
+}
+
+func (f *objects) Get(_ context.Context, name string) (store.Object, error) {
+	if f.down {
+		return store.Object{}, store.ErrUnavailable
+	}
+	o, ok := f.all[name]
+	if !ok {
+		o = store.Object{Name: name}
+	}
+	if f.race != nil {
+		race := f.race
+		f.race = nil
+		race()
+	}
+	return o, nil
+}
+
+func (f *objects) List(_ context.Context, prefix string) ([]store.Object, error) {
+	var found []store.Object
+	for name, o := range f.all {
+		if strings.HasPrefix(name, prefix) {
+			found = append(found, o)
+		}
+	}
+	return found, nil
+}
+
+func (f *objects) Put(_ context.Context, o store.Object) (store.Object, error) {
+	if f.all[o.Name].Version != o.Version {
+		return store.Object{}, store.ErrConflict
+	}
+	o.Version++
+	f.all[o.Name] = o
+	return o, nil
+}
+
+// run executes a command line against the fake and returns what it prints.
+func run(f *objects, line ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	args := append([]string{"--platform=127.0.0.1:7100", "--author=mika"}, line...)
+	code = command.Run(args, &out, &errs, func(netip.AddrPort) store.Objects { return f })
+	return code, out.String(), errs.String()
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "file.json")
+	must.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+// Guards against commands that write something else than they say, and against exit codes that mislead scripts.
+func TestCommands(t *testing.T) {
+	f := &objects{all: map[string]store.Object{}}
+	service := file(t, serviceFile)
+	for _, c := range []struct {
+		line string
+		code int
+		want string
+	}{
+		{"service apply " + service, command.ExitDone, "services/seat-desk: applied, version 1 by mika"},
+		{"service apply " + service, command.ExitDone, "services/seat-desk: already in force, version 1 by mika"},
+		{"service apply --version=1 " + file(t, strings.Replace(serviceFile, "110", "120", 1)), command.ExitDone, "services/seat-desk: applied, version 2 by mika"},
+		{"service apply --version=1 " + service, command.ExitLostRace, `version 1 was read, but version 2 by "mika" is in force`},
+		{"service apply " + file(t, strings.NewReplacer("16", "32", "15", "31").Replace(serviceFile)), command.ExitInvalid, "shards: 32 is not allowed, allowed: 16"},
+		{"service apply " + file(t, `{"name":1}`), command.ExitInvalid, "name: 1 is not allowed, allowed: a string"},
+		{"service list", command.ExitDone, "seat-desk  16      1          tvm      2        mika"},
+		{"service show seat-desk", command.ExitDone, `"address": "10.0.0.1:80"`},
+		{"service show seat", command.ExitInvalid, "services/seat does not exist"},
+		{"upstream add seat-desk seat-b --centre=klm --address=10.0.0.2:80 --slots=4 --connections=100", command.ExitDone, "added seat-b, version 3"},
+		{"upstream add seat-desk seat-b --centre=klm --address=10.0.0.3:80 --slots=4 --connections=100", command.ExitInvalid, "upstreams[2].name"},
+		{"upstream list seat-desk", command.ExitDone, "seat-b    klm     10.0.0.2:80  4      100          false"},
+		{"upstream remove seat-desk seat-c", command.ExitInvalid, `has no upstream "seat-c"`},
+		{"upstream remove seat-desk seat-a", command.ExitInvalid, `homes[0].centre: "tvm" is not allowed, allowed: a data centre that has an upstream`},
+		{"upstream remove seat-desk seat-b", command.ExitDone, "removed seat-b, version 4"},
+		{"preset list", command.ExitDone, "ordinary     yes, default, not written yet"},
+		{"preset switch peak", command.ExitDone, "preset: switched to peak, version 1 by mika"},
+		{"preset switch peak", command.ExitDone, "preset: already in force, version 1 by mika"},
+		{"preset switch festival", command.ExitInvalid, `active: "festival" is not allowed, allowed: the name of a preset`},
+		{"preset show", command.ExitDone, "in force: peak, version 1 by mika"},
+		{"leave tvm-1", command.ExitDone, "leaving/tvm-1: marked as leaving, version 1"},
+		{"leave TVM", command.ExitInvalid, `vm: "TVM" is not allowed`},
+		{"leaving", command.ExitDone, "tvm-1  20"},
+		{"unleave tvm-1", command.ExitDone, "no longer leaving, version 2"},
+		{"unleave tvm-1", command.ExitInvalid, "leaving/tvm-1 does not exist"},
+		{"service delete seat-desk", command.ExitDone, "deleted, version 5"},
+		{"service delete seat-desk", command.ExitInvalid, "does not exist"},
+		{"check --kind=service " + service, command.ExitDone, "valid"},
+		{"check " + service, command.ExitInvalid, "upstreams: an unknown field"},
+		{"status", command.ExitInvalid, "--entry is missing"},
+		{"rebalance", command.ExitInvalid, "unexpected argument rebalance"},
+	} {
+		code, stdout, stderr := run(f, strings.Fields(c.line)...)
+		must.Eq(t, c.code, code, must.Sprint(c.line, stderr))
+		must.StrContains(t, stdout+stderr, c.want, must.Sprint(c.line))
+	}
+	f.down = true
+	code, _, _ := run(f, "preset", "switch", "ordinary")
+	must.Eq(t, command.ExitUnavailable, code)
+}
+
+// Guards against the loser of a race being told that its change was made.
+func TestLostRace(t *testing.T) {
+	f := &objects{all: map[string]store.Object{}}
+	f.race = func() { f.all["leaving/tvm-1"] = store.Object{Name: "leaving/tvm-1", Version: 3, Author: "rin"} }
+	code, stdout, stderr := run(f, "leave", "tvm-1")
+	must.Eq(t, command.ExitLostRace, code)
+	must.Eq(t, "", stdout)
+	must.StrContains(t, stderr, `version 3 by "rin" is in force`)
+}
+
+// dumpServer serves the dump of an entry process.
+func dumpServer(t *testing.T, text string) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/dump" {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = w.Write([]byte(text))
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+const firstDump = `{"member":{"name":"tvm-1","centre":"tvm"},"preset":"peak","versions":{"preset":7,"services/seat-desk":2},
+	"members":[{"name":"tvm-1","incarnation":1000000000,"centre":"tvm","address":"127.0.0.1:1"},{"name":"tvm-2","centre":"tvm","address":"127.0.0.1:2","silent":true}],
+	"tables":[{"service":"seat-desk","centre":"tvm","term":3,"sequence":9,"placements":[
+		{"upstream":"seat-a","leaseholder":{"name":"tvm-2"},"fence":"3.4","revision":5,"shards":[0,1,2,3,4,5,7,8,9,10,11,12,13,14,15]}]}],
+	"controllers":{"seat-desk@tvm":{"Role":"member","Term":3,"Promised":{"Name":"tvm-2"},"PromisedTerm":3,"Succession":{"Members":[{"Name":"tvm-2"},{"Name":"tvm-1"}]}}}}`
+
+const secondDump = `{"member":{"name":"tvm-2","centre":"tvm"},"preset":"ordinary","versions":{"preset":5},"members":[],
+	"tables":[{"service":"seat-desk","centre":"tvm","term":2,"sequence":99,"placements":[{"upstream":"old","shards":[6]}]}],
+	"controllers":{"seat-desk@tvm":{"Role":"controller","Term":3,"Moving":1}}}`
+
+// Guards against operators seeing an outdated owner or not seeing which process lacks a version.
+func TestDumps(t *testing.T) {
+	f := &objects{all: map[string]store.Object{"services/seat-desk": {Name: "services/seat-desk", Version: 2, Value: []byte(serviceFile)}}}
+	first, second := dumpServer(t, firstDump), dumpServer(t, secondDump)
+	entry := "--entry=" + first + "," + second
+	code, stdout, stderr := run(f, entry, "status")
+	must.Eq(t, command.ExitDone, code, must.Sprint(stderr))
+	for _, want := range []string{
+		"tvm-1   tvm     127.0.0.1:1  1970-01-01T00:00:01Z  live",
+		"tvm-2   tvm     127.0.0.1:2  1970-01-01T00:00:00Z  silent",
+		"seat-desk@tvm  tvm-2       3     1",
+		"preset              7        1 of 2       tvm-2 (5)",
+	} {
+		must.StrContains(t, stdout, want)
+	}
+	for key, want := range map[string]string{
+		"k1": "seat-a  tvm-2        3.4    5         table 3.9 of seat-desk@tvm at tvm-1",
+		"k2": "being moved: no upstream holds the shard in table 3.9 of seat-desk@tvm at tvm-1",
+	} {
+		_, stdout, _ = run(f, entry, "owner", "seat-desk", key)
+		must.StrContains(t, stdout, want, must.Sprint(key))
+	}
+	code, stdout, _ = run(f, "dump", second)
+	must.Eq(t, command.ExitDone, code)
+	must.StrContains(t, stdout, `"preset": "ordinary"`)
+	code, _, stderr = run(f, "--entry="+first+",127.0.0.1:1", "status")
+	must.Eq(t, command.ExitError, code)
+	must.StrContains(t, stderr, "127.0.0.1:1")
+}
--- /dev/null
+++ b/bramleyctl/internal/command/leaving.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"fmt"
+	"time"
+
+	"bramleystand.org/bramleyctl/internal/store"
+	"bramleystand.org/common/configuration"
+)
+
+type leaveCommand struct {
+	VM string `arg:"" name:"vm" help:"Name of the entry VM or upstream."`
+}
+
+// Run marks the VM; it receives no new work after a few seconds.
+func (c leaveCommand) Run(s *session) error {
+	mark := configuration.Leaving{VM: c.VM, Author: s.line.Author, Since: time.Now().UTC().Truncate(time.Second)}
+	return s.change(configuration.LeavingObject(c.VM), "marked as leaving", func(o store.Object) ([]byte, error) {
+		if o.Exists() {
+			return nil, errUnchanged
+		}
+		if err := mark.Validate(); err != nil {
+			return nil, fmt.Errorf("%w: %w", errInvalid, err)
+		}
+		return configuration.EncodeLeaving(mark)
+	})
+}
+
+type unleaveCommand struct {
+	VM string `arg:"" name:"vm" help:"Name of the VM."`
+}
+
+// Run removes the mark.
+func (c unleaveCommand) Run(s *session) error {
+	name := configuration.LeavingObject(c.VM)
+	return s.change(name, "no longer leaving", func(o store.Object) ([]byte, error) {
+		if !o.Exists() {
+			return nil, missing(name)
+		}
+		return nil, nil
+	})
+}
+
+type leavingCommand struct{}
+
+// Run prints one line per mark.
+func (leavingCommand) Run(s *session) error {
+	objects, err := s.list(configuration.LeavingPrefix)
+	if err != nil {
+		return err
+	}
+	if s.line.JSON {
+		return s.json(values(objects))
+	}
+	rows := [][]any{{"VM", "SINCE", "AUTHOR", "VERSION"}}
+	for _, o := range objects {
+		l, err := configuration.DecodeLeaving(o.Value)
+		if err != nil {
+			return fmt.Errorf("%s: %w", o.Name, err)
+		}
+		rows = append(rows, []any{l.VM, l.Since.Format(time.RFC3339), l.Author, o.Version})
+	}
+	return s.table(rows)
+}
--- /dev/null
+++ b/bramleyctl/internal/command/upstream.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"bramleystand.org/bramleyctl/internal/store"
+	"bramleystand.org/common/configuration"
+)
+
+type upstreamCommands struct {
+	List   upstreamList   `cmd:"" help:"List the upstreams of a service."`
+	Add    upstreamAdd    `cmd:"" help:"Add an upstream to a service."`
+	Remove upstreamRemove `cmd:"" help:"Remove an upstream from a service."`
+}
+
+type upstreamList struct {
+	Service string `arg:"" help:"Name of the service."`
+}
+
+// Run prints one line per upstream.
+func (c upstreamList) Run(s *session) error {
+	v, _, err := s.service(c.Service)
+	if err != nil {
+		return err
+	}
+	if s.line.JSON {
+		return s.json(v.Upstreams)
+	}
+	rows := [][]any{{"UPSTREAM", "CENTRE", "ADDRESS", "SLOTS", "CONNECTIONS", "FENCED"}}
+	for _, u := range v.Upstreams {
+		rows = append(rows, []any{u.Name, u.DataCentre, u.Address, u.Slots, u.Connections, u.Fenced})
+	}
+	return s.table(rows)
+}
+
+type upstreamAdd struct {
+	Service     string         `arg:"" help:"Name of the service."`
+	Name        string         `arg:"" help:"Name of the upstream."`
+	Centre      string         `help:"Data centre." required:""`
+	Address     netip.AddrPort `help:"IP address and port." required:""`
+	Slots       int            `help:"Requests that run at once." required:""`
+	Connections int            `help:"Largest number of connections." required:""`
+	Fenced      bool           `help:"The server checks grants."`
+}
+
+// Run adds the upstream; the controller gives it shards in steps.
+func (c upstreamAdd) Run(s *session) error {
+	added := configuration.Upstream{
+		Name: c.Name, DataCentre: c.Centre, Address: c.Address,
+		Slots: c.Slots, Connections: c.Connections, Fenced: c.Fenced,
+	}
+	return s.editService(c.Service, "added "+c.Name, func(v *configuration.Service) error {
+		v.Upstreams = append(v.Upstreams, added)
+		return nil
+	})
+}
+
+type upstreamRemove struct {
+	Service string `arg:"" help:"Name of the service."`
+	Name    string `arg:"" help:"Name of the upstream."`
+}
+
+// Run removes the upstream; the controller moves its shards to others.
+func (c upstreamRemove) Run(s *session) error {
+	return s.editService(c.Service, "removed "+c.Name, func(v *configuration.Service) error {
+		i := slices.IndexFunc(v.Upstreams, func(u configuration.Upstream) bool { return u.Name == c.Name })
+		if i < 0 {
+			return fmt.Errorf("%w: service %s has no upstream %q", errInvalid, c.Service, c.Name)
+		}
+		v.Upstreams = slices.Delete(v.Upstreams, i, i+1)
+		return nil
+	})
+}
+
+// editService changes a service that exists.
+func (s *session) editService(service, done string, edit func(*configuration.Service) error) error {
+	name := configuration.ServiceObject(service)
+	return s.change(name, done, func(o store.Object) ([]byte, error) {
+		if !o.Exists() {
+			return nil, missing(name)
+		}
+		v, err := configuration.DecodeService(o.Value)
+		if err != nil {
+			return nil, err
+		}
+		if err := edit(&v); err != nil {
+			return nil, err
+		}
+		return encodeService(o, v)
+	})
+}
--- a/entry/internal/settings/settings_test.go
+++ b/common/entrysettings/settings_test.go
@@ -1,4 +1,4 @@
-package settings_test
+package entrysettings_test
 
 import (
 	"net/netip"
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"bramleystand.org/entry/internal/settings"
+	"bramleystand.org/common/entrysettings"
 )
 
 const valid = `{
@@ -20,10 +20,10 @@
 
 // Guards against a setting that is read into another field.
 func TestParse(t *testing.T) {
-	s, err := settings.Parse([]byte(valid))
+	s, err := entrysettings.Parse([]byte(valid))
 	must.NoError(t, err)
 	at := netip.MustParseAddrPort
-	must.Eq(t, settings.Settings{
+	must.Eq(t, entrysettings.Settings{
 		Name: "tvm-1", DataCentre: "tvm", Region: "kerala-south",
 		Caller: at("127.0.0.1:7001"), Peer: at("127.0.0.1:7002"), Admin: at("127.0.0.1:7003"), Platform: at("127.0.0.1:7100"),
 		Seeds: []netip.AddrPort{at("127.0.0.1:7002"), at("127.0.0.1:7012")}, Stop: 20 * time.Second, Body: 64 << 20,
@@ -45,7 +45,7 @@
 		`"stop"=>"halt"`:                                     `halt: an unknown field`,
 	} {
 		from, to, _ := strings.Cut(change, "=>")
-		_, err := settings.Parse([]byte(strings.Replace(valid, from, to, 1)))
+		_, err := entrysettings.Parse([]byte(strings.Replace(valid, from, to, 1)))
 		must.ErrorContains(t, err, want, must.Sprint(change))
 	}
 }
@@ -53,7 +53,7 @@
 // Guards against errors of the parser hiding those of the validator, and against reporting a field twice.
 func TestParseReportsAllOnce(t *testing.T) {
 	text := strings.NewReplacer(`"20s"`, `20`, `67108864`, `1`, `"tvm-1"`, `""`).Replace(valid)
-	_, err := settings.Parse([]byte(text))
+	_, err := entrysettings.Parse([]byte(text))
 	for _, field := range []string{"stop: ", "body: ", "name: "} {
 		must.ErrorContains(t, err, field)
 		must.Eq(t, 1, strings.Count(err.Error(), field))
--- a/entry/internal/settings/validate.go
+++ b/common/entrysettings/validate.go
@@ -1,4 +1,4 @@
-package settings
+package entrysettings
 
 import (
 	"errors"
