--- a/replay/internal/fleet/fleet.go
+++ b/replay/internal/fleet/fleet.go
@@ -82,6 +82,9 @@
 			return err
 		}
 	}
+	if err := f.list(ctx); err != nil {
+		return err
+	}
 	if err := f.configure(ctx); err != nil {
 		return err
 	}
--- a/replay/internal/fleet/object.go
+++ b/replay/internal/fleet/object.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 )
 
-// objectJSON is an object of the platform.
-type objectJSON struct {
-	Version int64           `json:"version"`
-	Value   json.RawMessage `json:"value"`
-}
-
 // object returns the URL of an object.
 func (f *Fleet) object(name string) string {
 	return "http://" + f.Address.String() + "/objects/" + name
@@ -31,15 +26,19 @@
 		return nil, 0, fmt.Errorf("get %s: %w", name, err)
 	}
 	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, 0, fmt.Errorf("get %s: %w", name, err)
+	}
 	if response.StatusCode == http.StatusNotFound {
 		return nil, 0, nil
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, 0, eris.Errorf("get %s: status %d", name, response.StatusCode)
+		return nil, 0, eris.Errorf("get %s: status %d: %s", name, response.StatusCode, content)
 	}
-	var o objectJSON
-	if err := json.NewDecoder(response.Body).Decode(&o); err != nil {
-		return nil, 0, fmt.Errorf("get %s: %w", name, err)
+	version, err := strconv.ParseInt(response.Header.Get("Version"), 10, 64)
+	if err != nil {
+		return nil, 0, fmt.Errorf("get %s: header Version: %w", name, err)
 	}
-	return o.Value, o.Version, nil
+	return content, version, nil
 }
