Close gaps in tests of the policies

Cause: faults put into the code by hand were not all found by the tests, and a random sequence found a server that was detected only after 750 ms. Change: a refused connection after an unanswered probe counts as the second failure, as the reverse order did; idle shards count with a quarter of the mean when they are placed, because 97 of 100 went to one server; tests for changes of presets and slots, staged exclusive requests, lost probes, resting and idle shards.

--- a/entry/internal/balance/plan.go
+++ b/entry/internal/balance/plan.go
@@ -50,7 +50,7 @@
 	maxTransfer = 1.5
 	// nominalLoad is the least load, in means of a shard, that a shard counts with when it is placed.
 	// Without it, all idle shards of a lost server would go to the same one.
-	nominalLoad = 0.1
+	nominalLoad = 0.25
 )
 
 // Plan returns the moves to start now, in the order of their urgency. Equal inputs give equal plans.
--- a/entry/internal/balance/plan_test.go
+++ b/entry/internal/balance/plan_test.go
@@ -181,7 +181,35 @@
 	}
 }
 
-// Guards against idle shards that all go to one server, and against a new server without shards or with too many at once.
+// Guards against shards that move again before their load shows the effect of the last move.
+func TestRest(t *testing.T) {
+	in := balance.Input{Upstreams: fleet(rand.New(rand.NewPCG(1, 0)), 10, 34), Moved: map[shard.Shard]time.Time{}}
+	for _, u := range in.Upstreams {
+		for _, s := range u.Shards {
+			in.Moved[s.Shard] = epoch
+		}
+	}
+	must.SliceEmpty(t, balance.Plan(epoch.Add(time.Minute-1), in))
+	must.SliceNotEmpty(t, balance.Plan(epoch.Add(time.Minute), in))
+}
+
+// Guards against a lost server's idle shards that all go to the one with the least load.
+func TestIdleShards(t *testing.T) {
+	in := balance.Input{Upstreams: fleet(rand.New(rand.NewPCG(1, 0)), 10, 100), Moved: map[shard.Shard]time.Time{}}
+	settle(t, &in)
+	for s := range shard.Shard(100) {
+		in.Unowned = append(in.Unowned, control.ShardLoad{Shard: 10_000 + s})
+	}
+	received := map[string]int{}
+	for _, m := range balance.Plan(epoch, in) {
+		received[m.To]++
+	}
+	for _, n := range received {
+		must.LessEq(t, 60, n)
+	}
+}
+
+// Guards against shards of equal load that are spread unevenly, and against a new server without shards or with too many at once.
 func TestNewServer(t *testing.T) {
 	in := balance.Input{Upstreams: make([]balance.Upstream, 4), Moved: map[shard.Shard]time.Time{}}
 	for i := range in.Upstreams {
@@ -212,6 +240,9 @@
 	in := balance.Input{Upstreams: fleet(rand.New(rand.NewPCG(1, 0)), 10, 100), Moved: map[shard.Shard]time.Time{}}
 	in.Upstreams[0].Shards[0].Load = 10
 	must.LessEq(t, 60, settle(t, &in))
+	in.Upstreams = fleet(rand.New(rand.NewPCG(1, 0)), 10, 100)
+	in.Upstreams[0].Shards[0].Load = 10
+	must.SliceNotEmpty(t, balance.Plan(epoch.Add(time.Hour), in))
 	for _, u := range in.Upstreams {
 		for i := range u.Shards {
 			u.Shards[i].Load /= 1000
--- a/entry/internal/detector/detector.go
+++ b/entry/internal/detector/detector.go
@@ -121,11 +121,11 @@
 	d.good = time.Time{}
 	switch {
 	case d.state == control.Failed:
+	case d.misses > 0 || !d.refused.IsZero() && now.Sub(d.refused) >= refusedAgain:
+		d.fail(now)
 	case d.refused.IsZero():
 		d.refused = now
 		d.become(now, control.Suspected)
-	case now.Sub(d.refused) >= refusedAgain:
-		d.fail(now)
 	}
 }
 
--- a/entry/internal/detector/detector_test.go
+++ b/entry/internal/detector/detector_test.go
@@ -175,6 +175,31 @@
 	must.Eq(t, control.Failed, s.State())
 }
 
+// Guards against one lost probe that makes a server failed, and against lost probes that outweigh answers to requests.
+func TestLostProbes(t *testing.T) {
+	s := newServer(0)
+	miss := func() {
+		s.ProbeSent(s.now)
+		s.now = s.now.Add(200 * time.Millisecond)
+		s.Tick(s.now)
+	}
+	miss()
+	must.NotEq(t, control.Failed, s.State())
+	s.ProbeSent(s.now)
+	s.ProbeAnswered(s.now.Add(step))
+	s.now = s.now.Add(step)
+	for range 5 {
+		s.ProbeSent(s.now)
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.Received(s.now, 1, s.now.Add(never))
+		s.ProbeFailed(s.now)
+	}
+	must.Eq(t, control.Alive, s.State())
+	miss()
+	s.ProbeRefused(s.now)
+	must.Eq(t, control.Failed, s.State())
+}
+
 // Guards against verdicts that contradict the server's state over any sequence of freezes, losses and returns.
 func TestSequences(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/entry/internal/queue/queue_test.go
+++ b/entry/internal/queue/queue_test.go
@@ -131,6 +131,49 @@
 	})
 }
 
+// Guards against requests that go on waiting after a new preset or more slots would let them run.
+func TestChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(2, time.Now)
+		preset := configuration.Preset{Ranks: limits}
+		preset.Ranks[rank.Lookup].Cap = 50
+		q.Limits(preset)
+		for range 4 {
+			go func() { _, _ = q.Acquire(t.Context(), Request{Rank: rank.Lookup}) }()
+		}
+		synctest.Wait()
+		must.Eq(t, 1, q.State().Running)
+		q.Limits(configuration.Preset{Ranks: limits})
+		must.Eq(t, 2, q.State().Running)
+		q.SetSlots(3)
+		must.Eq(t, 3, q.State().Running)
+		q.SetSlots(0)
+		must.Eq(t, 1, q.State().Ranks[rank.Lookup].Waiting)
+		q.Close()
+	})
+}
+
+// Guards against a suspect that stops confirmations for the whole time of a long upload.
+func TestExclusiveLetsUrgentPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := limited(4)
+		upload := hold(t, q, rank.Upload)
+		started := make(chan *Slot, 1)
+		go func() {
+			s, _ := q.Acquire(t.Context(), Request{Rank: rank.Lookup, Exclusive: true})
+			started <- s
+		}()
+		synctest.Wait()
+		confirmation := hold(t, q, rank.Confirmation)
+		upload.Release(time.Second)
+		synctest.Wait()
+		must.Eq(t, 1, q.State().Exclusive)
+		confirmation.Release(time.Millisecond)
+		(<-started).Release(time.Millisecond)
+		must.Zero(t, q.State().Running)
+	})
+}
+
 // Guards against overrun slots and caps, company for exclusive requests, starvation and requests without an outcome.
 func TestScheduler(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -179,7 +222,9 @@
 			"finish": func(*rapid.T) { finish() },
 			"abandon": func(t *rapid.T) {
 				if len(all) > 0 {
-					s.abandon(now, rapid.SampledFrom(all).Draw(t, "slot"))
+					slot := rapid.SampledFrom(all).Draw(t, "slot")
+					s.abandon(now, slot)
+					must.Greater(t, running, slot.phase)
 					s.dispatch(now)
 				}
 			},
--- a/entry/internal/queue/scheduler.go
+++ b/entry/internal/queue/scheduler.go
@@ -14,8 +14,9 @@
 // held up by long uploads would afterwards keep the others out for as long.
 const deficitWindow = time.Second
 
-// waitMargin is the factor on the expected wait for the spread of service times. A line as long as
-// its deadline allows would otherwise make half of its requests late.
+// waitMargin is the factor on the expected wait for the spread of service times. In a flood, the
+// line is as long as the deadline allows, and without a margin one accepted confirmation in eight
+// had to be refused at the end of its wait; see docs/policy.md.
 const waitMargin = 1.25
 
 // serviceMargin is the number of mean service times that must remain when a request that had to wait
--- a/entry/internal/suspect/list_test.go
+++ b/entry/internal/suspect/list_test.go
@@ -78,6 +78,12 @@
 	must.Eq(t, suspect.Clear, list.Check(epoch, 1))
 	must.Eq(t, suspect.Condemned, list.Check(epoch, 2))
 	must.Eq(t, peer.Digest(epoch), list.Digest(epoch))
+	list.Success(epoch, 2)
+	list.Success(epoch, 3)
+	must.Eq(t, suspect.Condemned, list.Check(epoch, 2))
+	must.Len(t, 2, list.Entries(epoch))
+	must.SliceEmpty(t, list.Entries(epoch.Add(suspect.Lifetime-time.Second)))
+	must.Eq(t, suspect.Condemned, list.Check(epoch.Add(suspect.Lifetime-time.Second), 2))
 	must.Eq(t, suspect.Clear, list.Check(epoch.Add(suspect.Lifetime), 2))
 }
 
