Simplify the flood experiment

Cause: a heap for at most six running requests, and a repeated record in a handover would have been counted twice. Change: a sorted slice in place of the heap; repeated records are skipped.

--- a/entry/internal/queue/flood_test.go
+++ b/entry/internal/queue/flood_test.go
@@ -1,9 +1,9 @@
 package queue
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,25 +45,13 @@
 	busy, useful                                  time.Duration
 }
 
-// finishing is a running request in the order of its end.
+// finishing is a running request with the time of its end.
 type finishing struct {
 	at      time.Time
 	slot    *Slot
 	service time.Duration
 }
 
-type finishings []finishing
-
-func (f finishings) Len() int           { return len(f) }
-func (f finishings) Less(i, j int) bool { return f[i].at.Before(f[j].at) }
-func (f finishings) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
-func (f *finishings) Push(x any)        { *f = append(*f, x.(finishing)) }
-func (f *finishings) Pop() any {
-	x := (*f)[len(*f)-1]
-	*f = (*f)[:len(*f)-1]
-	return x
-}
-
 // warmUp is the time until lines have filled; slot time before it is not counted.
 const warmUp = time.Second
 
@@ -94,7 +82,7 @@
 		random[r] = rand.New(rand.NewPCG(seed, uint64(r)))
 		arrival[r] = start.Add(gap(r))
 	}
-	var ends finishings
+	var ends []finishing
 	var pending [rank.Count][]finishing
 	end, ticks := start.Add(length), start
 	settle := func(now time.Time) {
@@ -108,7 +96,8 @@
 				}
 				p.at = now.Add(p.service)
 				scores[r].busy += within(now, p.at, start.Add(warmUp), end)
-				heap.Push(&ends, p)
+				at, _ := slices.BinarySearchFunc(ends, p, func(a, b finishing) int { return a.at.Compare(b.at) })
+				ends = slices.Insert(ends, at, p)
 			}
 		}
 	}
@@ -121,7 +110,8 @@
 		}
 		switch {
 		case len(ends) > 0 && ends[0].at.Before(arrival[next]) && ends[0].at.Before(ticks):
-			e := heap.Pop(&ends).(finishing)
+			e := ends[0]
+			ends = ends[1:]
 			now = e.at
 			score := &scores[e.slot.request.Rank]
 			onTime := !now.After(e.slot.request.Deadline)
--- a/entry/internal/ticket/table.go
+++ b/entry/internal/ticket/table.go
@@ -84,7 +84,9 @@
 		})
 	}
 	for i, r := range in.Records {
-		t.receive(now, h, tickets[i], r)
+		if h.operations[tickets[i]] == nil {
+			t.receive(now, h, tickets[i], r)
+		}
 	}
 	return nil
 }
