Look at the ticket before anything can refuse a confirmation

Cause: a resend that was refused by a full queue, a condemned fingerprint or a missing owner was told not-run although its first attempt may have run. Ruled out: spending the ticket only with a slot (the earlier order, which avoids handing over a spent ticket): the shard now isn't released while a ticket is spent and waits, and Release ends that wait. Change: spend first, pass any refusal to the table; the router reports a confirmation without an owner as unknown; waiting requests of a shard that is being released are answered as moved at once. Before: TestRefusedResendIsUnknown and TestNoOwnerForTicketIsUnknown fail. After: they pass.

--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -76,7 +76,7 @@
 		switch {
 		case response.Moved:
 			if !wait(ctx, changed) {
-				return expire(response)
+				return expire(request, response)
 			}
 		case response.Outcome == outcome.Unknown && !resent && mayResend(request, response) && ctx.Err() == nil:
 			if !r.budgets.Spend(time.Now(), request.Service) || !wait(ctx, changed) {
@@ -127,8 +127,12 @@
 	return true
 }
 
-// expire marks a refusal as final: the request was not run before its deadline.
-func expire(r *exchange.Response) *exchange.Response {
+// expire makes a refusal final: this attempt was not run before its deadline. Only
+// the leaseholder knows whether an earlier attempt with the same ticket was.
+func expire(request *exchange.Request, r *exchange.Response) *exchange.Response {
+	if request.Ticket != "" {
+		return exchange.Unsure(http.StatusGatewayTimeout, "this attempt was not run; an earlier one with the same ticket may have been")
+	}
 	r.Moved = false
 	r.RetryAt = time.Now().Add(time.Second)
 	return r
--- a/entry/internal/router/router_test.go
+++ b/entry/internal/router/router_test.go
@@ -92,6 +92,14 @@
 	})
 }
 
+// Guards against a resend without an owner being told not run although an earlier attempt may have run.
+func TestNoOwnerForTicketIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		response := route(t, nil, &script{}, &exchange.Request{Rank: rank.Confirmation, Ticket: "t"})
+		must.Eq(t, outcome.Unknown, response.Outcome)
+	})
+}
+
 // Guards against a second run after an unknown outcome, and against a server-breaking request reaching more servers.
 func TestUnknownOutcome(t *testing.T) {
 	crashed := func() *exchange.Response { r := unknown(); r.Crashed = true; return r }
--- a/entry/internal/upstream/handle.go
+++ b/entry/internal/upstream/handle.go
@@ -25,27 +25,34 @@
 	if r.TicketOnly {
 		return u.issue(now, r)
 	}
-	var spent ticket.Ticket
 	if r.Rank == rank.Confirmation {
-		var err error
-		if spent, err = parseTicket(r); err != nil {
+		spent, err := parseTicket(r)
+		if err != nil {
 			return exchange.Refuse(http.StatusBadRequest, err.Error())
 		}
+		return u.confirm(ctx, r, spent)
 	}
-	slot, verdict, refusal := u.admit(ctx, r)
+	run, refusal := u.start(ctx, r)
 	if refusal != nil {
 		return refusal
 	}
+	return run.send(ctx)
+}
+
+// start waits for a slot and checks the lease for the last time.
+func (u *Upstream) start(ctx context.Context, r *exchange.Request) (*run, *exchange.Response) {
+	slot, verdict, refusal := u.admit(ctx, r)
+	if refusal != nil {
+		return nil, refusal
+	}
 	f, ok := u.enter(r.Shard)
 	if !ok {
 		slot.Release(0)
-		return moved()
-	}
-	run := &run{upstream: u, slot: slot, request: r, fence: f, started: time.Now(), alone: verdict == suspect.Alone}
-	if r.Rank == rank.Confirmation {
-		return run.confirm(ctx, spent)
+		return nil, moved()
 	}
-	return run.send(ctx)
+	return &run{
+		upstream: u, slot: slot, request: r, fence: f, started: time.Now(), alone: verdict == suspect.Alone,
+	}, nil
 }
 
 // admit waits for a slot of the kind that the verdict on the request asks for. The
@@ -111,9 +118,7 @@
 
 // acquire waits for a slot until the deadline, the end of the lease or a refusal.
 func (u *Upstream) acquire(ctx context.Context, r *exchange.Request, alone bool) (*queue.Slot, *exchange.Response) {
-	u.mu.Lock()
-	usable := u.usable
-	u.mu.Unlock()
+	usable := u.wait(r.Shard)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(usable, cancel)
@@ -152,8 +157,8 @@
 func (u *Upstream) leave(s shard.Shard, service time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.loads.add(s, service)
 	if u.running[s]--; u.running[s] == 0 {
 		delete(u.running, s)
 	}
-	u.loads.add(s, service)
 }
--- a/entry/internal/upstream/upstream.go
+++ b/entry/internal/upstream/upstream.go
@@ -59,24 +59,22 @@
 	// tickets is the table of the lease with the fence; it is nil without a lease.
 	tickets *ticket.Table
 	fence   fence.Fence
-	// running counts the requests of each shard between the last check of the lease and the end of the answer.
+	// running counts the requests of each shard that are at the server, and the final actions whose ticket is spent.
 	running map[shard.Shard]int
 	loads   loads
-	// usable ends when waiting requests must go elsewhere.
-	usable context.Context
-	bounce context.CancelFunc
+	// waits ends the waiting of the requests of each shard when they must go elsewhere.
+	waits map[shard.Shard]wait
 }
 
 // New returns an upstream without a lease.
 func New(service string, spec configuration.Upstream, l Lease, server Server, suspects Suspects, monitor Monitor) *Upstream {
-	u := &Upstream{
+	return &Upstream{
 		service: service, spec: spec, lease: l, server: server, suspects: suspects, monitor: monitor,
 		queue:   queue.New(spec.Slots, time.Now),
 		running: make(map[shard.Shard]int),
+		waits:   make(map[shard.Shard]wait),
 		loads:   newLoads(time.Now()),
 	}
-	u.usable, u.bounce = context.WithCancel(context.Background())
-	return u
 }
 
 // Limits applies a preset.
@@ -107,7 +105,7 @@
 	if f != u.fence {
 		u.fence = f
 		u.tickets = ticket.New(u.service, f, tableLimits, now)
-		u.renewUsable()
+		u.bounceAll()
 	}
 	if u.tickets == nil {
 		return nil
@@ -129,26 +127,49 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.fence, u.tickets = 0, nil
-	u.renewUsable()
+	u.bounceAll()
 }
 
 // Bounce answers all waiting requests as moved, because the server has failed.
 func (u *Upstream) Bounce() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.renewUsable()
+	u.bounceAll()
 }
 
-// renewUsable ends the waiting of all requests. The mutex is held.
-func (u *Upstream) renewUsable() {
-	u.bounce()
-	u.usable, u.bounce = context.WithCancel(context.Background())
+// bounceAll ends the waiting of all requests. The mutex is held.
+func (u *Upstream) bounceAll() {
+	for s := range u.waits {
+		u.bounce(s)
+	}
+}
+
+// bounce ends the waiting of the requests of a shard. The mutex is held.
+func (u *Upstream) bounce(s shard.Shard) {
+	if w, ok := u.waits[s]; ok {
+		w.cancel()
+		delete(u.waits, s)
+	}
+}
+
+// wait returns a context that ends when requests of the shard must go elsewhere.
+func (u *Upstream) wait(s shard.Shard) context.Context {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w, ok := u.waits[s]
+	if !ok {
+		w.ctx, w.cancel = context.WithCancel(context.Background())
+		u.waits[s] = w
+	}
+	return w.ctx
 }
 
 // Release gives up a shard that is being released, once nothing runs for it.
+// Requests that wait for a slot are answered as moved.
 func (u *Upstream) Release(now time.Time, s shard.Shard) (control.Release, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.bounce(s)
 	if u.running[s] > 0 {
 		return control.Release{}, false
 	}
--- a/entry/internal/upstream/upstream_test.go
+++ b/entry/internal/upstream/upstream_test.go
@@ -141,6 +141,24 @@
 	})
 }
 
+// Guards against a resend being refused as not run, by a condemned fingerprint or a full queue, although
+// the first attempt may have run.
+func TestRefusedResendIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspects := suspect.New(10)
+		r := newRig(t, suspects, broke)
+		request := exchange.Request{Rank: rank.Confirmation, Ticket: r.ticket(t), Fingerprint: 7}
+		r.do(t, request)
+		suspects.Crash(time.Now(), []suspect.Fingerprint{7})
+		response, _ := r.do(t, request)
+		must.Eq(t, outcome.Unknown, response.Outcome)
+		request.Ticket = r.ticket(t)
+		response, _ = r.do(t, request)
+		must.Eq(t, outcome.NotRun, response.Outcome)
+		must.Eq(t, http.StatusUnprocessableEntity, response.Status)
+	})
+}
+
 // Guards against a ticket of a lost lease being run under the next lease.
 func TestTicketOfFormerLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
