Bound probes to one connection and save allocations in backend

Cause: probes of the detector and of the silence watch could together exceed the connections of the server by one; checking an idle connection allocated three times. Change: probes share one place; the check's closure is kept with the connection. The benchmark's server allocates nothing, so the figures are the client's alone.

--- a/entry/internal/backend/client.go
+++ b/entry/internal/backend/client.go
@@ -23,7 +23,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync/atomic"
 	"time"
 )
 
@@ -43,10 +42,10 @@
 	permits  chan struct{}
 	requests *pool
 	grants   *pool
+	probes   *pool
 	clock    clock
 	held     held
 	silence  silence
-	probes   atomic.Int64
 }
 
 // New returns a client that keeps at most the given number of connections, at least 3, open.
@@ -54,6 +53,8 @@
 	c := &Client{address: address.String(), dialer: d, permits: make(chan struct{}, parallelDials)}
 	c.requests = newPool(c.dial, max(1, connections-reserved))
 	c.grants = newPool(c.dial, 1)
+	c.probes = newPool(c.dial, 1)
+	c.probes.single = true
 	c.silence.stopping, c.silence.stop = context.WithCancel(context.Background())
 	c.silence.timer = time.AfterFunc(time.Hour, c.watch)
 	c.silence.timer.Stop()
@@ -76,7 +77,7 @@
 		Open:   open,
 		Idle:   idle,
 		Dials:  c.requests.dials.Load() + c.grants.dials.Load(),
-		Probes: c.probes.Load(),
+		Probes: c.probes.dials.Load(),
 		Silent: c.silence.closed.Load(),
 	}
 }
@@ -86,4 +87,5 @@
 	c.silence.end()
 	c.requests.close()
 	c.grants.close()
+	c.probes.close()
 }
--- a/entry/internal/backend/client_test.go
+++ b/entry/internal/backend/client_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -46,6 +45,7 @@
 		"truncated not run":    {marked + "Content-Length: 3\r\n\r\nno", outcome.NotRun, true},
 		"truncated chunk":      {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nok", outcome.Unknown, true},
 		"last chunk missing":   {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", outcome.Unknown, true},
+		"endless head":         {head + "A: " + strings.Repeat("a", 2<<20), outcome.Unknown, true},
 		"ended by closing":     {head + "Connection: close\r\n\r\nok", outcome.Unknown, true},
 		"ended by closing 1.0": {"HTTP/1.0 200 OK\r\n\r\nok", outcome.Unknown, true},
 	} {
@@ -57,7 +57,8 @@
 			must.Eq(t, "/keys/a%2Fb?q=1:2", r.RequestURI)
 			must.Eq(t, "7", r.Header.Get("Bramley-Fence"))
 			must.Eq(t, "3", r.Header.Get("Bramley-Shard"))
-			s.answer(t, c.answer)
+			// The client may close the connection before it has read everything.
+			_, _ = io.WriteString(s, c.answer)
 			s.Close()
 			got := <-done
 			if c.fails {
@@ -122,6 +123,17 @@
 	must.Eq(t, 1, client.Counts().Dials)
 }
 
+// Guards against a request for a head that waits for a body.
+func TestHead(t *testing.T) {
+	client, p := newClient(t, 3)
+	done := start(t.Context(), client, &backend.Request{Method: "HEAD", Key: "a"})
+	s := <-p.servers
+	s.request(t)
+	s.answer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+	must.NoError(t, (<-done).err)
+	must.Eq(t, 1, client.Counts().Idle)
+}
+
 // Guards against a connection with two unanswered requests, against more connections than allowed
 // and against more than two that are opened at once.
 func TestLimits(t *testing.T) {
@@ -280,47 +292,72 @@
 	must.Eq(t, 2, client.Counts().Dials)
 }
 
+// serveRaw answers each small request on loopback with a fixed answer and allocates nothing for it.
+func serveRaw(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in, out := make([]byte, 4096), []byte(ok)
+				for {
+					n, err := c.Read(in)
+					if err != nil {
+						return
+					}
+					if !bytes.HasSuffix(in[:n], []byte("body")) {
+						continue
+					}
+					if _, err := c.Write(out); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // BenchmarkDo measures a small request over loopback.
 func BenchmarkDo(b *testing.B) {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Write([]byte("ok"))
-	}))
-	defer s.Close()
-	client := backend.New(netip.MustParseAddrPort(s.Listener.Addr().String()), 3, &net.Dialer{})
+	client := backend.New(netip.MustParseAddrPort(serveRaw(b)), 3, &net.Dialer{})
 	defer client.Close()
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
-	body := bytes.NewReader([]byte("body"))
+	body := bytes.NewReader(nil)
+	b.ReportAllocs()
 	for b.Loop() {
 		body.Reset([]byte("body"))
 		r, err := client.Do(ctx, &backend.Request{Method: "POST", Key: "a", Body: body, Length: 4, Fence: 7, Shard: 3})
-		if err != nil {
-			b.Fatal(err)
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			b.Fatal(err)
-		}
+		must.NoError(b, err)
+		_, err = io.Copy(io.Discard, r.Body)
+		must.NoError(b, err)
 		r.Body.Close()
 	}
 }
 
 // BenchmarkTransport measures the same request with net/http, for comparison.
 func BenchmarkTransport(b *testing.B) {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Write([]byte("ok"))
-	}))
-	defer s.Close()
+	address := serveRaw(b)
+	client := &http.Client{Transport: &http.Transport{}}
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
+	b.ReportAllocs()
 	for b.Loop() {
-		q, _ := http.NewRequestWithContext(ctx, "POST", s.URL+"/keys/a", bytes.NewReader([]byte("body")))
+		q, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/keys/a", bytes.NewReader([]byte("body")))
+		must.NoError(b, err)
 		q.Header.Set("Bramley-Fence", "7")
 		q.Header.Set("Bramley-Shard", "3")
-		r, err := s.Client().Do(q)
-		if err != nil {
-			b.Fatal(err)
-		}
-		io.Copy(io.Discard, r.Body)
+		r, err := client.Do(q)
+		must.NoError(b, err)
+		_, err = io.Copy(io.Discard, r.Body)
+		must.NoError(b, err)
 		r.Body.Close()
 	}
 }
--- a/entry/internal/backend/conn.go
+++ b/entry/internal/backend/conn.go
@@ -36,11 +36,26 @@
 	// starved is true while the sender waits for the caller's body.
 	starved atomic.Bool
 	silent  atomic.Bool
+	// raw is nil for a connection that is not a socket; peek is kept to save allocations.
+	raw   syscall.RawConn
+	peek  func(uintptr) bool
+	empty bool
 }
 
 func newConn(inner net.Conn) *conn {
 	c := &conn{Conn: inner, opened: time.Now(), budget: -1}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
+	if s, ok := inner.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	c.peek = func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		c.empty = errors.Is(err, syscall.EAGAIN)
+		return true
+	}
 	return c
 }
 
@@ -85,20 +100,9 @@
 	if now.Sub(c.idle) > longestIdle || c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		empty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && empty
+	c.empty = false
+	return c.raw.Read(c.peek) == nil && c.empty
 }
--- a/entry/internal/backend/pool.go
+++ b/entry/internal/backend/pool.go
@@ -15,6 +15,8 @@
 type pool struct {
 	dial   func(context.Context) (*conn, error)
 	places chan struct{}
+	// single pools close each connection after one request.
+	single bool
 	dials  atomic.Int64
 
 	mu     sync.Mutex
@@ -74,7 +76,7 @@
 // put gives a connection back; one that cannot carry another request is closed.
 func (p *pool) put(c *conn, reusable bool) {
 	p.mu.Lock()
-	if reusable && !p.closed && !c.silent.Load() {
+	if reusable && !p.single && !p.closed && !c.silent.Load() {
 		c.idle = time.Now()
 		p.idle = append(p.idle, c)
 	} else {
--- a/entry/internal/backend/probe.go
+++ b/entry/internal/backend/probe.go
@@ -8,16 +8,12 @@
 	"time"
 )
 
-// Probe asks the server for an answer on a new connection. When it answers,
+// Probe asks the server for an answer on a new connection, one probe at a time. When it answers,
 // connections that have been silent since before the probe are closed.
 func (c *Client) Probe(ctx context.Context) error {
-	c.probes.Add(1)
 	began := time.Now()
 	suspects := c.quiet(began)
-	// A pool of its own makes the connection a new one.
-	p := newPool(c.dial, 1)
-	defer p.close()
-	r, err := c.exchange(ctx, p, "/probe", &Request{Method: http.MethodGet})
+	r, err := c.exchange(ctx, c.probes, "/probe", &Request{Method: http.MethodGet})
 	if err != nil {
 		return fmt.Errorf("backend: probe: %w", err)
 	}
