--- a/backendd/internal/server/grant.go
+++ b/backendd/internal/server/grant.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bramleystand.org/backendd/internal/gate"
 	"bramleystand.org/common/fence"
 	"bramleystand.org/common/outcome"
@@ -25,7 +26,7 @@
 // largestGrant bounds the body of a grant: 64 K shards of up to 6 bytes each.
 const largestGrant = 512 << 10
 
-var errUnfenced = errors.New("server: not fenced")
+var errUnfenced = eris.New("server: not fenced")
 
 // grant accepts or refuses a grant.
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
--- a/backendd/internal/slots/slots.go
+++ b/backendd/internal/slots/slots.go
@@ -10,13 +10,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync/atomic"
+
+	"github.com/rotisserie/eris"
 )
 
 // ErrFull is returned when all slots and the whole line are taken.
-var ErrFull = errors.New("slots: full")
+var ErrFull = eris.New("slots: full")
 
 // Slots is a counting semaphore with a bounded number of waiters.
 type Slots struct {
--- a/common/platform/watch.go
+++ b/common/platform/watch.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // watchWait is how long the platform holds a watch without a change. It also bounds
@@ -15,7 +17,7 @@
 const watchWait = 5 * time.Second
 
 // errListAgain tells that the platform no longer knows the changes after a version.
-var errListAgain = errors.New("platform: list again")
+var errListAgain = eris.New("platform: list again")
 
 // Watch calls handle for each batch of changes after a version, beginning with a
 // complete batch if the version is 0 or too old. It goes on through outages and
--- a/common/platform/write.go
+++ b/common/platform/write.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/rotisserie/eris"
 )
 
 // Put stores a value and returns its version. The error is a *ConflictError if
@@ -95,7 +97,7 @@
 }
 
 // errPending tells that an update has not taken effect so far.
-var errPending = errors.New("platform: update has not taken effect")
+var errPending = eris.New("platform: update has not taken effect")
 
 // settle finds out what became of an update whose answer was lost. It returns the
 // update's version, a *ConflictError, or an *UnavailableError if it is to be sent again.
--- a/entry/internal/backend/conn.go
+++ b/entry/internal/backend/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -19,7 +21,7 @@
 	longestIdle = 5 * time.Second
 )
 
-var errLargeHead = errors.New("backend: head of the answer is too large")
+var errLargeHead = eris.New("backend: head of the answer is too large")
 
 // conn is a connection that knows since when the server owes it bytes.
 type conn struct {
--- a/entry/internal/backend/error.go
+++ b/entry/internal/backend/error.go
@@ -3,17 +3,19 @@
 import (
 	"errors"
 
+	"github.com/rotisserie/eris"
+
 	"bramleystand.org/common/outcome"
 )
 
 // The causes of failures besides those of the network and the context.
 var (
-	ErrSilent    = errors.New("backend: connection went silent")
-	ErrLate      = errors.New("backend: too late to send")
-	ErrClosed    = errors.New("backend: client closed")
-	ErrTruncated = errors.New("backend: end of answer cannot be told from a broken connection")
-	ErrInvalid   = errors.New("backend: request cannot be sent")
-	ErrRefused   = errors.New("backend: refused by the server")
+	ErrSilent    = eris.New("backend: connection went silent")
+	ErrLate      = eris.New("backend: too late to send")
+	ErrClosed    = eris.New("backend: client closed")
+	ErrTruncated = eris.New("backend: end of answer cannot be told from a broken connection")
+	ErrInvalid   = eris.New("backend: request cannot be sent")
+	ErrRefused   = eris.New("backend: refused by the server")
 )
 
 // Error says whether the server can have run the request that failed.
--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bramleystand.org/common/outcome"
 )
 
@@ -138,7 +140,7 @@
 			return fmt.Errorf("backend: read answer: %w", err)
 		}
 		if r.StatusCode == http.StatusSwitchingProtocols {
-			return errors.New("backend: read answer: protocol switched without a request")
+			return eris.New("backend: read answer: protocol switched without a request")
 		}
 		if r.StatusCode < http.StatusOK {
 			continue
--- a/platformd/internal/store/store.go
+++ b/platformd/internal/store/store.go
@@ -11,14 +11,15 @@
 package store
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
 // ErrHistory is returned for a version whose later changes are no longer, or not yet, known.
-var ErrHistory = errors.New("store: changes after this version are not known")
+var ErrHistory = eris.New("store: changes after this version are not known")
 
 // Store holds objects in memory.
 type Store struct {
--- a/platformd/main.go
+++ b/platformd/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
 
 	"bramleystand.org/common/logging"
 	"bramleystand.org/platformd/internal/process"
@@ -21,7 +22,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := process.Run(ctx, s, logger); err != nil {
-		logger.WithError(err).Error("failed")
+		logger.WithField("error", eris.ToString(eris.Wrap(err, "platformd"), true)).Error("failed")
 		os.Exit(1)
 	}
 }
