Test cut and cancelled answers in backend, refused connections in backendd

Change: answers cut at every byte, requests cancelled at any moment on loopback with echoed bodies, refusal through POST /faults. Tested: go test -race -count=10 passes for both packages.

--- a/backendd/internal/server/server_test.go
+++ b/backendd/internal/server/server_test.go
@@ -7,10 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +30,7 @@
 // bench runs a server's handler without a network and, in a synctest bubble, on a controlled clock.
 type bench struct {
 	*server.Server
+	address string
 	clock   *clock.Clock
 	crashed chan int
 }
@@ -45,7 +49,9 @@
 	}
 	k := clock.New(time.Now())
 	crashed := make(chan int, 1)
-	return &bench{server.New(c, l, fault.New(), k, func(code int) { crashed <- code; panic(http.ErrAbortHandler) }), k, crashed}
+	b := &bench{address: l.Addr().String(), clock: k, crashed: crashed}
+	b.Server = server.New(c, l, fault.New(), k, func(code int) { crashed <- code; panic(http.ErrAbortHandler) })
+	return b
 }
 
 // do sends a request with header lines like "Bramley-Fence: 7".
@@ -237,6 +243,27 @@
 	must.StrContains(t, b.do(t, "GET", "/dump", "").Body.String(), `"name":"b1"`)
 }
 
+// Guards against a refusal of connections that does not begin, or does not end by itself or on request.
+func TestRefuse(t *testing.T) {
+	b := newBench(t, nil)
+	dial := func() error {
+		c, err := net.Dial("tcp", b.address)
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}
+	for _, end := range []string{`{"refuseMs":0}`, `{"refuseMs":1}`} {
+		must.NoError(t, dial())
+		b.do(t, "POST", "/faults", `{"refuseMs":-1}`)
+		must.ErrorIs(t, dial(), syscall.ECONNREFUSED)
+		b.do(t, "POST", "/faults", end)
+		for dial() != nil {
+			runtime.Gosched()
+		}
+	}
+}
+
 // Guards against a truncated answer that a caller takes for a whole one.
 func TestTruncated(t *testing.T) {
 	b := newBench(t, func(c *server.Config) { c.Fenced = false })
--- a/entry/internal/backend/client_test.go
+++ b/entry/internal/backend/client_test.go
@@ -5,11 +5,16 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +77,64 @@
 	}
 }
 
+// Guards against an answer that ends cleanly although it was cut, wherever that happens.
+func TestCut(t *testing.T) {
+	for _, whole := range []string{
+		ok,
+		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		for end := range len(whole) {
+			client, p := newClient(t, 3)
+			done := start(t.Context(), client, get())
+			s := <-p.servers
+			s.request(t)
+			s.answer(t, whole[:end])
+			s.Close()
+			err := (<-done).err
+			must.Error(t, err, must.Sprintf("cut after %q", whole[:end]))
+			must.Eq(t, outcome.Unknown, backend.OutcomeOf(err))
+		}
+	}
+}
+
+// Guards against answers that reach another request when requests are cancelled at any moment.
+func TestCancelledAnswers(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		io.WriteString(w, r.URL.Path+" "+string(body))
+	}))
+	defer s.Close()
+	client := backend.New(netip.MustParseAddrPort(s.Listener.Addr().String()), 6, &net.Dialer{})
+	defer client.Close()
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(worker)))
+			for i := range 100 {
+				ctx, cancel := context.WithCancel(t.Context())
+				key := fmt.Sprintf("%d-%d", worker, i)
+				body := strings.Repeat(key, 1+random.IntN(20000))
+				done := start(ctx, client, &backend.Request{
+					Method: "POST", Key: key, Body: strings.NewReader(body), Length: int64(len(body)),
+				})
+				for range random.IntN(400) {
+					runtime.Gosched()
+				}
+				if random.IntN(2) == 0 {
+					cancel()
+				}
+				got := <-done
+				cancel()
+				if got.err == nil && got.body != "/keys/"+key+" "+body {
+					t.Errorf("request %s got another answer", key)
+				}
+			}
+		})
+	}
+	group.Wait()
+	must.LessEq(t, 4, client.Counts().Open)
+}
+
 // Guards against requests that are marked as possibly run although nothing was sent.
 func TestNothingSent(t *testing.T) {
 	broken := io.MultiReader(strings.NewReader("a"), failing{})
