bramleyctl: use the platform client for conditional updates

The client resolves lost answers by author and change identifier, so the repetition in package store is gone.

--- a/bramleyctl/internal/command/command.go
+++ b/bramleyctl/internal/command/command.go
@@ -20,6 +20,7 @@
 	"github.com/alecthomas/kong"
 
 	"bramleystand.org/bramleyctl/internal/store"
+	"bramleystand.org/common/platform"
 	"bramleystand.org/common/settings"
 )
 
@@ -84,14 +85,15 @@
 		return ExitDone
 	}
 	_, _ = fmt.Fprintf(stderr, "bramleyctl: %v\n", err)
-	var lost *store.LostRaceError
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
 	var rejected *settings.Error
 	switch {
-	case errors.As(err, &lost):
-		return ExitLostRace
-	case errors.Is(err, store.ErrUnknown):
+	case store.IsUnknown(err):
 		return ExitUnknown
-	case errors.Is(err, store.ErrUnavailable):
+	case errors.As(err, &conflict):
+		return ExitLostRace
+	case errors.As(err, &unavailable):
 		return ExitUnavailable
 	case errors.Is(err, errInvalid), errors.As(err, &rejected):
 		return ExitInvalid
--- a/bramleyctl/internal/command/leaving.go
+++ b/bramleyctl/internal/command/leaving.go
@@ -6,6 +6,7 @@
 
 	"bramleystand.org/bramleyctl/internal/store"
 	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/platform"
 )
 
 type leaveCommand struct {
@@ -15,8 +16,8 @@
 // Run marks the VM; it receives no new work after a few seconds.
 func (c leaveCommand) Run(s *session) error {
 	mark := configuration.Leaving{VM: c.VM, Author: s.line.Author, Since: time.Now().UTC().Truncate(time.Second)}
-	return s.change(configuration.LeavingObject(c.VM), "marked as leaving", func(o store.Object) ([]byte, error) {
-		if o.Exists() {
+	return s.change(configuration.LeavingObject(c.VM), "marked as leaving", func(o platform.Object) ([]byte, error) {
+		if store.Exists(o) {
 			return nil, errUnchanged
 		}
 		if err := mark.Validate(); err != nil {
@@ -33,8 +34,8 @@
 // Run removes the mark.
 func (c unleaveCommand) Run(s *session) error {
 	name := configuration.LeavingObject(c.VM)
-	return s.change(name, "no longer leaving", func(o store.Object) ([]byte, error) {
-		if !o.Exists() {
+	return s.change(name, "no longer leaving", func(o platform.Object) ([]byte, error) {
+		if !store.Exists(o) {
 			return nil, missing(name)
 		}
 		return nil, nil
--- a/bramleyctl/internal/command/preset.go
+++ b/bramleyctl/internal/command/preset.go
@@ -7,6 +7,7 @@
 
 	"bramleystand.org/bramleyctl/internal/store"
 	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/platform"
 	"bramleystand.org/common/rank"
 )
 
@@ -69,7 +70,7 @@
 
 // Run puts the preset in force.
 func (c presetSwitch) Run(s *session) error {
-	return s.change(configuration.PresetObject, "switched to "+c.Name, func(o store.Object) ([]byte, error) {
+	return s.change(configuration.PresetObject, "switched to "+c.Name, func(o platform.Object) ([]byte, error) {
 		p, err := presetsOf(o)
 		if err != nil {
 			return nil, err
@@ -94,7 +95,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errInvalid, err)
 	}
-	return s.change(configuration.PresetObject, "applied", func(o store.Object) ([]byte, error) {
+	return s.change(configuration.PresetObject, "applied", func(o platform.Object) ([]byte, error) {
 		if err := expect(o, c.Version); err != nil {
 			return nil, err
 		}
@@ -103,10 +104,10 @@
 }
 
 // presets reads the presets, which are the default ones until somebody has written them.
-func (s *session) presets() (configuration.Presets, store.Object, error) {
+func (s *session) presets() (configuration.Presets, platform.Object, error) {
 	objects, err := s.store()
 	if err != nil {
-		return configuration.Presets{}, store.Object{}, err
+		return configuration.Presets{}, platform.Object{}, err
 	}
 	o, err := objects.Get(s.ctx, configuration.PresetObject)
 	if err != nil {
@@ -124,14 +125,14 @@
 	return s.json(json.RawMessage(data))
 }
 
-func presetsOf(o store.Object) (configuration.Presets, error) {
-	if !o.Exists() {
+func presetsOf(o platform.Object) (configuration.Presets, error) {
+	if !store.Exists(o) {
 		return configuration.DefaultPresets(), nil
 	}
 	return configuration.DecodePresets(o.Value)
 }
 
-func encodePresets(o store.Object, p configuration.Presets) ([]byte, error) {
+func encodePresets(o platform.Object, p configuration.Presets) ([]byte, error) {
 	if err := p.Validate(); err != nil {
 		return nil, fmt.Errorf("%w: %w", errInvalid, err)
 	}
@@ -139,15 +140,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if o.Exists() && bytes.Equal(data, o.Value) {
+	if store.Exists(o) && bytes.Equal(data, o.Value) {
 		return nil, errUnchanged
 	}
 	return data, nil
 }
 
 // origin says who has written an object.
-func origin(o store.Object) string {
-	if !o.Exists() {
+func origin(o platform.Object) string {
+	if !store.Exists(o) {
 		return "default, not written yet"
 	}
 	return fmt.Sprintf("version %d by %s", o.Version, o.Author)
--- a/bramleyctl/internal/command/service.go
+++ b/bramleyctl/internal/command/service.go
@@ -9,6 +9,7 @@
 
 	"bramleystand.org/bramleyctl/internal/store"
 	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/platform"
 )
 
 type serviceCommands struct {
@@ -69,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errInvalid, err)
 	}
-	return s.change(configuration.ServiceObject(v.Name), "applied", func(o store.Object) ([]byte, error) {
+	return s.change(configuration.ServiceObject(v.Name), "applied", func(o platform.Object) ([]byte, error) {
 		if err := expect(o, c.Version); err != nil {
 			return nil, err
 		}
@@ -84,8 +85,8 @@
 // Run deletes the service; its object stays as a tombstone.
 func (c serviceDelete) Run(s *session) error {
 	name := configuration.ServiceObject(c.Name)
-	return s.change(name, "deleted", func(o store.Object) ([]byte, error) {
-		if !o.Exists() {
+	return s.change(name, "deleted", func(o platform.Object) ([]byte, error) {
+		if !store.Exists(o) {
 			return nil, missing(name)
 		}
 		return nil, nil
@@ -93,23 +94,23 @@
 }
 
 // service reads a service and its object.
-func (s *session) service(name string) (configuration.Service, store.Object, error) {
+func (s *session) service(name string) (configuration.Service, platform.Object, error) {
 	objects, err := s.store()
 	if err != nil {
-		return configuration.Service{}, store.Object{}, err
+		return configuration.Service{}, platform.Object{}, err
 	}
 	o, err := objects.Get(s.ctx, configuration.ServiceObject(name))
 	if err != nil {
 		return configuration.Service{}, o, fmt.Errorf("read service %s: %w", name, err)
 	}
-	if !o.Exists() {
+	if !store.Exists(o) {
 		return configuration.Service{}, o, missing(configuration.ServiceObject(name))
 	}
 	v, err := configuration.DecodeService(o.Value)
 	return v, o, err
 }
 
-func (s *session) list(prefix string) ([]store.Object, error) {
+func (s *session) list(prefix string) ([]platform.Object, error) {
 	objects, err := s.store()
 	if err != nil {
 		return nil, err
@@ -123,11 +124,11 @@
 
 // encodeService validates a service that replaces the object. The number of shards is fixed,
 // because the shard of every key would change.
-func encodeService(o store.Object, v configuration.Service) ([]byte, error) {
+func encodeService(o platform.Object, v configuration.Service) ([]byte, error) {
 	if err := v.Validate(); err != nil {
 		return nil, fmt.Errorf("%w: %w", errInvalid, err)
 	}
-	if o.Exists() {
+	if store.Exists(o) {
 		before, err := configuration.DecodeService(o.Value)
 		if err == nil && before.Shards != v.Shards {
 			return nil, fmt.Errorf("%w: shards: %d is not allowed, allowed: %d, which is fixed for this service", errInvalid, v.Shards, before.Shards)
@@ -137,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if o.Exists() && bytes.Equal(data, o.Value) {
+	if store.Exists(o) && bytes.Equal(data, o.Value) {
 		return nil, errUnchanged
 	}
 	return data, nil
@@ -153,7 +154,7 @@
 }
 
 // values maps the names of objects to their JSON.
-func values(objects []store.Object) map[string]json.RawMessage {
+func values(objects []platform.Object) map[string]json.RawMessage {
 	all := map[string]json.RawMessage{}
 	for _, o := range objects {
 		all[o.Name] = o.Value
--- a/bramleyctl/internal/command/upstream.go
+++ b/bramleyctl/internal/command/upstream.go
@@ -1,12 +1,14 @@
 package command
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
 
 	"bramleystand.org/bramleyctl/internal/store"
 	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/platform"
 )
 
 type upstreamCommands struct {
@@ -21,12 +23,18 @@
 
 // Run prints one line per upstream.
 func (c upstreamList) Run(s *session) error {
-	v, _, err := s.service(c.Service)
+	v, o, err := s.service(c.Service)
 	if err != nil {
 		return err
 	}
 	if s.line.JSON {
-		return s.json(v.Upstreams)
+		var stored struct {
+			Upstreams json.RawMessage `json:"upstreams"`
+		}
+		if err := json.Unmarshal(o.Value, &stored); err != nil {
+			return fmt.Errorf("print upstreams: %w", err)
+		}
+		return s.json(stored.Upstreams)
 	}
 	rows := [][]any{{"UPSTREAM", "CENTRE", "ADDRESS", "SLOTS", "CONNECTIONS", "FENCED"}}
 	for _, u := range v.Upstreams {
@@ -77,8 +85,8 @@
 // editService changes a service that exists.
 func (s *session) editService(service, done string, edit func(*configuration.Service) error) error {
 	name := configuration.ServiceObject(service)
-	return s.change(name, done, func(o store.Object) ([]byte, error) {
-		if !o.Exists() {
+	return s.change(name, done, func(o platform.Object) ([]byte, error) {
+		if !store.Exists(o) {
 			return nil, missing(name)
 		}
 		v, err := configuration.DecodeService(o.Value)
