watcher: pause after a watch without result

While the platform holds no object its version is 0, for which the platform client lists and returns at once; the watcher then called it without pause. A watch that brings nothing is now followed by 0.5 s.

--- a/entry/internal/watcher/watcher.go
+++ b/entry/internal/watcher/watcher.go
@@ -28,7 +28,8 @@
 	// settle is the time after the start in which the other members become known. Without
 	// it every process of a restarted fleet would take itself for a watcher and list.
 	settle = time.Second
-	// minPause and maxPause bound the random time between an error and the next attempt.
+	// minPause and maxPause bound the random time between an error and the next attempt;
+	// minPause also follows a watch without result.
 	// It spreads the lists after an outage and leaves most of the 10 s in which a change
 	// has to be in force for the exchanges between members.
 	minPause = 500 * time.Millisecond
@@ -124,6 +125,9 @@
 			return fmt.Errorf("watcher: watch after version %d: %w", version, err)
 		}
 		w.put(objects)
+		if len(objects) == 0 && next <= version && !wait(ctx, minPause) {
+			return fmt.Errorf("watcher: watch after version %d: %w", version, ctx.Err())
+		}
 		version = max(version, next)
 	}
 }
--- a/entry/internal/watcher/watcher_test.go
+++ b/entry/internal/watcher/watcher_test.go
@@ -24,6 +24,9 @@
 	objects []control.Object
 	down    bool
 	lists   int
+	watches int
+	// hasty makes watches return at once.
+	hasty   bool
 	changed chan struct{}
 }
 
@@ -54,8 +57,12 @@
 func (p *platform) Watch(ctx context.Context, _ string, after int64) ([]control.Object, int64, error) {
 	for {
 		p.mu.Lock()
-		down, objects, changed := p.down, p.objects, p.changed
+		down, objects, changed, hasty := p.down, p.objects, p.changed, p.hasty
+		p.watches++
 		p.mu.Unlock()
+		if hasty {
+			return nil, after, nil
+		}
 		if down {
 			return nil, 0, errDown
 		}
@@ -171,3 +178,13 @@
 		must.Eq(t, 0, p.lists)
 	})
 }
+
+// Guards against a platform that answers watches at once, because it is empty, being called without pause.
+func TestEmptyPlatform(t *testing.T) {
+	run(t, func(p *platform, _ *directory) {
+		p.change(func() { p.hasty = true })
+		time.Sleep(11 * time.Second)
+		synctest.Wait()
+		must.Between(t, 10, p.watches, 21)
+	})
+}
