peer: carry every field of the control messages

Cause: fields that the controller gained (Void, Elected, Rival) were dropped by the hand-written codec, so a member could not tell a candidate from an elected controller.

--- a/entry/internal/peer/wiresupport.go
+++ b/entry/internal/peer/wiresupport.go
@@ -29,6 +29,8 @@
 	Record     int64
 	Succession *wireSuccession
 	Settled    bool
+	Void       bool
+	Elected    bool
 	Candidate  wireMember
 	Version    wireVersion
 	Table      *wireTable
@@ -38,6 +40,7 @@
 	_           struct{} `cbor:",toarray"`
 	Pair        wirePair
 	Accepted    bool
+	Rival       bool
 	Term        uint32
 	Record      int64
 	Succession  *wireSuccession
@@ -86,7 +89,7 @@
 func encodeSupportRequest(r control.SupportRequest) *wireSupportRequest {
 	return &wireSupportRequest{
 		Pair: encodePair(r.Pair), Term: r.Term, Record: r.Record,
-		Succession: encodeSuccession(r.Succession), Settled: r.Settled,
+		Succession: encodeSuccession(r.Succession), Settled: r.Settled, Void: r.Void, Elected: r.Elected,
 		Candidate: encodeMember(r.Candidate), Version: encodeVersion(r.Version), Table: encodeTable(r.Table),
 	}
 }
@@ -94,14 +97,14 @@
 func decodeSupportRequest(w *wireSupportRequest) control.SupportRequest {
 	return control.SupportRequest{
 		Pair: decodePair(w.Pair), Term: w.Term, Record: w.Record,
-		Succession: decodeSuccession(w.Succession), Settled: w.Settled,
+		Succession: decodeSuccession(w.Succession), Settled: w.Settled, Void: w.Void, Elected: w.Elected,
 		Candidate: decodeMember(w.Candidate), Version: decodeVersion(w.Version), Table: decodeTable(w.Table),
 	}
 }
 
 func encodeSupportResponse(r control.SupportResponse) *wireSupportResponse {
 	return &wireSupportResponse{
-		Pair: encodePair(r.Pair), Accepted: r.Accepted, Term: r.Term, Record: r.Record,
+		Pair: encodePair(r.Pair), Accepted: r.Accepted, Rival: r.Rival, Term: r.Term, Record: r.Record,
 		Succession: encodeSuccession(r.Succession), Member: encodeMember(r.Member),
 		Version: encodeVersion(r.Version), Table: encodeTable(r.Table), Outstanding: int64(r.Outstanding),
 	}
@@ -109,7 +112,7 @@
 
 func decodeSupportResponse(w *wireSupportResponse) control.SupportResponse {
 	return control.SupportResponse{
-		Pair: decodePair(w.Pair), Accepted: w.Accepted, Term: w.Term, Record: w.Record,
+		Pair: decodePair(w.Pair), Accepted: w.Accepted, Rival: w.Rival, Term: w.Term, Record: w.Record,
 		Succession: decodeSuccession(w.Succession), Member: decodeMember(w.Member),
 		Version: decodeVersion(w.Version), Table: decodeTable(w.Table), Outstanding: time.Duration(w.Outstanding),
 	}
