Judge silent connections by the service time of the rank

Cause: a connection without a byte for 300 ms was closed when a new one worked. Ruled out: TCP keepalive alone, because a middlebox may acknowledge for a peer that has forgotten the connection. Change: a request says when its answer is overdue: 20 times the mean service time of its rank at this upstream, at least 300 ms, its deadline until 32 answers are known. Before: TestOverdue fails (given up after 0.4 s). After: given up after 8 s.

--- a/entry/internal/backend/conn.go
+++ b/entry/internal/backend/conn.go
@@ -35,6 +35,8 @@
 	// way began, 0 without one, and when bytes were last written.
 	reading atomic.Int64
 	wrote   atomic.Int64
+	// overdue is the age before which the connection isn't taken for silent.
+	overdue atomic.Int64
 	// starved is true while the sender waits for the caller's body.
 	starved atomic.Bool
 	silent  atomic.Bool
@@ -93,7 +95,17 @@
 	if reading == 0 || c.starved.Load() {
 		return false
 	}
-	return c.age(now)-max(reading, c.wrote.Load()) >= int64(limit)
+	age := c.age(now)
+	return age >= c.overdue.Load() && age-max(reading, c.wrote.Load()) >= int64(limit)
+}
+
+// expect sets when the answer to the next request is overdue.
+func (c *conn) expect(overdue time.Time) {
+	if overdue.IsZero() {
+		c.overdue.Store(0)
+		return
+	}
+	c.overdue.Store(c.age(overdue))
 }
 
 // usable tells whether an idle connection may carry another request: it is not
--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -68,6 +68,7 @@
 		return nil, notRun(err)
 	}
 	x := &exchange{ctx: ctx, pool: p, conn: k, stop: context.AfterFunc(ctx, func() { k.SetDeadline(past) })}
+	k.expect(r.Overdue)
 	if n, err := k.Write(*buffer); err != nil {
 		x.finish(false)
 		if n == 0 {
--- a/entry/internal/backend/request.go
+++ b/entry/internal/backend/request.go
@@ -25,4 +25,7 @@
 	Shard shard.Shard
 	// StartBefore is when the server must not start the request any more; zero for no limit.
 	StartBefore time.Time
+	// Overdue is when a connection without a byte of the answer may be taken for silent;
+	// zero for 300 ms after sending. It must lie well beyond the usual service time.
+	Overdue time.Time
 }
--- a/entry/internal/backend/silence_test.go
+++ b/entry/internal/backend/silence_test.go
@@ -34,6 +34,23 @@
 	})
 }
 
+// Guards against a slow request being given up before its answer is overdue, and against one that is never given up.
+func TestOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, p := newClient(t, 4)
+		began := time.Now()
+		slow := get()
+		slow.Overdue = began.Add(8 * time.Second)
+		done := start(t.Context(), client, slow)
+		(<-p.servers).request(t)
+		probe := <-p.servers
+		probe.request(t)
+		probe.answer(t, ok)
+		must.ErrorIs(t, (<-done).err, backend.ErrSilent)
+		must.Between(t, 8*time.Second, time.Since(began), 8500*time.Millisecond)
+	})
+}
+
 // Guards against requests that are given up although the server works on them or is frozen as a whole.
 func TestNotSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/internal/upstream/run.go
+++ b/entry/internal/upstream/run.go
@@ -13,6 +13,7 @@
 
 	"bramleystand.org/common/fence"
 	"bramleystand.org/common/outcome"
+	"bramleystand.org/common/rank"
 	"bramleystand.org/entry/internal/backend"
 	"bramleystand.org/entry/internal/exchange"
 	"bramleystand.org/entry/internal/queue"
@@ -56,6 +57,7 @@
 	}
 	now := time.Now()
 	u.monitor.Answered(now, r.watched)
+	u.learn(r.request.Rank, now.Sub(r.started))
 	response := &exchange.Response{Outcome: answer.Outcome, Status: answer.Status, Header: answer.Header, Body: http.NoBody}
 	switch answer.Outcome {
 	case outcome.NotRun:
@@ -100,7 +102,7 @@
 	q := r.request
 	out := &backend.Request{
 		Method: q.Method, Key: q.Key, Query: q.Query, Header: serverHeader(q), Length: q.Length,
-		Shard: q.Shard, StartBefore: r.upstream.lease.Deadline(),
+		Shard: q.Shard, StartBefore: r.upstream.lease.Deadline(), Overdue: r.overdue(),
 	}
 	if r.upstream.spec.Fenced {
 		out.Fence = r.fence
@@ -114,6 +116,20 @@
 	return out
 }
 
+// overdue returns when the connection may be taken for silent.
+func (r *run) overdue() time.Time {
+	r.upstream.mu.Lock()
+	defer r.upstream.mu.Unlock()
+	return r.upstream.patience.overdue(r.started, r.request.Rank, r.request.Deadline)
+}
+
+// learn includes a service time of a rank.
+func (u *Upstream) learn(k rank.Rank, service time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.patience.add(k, service)
+}
+
 // serverHeader returns the headers for the backend server, with rank and ticket for its own records.
 func serverHeader(q *exchange.Request) http.Header {
 	h := make(http.Header, len(q.Header)+2)
--- a/entry/internal/upstream/upstream.go
+++ b/entry/internal/upstream/upstream.go
@@ -62,6 +62,8 @@
 	// running counts the requests of each shard that are at the server, and the final actions whose ticket is spent.
 	running map[shard.Shard]int
 	loads   loads
+	// patience tells when an answer is overdue.
+	patience patience
 	// waits ends the waiting of the requests of each shard when they must go elsewhere.
 	waits map[shard.Shard]wait
 }
