Give every upstream a new fence after a reset

Cause of both: the platform was down when a fence was granted, then a majority of the members was lost, so the reset started from the platform's older table and granted its lower fence. The fenced server refused it for good, and the records of tickets under the higher fence would have been taken for covered. No shard had two owners. After a reset every upstream now has a new fence.

--- a/entry/internal/controller/control.go
+++ b/entry/internal/controller/control.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"bramleystand.org/entry/internal/control"
@@ -28,7 +29,7 @@
 	if t := c.tables.newest; t == nil {
 		c.placeAll(now)
 	} else if t.Term != c.term {
-		c.propose(now, t.Placements, true)
+		c.adoptBase(now, t)
 	}
 	c.commit(now)
 	c.storeTable(now)
@@ -38,6 +39,22 @@
 	}
 }
 
+// adoptBase proposes the table from which the term starts. After a reset the table
+// may lack the last changes, so that a backend server may have seen a higher fence
+// than it names; every upstream then gets a new one.
+func (c *Controller) adoptBase(now time.Time, t *control.Table) {
+	if t.Term >= c.record.known.Founded {
+		c.propose(now, t.Placements, true)
+		return
+	}
+	placements := slices.Clone(t.Placements)
+	for i := range placements {
+		placements[i].Fence = c.nextFence()
+		placements[i].Revision = 1
+	}
+	c.propose(now, placements, false)
+}
+
 // relinquish hands over to the members of a record to which this controller doesn't belong.
 func (c *Controller) relinquish(now time.Time) {
 	for _, m := range c.others() {
--- a/entry/internal/controller/controller.go
+++ b/entry/internal/controller/controller.go
@@ -81,18 +81,17 @@
 	yield     bool
 	candidate time.Time
 
-	tables      tables
-	fences      uint32
-	answers     uint64
-	holders     map[string]*holder
-	upstreams   map[string]*upstream
-	moves       moves
-	grantFrom   time.Time
-	loadBase    bool
-	nextPlan    time.Time
-	planDue     time.Time
-	effects     []Effect
-	transitions int
+	tables    tables
+	fences    uint32
+	answers   uint64
+	holders   map[string]*holder
+	upstreams map[string]*upstream
+	moves     moves
+	grantFrom time.Time
+	loadBase  bool
+	nextPlan  time.Time
+	planDue   time.Time
+	effects   []Effect
 }
 
 // New returns the controller of a pair as seen by the entry VM self.
--- a/entry/internal/controller/takeover.go
+++ b/entry/internal/controller/takeover.go
@@ -109,7 +109,6 @@
 func (c *Controller) become(now time.Time) {
 	c.role = controlling
 	c.highest = max(c.highest, c.term)
-	c.transitions++
 	c.fences = 0
 	c.answers = 0
 	c.granted = time.Time{}
