--- a/replay/internal/command/faults.go
+++ b/replay/internal/command/faults.go
@@ -40,9 +40,9 @@
 			if outage && (!c.Outage || f.Platform == "up") || !outage && f.Platform == "down" {
 				continue
 			}
-			v, err := f.run(ctx, d, c, outage)
-			if err != nil {
-				return err
+			v := f.run(ctx, d, c, outage)
+			if ctx.Err() != nil {
+				return fmt.Errorf("faults: %w", ctx.Err())
 			}
 			failed = failed || len(v.Broken) > 0
 			verdicts = append(verdicts, v)
@@ -60,18 +60,24 @@
 	return nil
 }
 
-func (f *Faults) run(ctx context.Context, d deployment.Deployment, c faults.Case, outage bool) (v faults.Verdict, err error) {
+// run returns the verdict on a case; a case that could not be carried out counts as broken.
+func (f *Faults) run(ctx context.Context, d deployment.Deployment, c faults.Case, outage bool) faults.Verdict {
+	fmt.Fprintf(os.Stderr, "%s, platform down: %t\n", c.Name, outage)
+	failed := func(err error) faults.Verdict {
+		return faults.Verdict{Result: faults.Result{Case: c.Name, Outage: outage}, Broken: []string{"not carried out: " + err.Error()}}
+	}
 	options, clean, err := f.options(d)
 	if err != nil {
-		return v, err
+		return failed(err)
 	}
-	defer func() { clean(err != nil) }()
-	fmt.Fprintf(os.Stderr, "%s, platform down: %t\n", c.Name, outage)
 	r, err := faults.New(options, f.Rate, os.Stderr).Run(ctx, c, outage)
 	if err != nil {
-		return v, err
+		clean(true)
+		return failed(err)
 	}
-	return faults.Verdict{Result: *r, Broken: r.Broken(c)}, nil
+	broken := r.Broken(c)
+	clean(len(broken) > 0)
+	return faults.Verdict{Result: *r, Broken: broken}
 }
 
 func (f *Faults) write(verdicts []faults.Verdict) error {
--- a/replay/internal/command/setup.go
+++ b/replay/internal/command/setup.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"bramleystand.org/replay/internal/deployment"
 	"bramleystand.org/replay/internal/fleet"
@@ -18,6 +19,10 @@
 	Keep     bool   `help:"Keep settings files and output of the processes."`
 }
 
+// stopTime is how long a graceful stop of an entry process may take. Entry VMs that
+// all stop at once use half of it, because nobody takes their leases.
+const stopTime = 8 * time.Second
+
 // body is the largest request body that the entry processes accept.
 const body = 1 << 30
 
@@ -29,7 +34,7 @@
 		return fleet.Options{}, nil, fmt.Errorf("create directory: %w", err)
 	}
 	o := fleet.Options{
-		Deployment: d, Programs: s.Programs, Directory: directory, Body: body,
+		Deployment: d, Programs: s.Programs, Directory: directory, Body: body, Stop: stopTime,
 		Centres: s.Centres, Entries: s.Entries, Servers: s.Servers, Unfenced: s.Unfenced,
 	}
 	return o, func(failed bool) {
--- a/replay/internal/fleet/options.go
+++ b/replay/internal/fleet/options.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"bramleystand.org/replay/internal/deployment"
 )
 
@@ -17,6 +19,8 @@
 	Servers int
 	// Body is the largest request body in bytes.
 	Body int64
+	// Stop is the longest time that a graceful stop of an entry process may take.
+	Stop time.Duration
 	// Unfenced servers take requests without a grant.
 	Unfenced bool
 	// Backend holds further arguments of each backend server.
--- a/replay/internal/fleet/start.go
+++ b/replay/internal/fleet/start.go
@@ -26,7 +26,7 @@
 func (f *Fleet) StartEntry(e *Entry) error {
 	s := settingsJSON{
 		Name: e.Name, Centre: e.DataCentre, Region: f.options.Deployment.Region, Caller: e.Caller, Peer: e.Peer,
-		Admin: e.Admin, Platform: f.Address, Stop: "20s", Body: f.options.Body,
+		Admin: e.Admin, Platform: f.Address, Stop: f.options.Stop.String(), Body: f.options.Body,
 	}
 	for _, o := range f.Entries {
 		if o != e {
