Balance shards by load

Cause: the process moved shards by their number only; a hot shard kept its server. Change: the controller's planner uses balance.Plan with slots and reported loads; below 0.02 slots of mean load shards are balanced by number.

--- a/entry/internal/controller/draft.go
+++ b/entry/internal/controller/draft.go
@@ -170,11 +170,12 @@
 		return
 	}
 	var v View
+	slots := c.slots()
 	for _, p := range d.placements {
 		if !c.eligible(p.Upstream) {
 			continue
 		}
-		s := Share{Upstream: p.Upstream, Loads: c.upstreamOf(p.Upstream).loads}
+		s := Share{Upstream: p.Upstream, Slots: slots[p.Upstream], Loads: c.upstreamOf(p.Upstream).loads}
 		for _, n := range p.Shards {
 			if t, ok := c.moves.last[n]; ok && d.now.Before(t.Add(restTime)) {
 				s.Fixed = append(s.Fixed, n)
@@ -192,6 +193,15 @@
 	}
 }
 
+// slots returns the configured slots of each upstream.
+func (c *Controller) slots() map[string]int {
+	slots := make(map[string]int, len(c.service.Upstreams))
+	for _, u := range c.service.Upstreams {
+		slots[u.Name] = u.Slots
+	}
+	return slots
+}
+
 // evenLeaseholders picks one upstream to hand over if an entry VM has at least two more than another.
 func (d *draft) evenLeaseholders() bool {
 	least, ok := d.leaseholder()
--- a/entry/internal/controller/planner.go
+++ b/entry/internal/controller/planner.go
@@ -28,6 +28,7 @@
 // Share is one upstream's part of a View.
 type Share struct {
 	Upstream string
+	Slots    int
 	// Shards may move, Fixed moved too recently.
 	Shards []shard.Shard
 	Fixed  []shard.Shard
--- /dev/null
+++ b/entry/internal/process/loadplanner.go
@@ -0,0 +1,45 @@
+package process
+
+import (
+	"time"
+
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/balance"
+	"bramleystand.org/entry/internal/control"
+	"bramleystand.org/entry/internal/controller"
+)
+
+// quietLoad is the mean load in slots of an upstream below which shards are
+// balanced by number: so little work says nothing about the load to come.
+const quietLoad = 0.02
+
+// loadPlanner balances shards by load, or by number while there is hardly any.
+type loadPlanner struct{}
+
+// Plan implements controller.Planner.
+func (loadPlanner) Plan(now time.Time, v controller.View) []controller.Move {
+	in := balance.Input{Moved: make(map[shard.Shard]time.Time)}
+	total := 0.0
+	for _, s := range v.Shares {
+		u := balance.Upstream{Name: s.Upstream, Slots: max(1, s.Slots)}
+		for _, n := range s.Shards {
+			u.Shards = append(u.Shards, control.ShardLoad{Shard: n, Load: s.Loads[n]})
+		}
+		for _, n := range s.Fixed {
+			u.Shards = append(u.Shards, control.ShardLoad{Shard: n, Load: s.Loads[n]})
+			in.Moved[n] = now
+		}
+		for _, l := range u.Shards {
+			total += l.Load
+		}
+		in.Upstreams = append(in.Upstreams, u)
+	}
+	if total < quietLoad*float64(len(v.Shares)) {
+		return controller.EvenPlanner{}.Plan(now, v)
+	}
+	var moves []controller.Move
+	for _, m := range balance.Plan(now, in) {
+		moves = append(moves, controller.Move{Shard: m.Shard, From: m.From, To: m.To})
+	}
+	return moves
+}
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -30,7 +30,6 @@
 
 	"bramleystand.org/entry/internal/caller"
 	"bramleystand.org/entry/internal/control"
-	"bramleystand.org/entry/internal/controller"
 	"bramleystand.org/entry/internal/directory"
 	"bramleystand.org/entry/internal/operator"
 	"bramleystand.org/entry/internal/pair"
@@ -111,7 +110,7 @@
 }
 
 func (p *Process) startPair(id control.Pair) *pair.Pair {
-	c := pair.New(id, p.self, controller.EvenPlanner{}, p.view, p.peers, p.store, p.logger)
+	c := pair.New(id, p.self, loadPlanner{}, p.view, p.peers, p.store, p.logger)
 	p.loop(c.Run)
 	return c
 }
