Give up forwarded requests on silent connections and frozen leaseholders

Cause: a request forwarded over a connection that went silent, or to a stopped entry VM, waited for its whole deadline. Ruled out: TCP keepalive, whose least interval of 1 s is too long for a lookup. Change: the leaseholder sends a sign of life every 200 ms while it works on a request; without one for 600 ms the connection is closed. A lookup is sent again up to three times within the retry budget, so that it outlasts a lease.

--- a/entry/internal/peer/client.go
+++ b/entry/internal/peer/client.go
@@ -101,27 +101,39 @@
 
 // Forward sends a request to the leaseholder of its key.
 func (c *Client) Forward(ctx context.Context, to netip.AddrPort, r *exchange.Request) *exchange.Response {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	ctx, cancelDeadline := context.WithDeadline(ctx, r.Deadline)
+	cancel := func() {
+		cancelDeadline()
+		cancelCause(nil)
+	}
 	stream, err := c.pool.Get(ctx, to, dial).NewStream(ctx, forwardCall, encoding{})
 	if err != nil {
-		cancel()
 		if errors.Is(err, errDial) {
+			cancel()
 			response := exchange.Refuse(http.StatusServiceUnavailable, "the leaseholder cannot be reached")
 			response.Moved = true
 			return response
 		}
-		return unsure(err)
+		response := unsure(ctx, err)
+		cancel()
+		return response
 	}
-	response, err := exchangeOn(stream, r, cancel)
+	silent := time.AfterFunc(silentAfter, func() { cancelCause(errSilent) })
+	response, err := exchangeOn(stream, r, silent, cancel)
+	silent.Stop()
 	if err != nil {
-		_ = stream.Close()
+		response = unsure(ctx, err)
 		cancel()
-		return unsure(err)
+		_ = stream.Close()
 	}
 	return response
 }
 
-func unsure(err error) *exchange.Response {
+func unsure(ctx context.Context, err error) *exchange.Response {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return exchange.Unsure(http.StatusBadGateway, "the connection to the leaseholder went silent")
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return exchange.Unsure(http.StatusGatewayTimeout, "the leaseholder did not answer in time")
 	}
@@ -129,7 +141,7 @@
 }
 
 // exchangeOn sends a request on a stream and returns its answer, whose body owns the stream.
-func exchangeOn(stream drpc.Stream, r *exchange.Request, cancel context.CancelFunc) (*exchange.Response, error) {
+func exchangeOn(stream drpc.Stream, r *exchange.Request, silent *time.Timer, cancel context.CancelFunc) (*exchange.Response, error) {
 	if err := stream.MsgSend(encodeRequest(time.Now(), r), encoding{}); err != nil {
 		return nil, fmt.Errorf("peer: send request: %w", err)
 	}
@@ -138,6 +150,10 @@
 		if err := stream.MsgRecv(&w, encoding{}); err != nil {
 			return nil, fmt.Errorf("peer: receive answer: %w", err)
 		}
+		silent.Reset(silentAfter)
+		if w.Working {
+			continue
+		}
 		if w.Proceed {
 			go sendRest(stream, r.Rest)
 			continue
--- a/entry/internal/peer/frame.go
+++ b/entry/internal/peer/frame.go
@@ -34,10 +34,13 @@
 	Fingerprint uint64
 }
 
-// wireResponse is the first message of an answer; Proceed alone asks for the rest of the request body.
+// wireResponse is the first message of an answer. Before it come messages with
+// Proceed alone, which ask for the rest of the request body, and with Working
+// alone, which show that the connection and the leaseholder are alive.
 type wireResponse struct {
 	_       struct{} `cbor:",toarray"`
 	Proceed bool
+	Working bool
 	Outcome uint8
 	Status  int
 	Header  http.Header
--- a/entry/internal/peer/peer_test.go
+++ b/entry/internal/peer/peer_test.go
@@ -163,6 +163,30 @@
 	must.True(t, response.Moved)
 }
 
+// Guards against a request that waits for its whole deadline on a connection that went silent.
+func TestSilentConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	response := forward(t, netip.MustParseAddrPort(l.Addr().String()), &exchange.Request{})
+	must.Eq(t, outcome.Unknown, response.Outcome)
+	must.StrContains(t, response.Reason, "silent")
+}
+
+// Guards against a slow request being taken for a silent connection.
+func TestSlowRequest(t *testing.T) {
+	to, _ := start(t, func(ctx context.Context, _ *exchange.Request) *exchange.Response {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+		return exchange.Text(outcome.Ran, http.StatusOK, "slow")
+	})
+	response := forward(t, to, &exchange.Request{})
+	must.Eq(t, outcome.Ran, response.Outcome)
+	must.NoError(t, response.Body.Close())
+}
+
 // Guards against a promise that a request was not run although the leaseholder had it when it stopped.
 func TestLeaseholderLost(t *testing.T) {
 	var cancel context.CancelFunc
--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -4,7 +4,7 @@
 // A request whose shard is being moved waits for a newer routing table: callers see
 // a stall and no failure. Other refusals are retried within the retry budget of the
 // service. A request whose outcome is unknown is only sent again if a second run is
-// impossible or harmless: a lookup once, a final action under the same ticket.
+// harmless: a lookup, up to three times.
 //
 // # Usage
 //
@@ -54,6 +54,10 @@
 // again; it also covers a table that arrived between the look-up and the refusal.
 const recheck = 100 * time.Millisecond
 
+// maxResends bounds how often a lookup with an unknown outcome is sent again. A
+// frozen leaseholder costs 600 ms each time, and its lease expires within 1.4 s.
+const maxResends = 3
+
 // Router routes the requests of callers.
 type Router struct {
 	self    control.Member
@@ -71,18 +75,18 @@
 // Route returns the answer of the request's owner, or why there is none.
 func (r *Router) Route(ctx context.Context, request *exchange.Request) *exchange.Response {
 	r.budgets.Earn(time.Now(), request.Service)
-	for resent := false; ; {
+	for resent := 0; ; {
 		response, changed := r.try(ctx, request)
 		switch {
 		case response.Moved:
 			if !wait(ctx, changed) {
 				return expire(request, response)
 			}
-		case response.Outcome == outcome.Unknown && !resent && mayResend(request, response) && ctx.Err() == nil:
+		case response.Outcome == outcome.Unknown && resent < maxResends && mayResend(request, response) && ctx.Err() == nil:
 			if !r.budgets.Spend(time.Now(), request.Service) || !wait(ctx, changed) {
 				return response
 			}
-			resent = true
+			resent++
 		default:
 			return response
 		}
--- a/entry/internal/router/router_test.go
+++ b/entry/internal/router/router_test.go
@@ -108,7 +108,7 @@
 		first   func() *exchange.Response
 		calls   int
 	}{
-		"lookup once more":     {exchange.Request{Rank: rank.Lookup}, unknown, 2},
+		"lookup three times":   {exchange.Request{Rank: rank.Lookup}, unknown, 4},
 		"upload never":         {exchange.Request{Rank: rank.Upload}, unknown, 1},
 		"final action never":   {exchange.Request{Rank: rank.Confirmation, Ticket: "t"}, unknown, 1},
 		"crashed server never": {exchange.Request{Rank: rank.Lookup}, crashed, 1},
