--- a/common/configuration/configuration_test.go
+++ b/common/configuration/configuration_test.go
@@ -146,3 +146,22 @@
 	s := service()
 	must.Eq(t, "tvm", s.HomeOf(shard.Shard(600)))
 }
+
+// Measures reading a service of 2,100 upstreams, which every member does after each change.
+func BenchmarkDecodeService(b *testing.B) {
+	s := service()
+	for i := range 2096 {
+		u := s.Upstreams[i%4]
+		u.Name += string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+		u.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80)
+		s.Upstreams = append(s.Upstreams, u)
+	}
+	data, err := configuration.EncodeService(s)
+	must.NoError(b, err)
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		if _, err := configuration.DecodeService(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/common/settings/decode.go
+++ b/common/settings/decode.go
@@ -35,7 +35,7 @@
 	if !utf8.Valid(data) {
 		return errors.New("settings: the document is not valid UTF-8")
 	}
-	d := decoder{json: json.NewDecoder(bytes.NewReader(data))}
+	d := decoder{json: json.NewDecoder(bytes.NewReader(data)), fields: map[reflect.Type]fields{}}
 	d.json.UseNumber()
 	if err := d.value("", reflect.ValueOf(target).Elem()); err != nil {
 		return fmt.Errorf("settings: invalid JSON near byte %d: %w", d.json.InputOffset(), err)
--- a/common/settings/decoder.go
+++ b/common/settings/decoder.go
@@ -24,9 +24,18 @@
 // decoder walks a JSON document along the type of its target and collects every rejected value.
 type decoder struct {
 	json     *json.Decoder
+	fields   map[reflect.Type]fields
 	problems []error
 }
 
+// fields describes the JSON fields of a struct type.
+type fields struct {
+	// index holds the position of each field by its JSON name.
+	index map[string]int
+	// required are the names of the fields without omitempty.
+	required []string
+}
+
 func (d *decoder) reject(path, value, allowed string) {
 	d.problems = append(d.problems, Reject(path, value, allowed))
 }
@@ -116,7 +125,7 @@
 
 // object reads the fields of an object whose opening brace has been read.
 func (d *decoder) object(path string, v reflect.Value) error {
-	fields, required := fieldsOf(v.Type())
+	f := d.fieldsOf(v.Type())
 	seen := map[string]bool{}
 	for d.json.More() {
 		t, err := d.json.Token()
@@ -128,9 +137,9 @@
 		if seen[name] {
 			d.reject(at, "a second value", "each field once")
 		}
-		i, known := fields[name]
+		i, known := f.index[name]
 		if !known {
-			d.reject(at, "an unknown field", strings.Join(names(fields), ", "))
+			d.reject(at, "an unknown field", strings.Join(names(f.index), ", "))
 		}
 		if !known || seen[name] {
 			if err := d.skipNext(); err != nil {
@@ -143,7 +152,7 @@
 			return err
 		}
 	}
-	for _, name := range required {
+	for _, name := range f.required {
 		if !seen[name] {
 			d.reject(join(path, name), "a missing field", "a value")
 		}
@@ -193,22 +202,26 @@
 	return d.skip(t)
 }
 
-// fieldsOf returns the index of each field by JSON name, and the names without omitempty.
-func fieldsOf(t reflect.Type) (fields map[string]int, required []string) {
-	fields = map[string]int{}
+// fieldsOf describes a type once per document, as lists hold many values of one type.
+func (d *decoder) fieldsOf(t reflect.Type) fields {
+	if f, ok := d.fields[t]; ok {
+		return f
+	}
+	f := fields{index: map[string]int{}}
 	for i := range t.NumField() {
 		name, option, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		fields[name] = i
+		f.index[name] = i
 		if option != "omitempty" {
-			required = append(required, name)
+			f.required = append(f.required, name)
 		}
 	}
-	return fields, required
+	d.fields[t] = f
+	return f
 }
 
-func names(fields map[string]int) []string {
-	all := make([]string, 0, len(fields))
-	for name := range fields {
+func names(index map[string]int) []string {
+	all := make([]string, 0, len(index))
+	for name := range index {
 		all = append(all, name)
 	}
 	slices.Sort(all)
