directory: send large objects compressed, pass on unknown kinds

Every change of a service is sent to every member as a whole.

Objects of kinds that a program does not know were dropped, so members of different versions would have compared buckets in every exchange. They are now kept and passed on.

--- a/entry/internal/control/sync.go
+++ b/entry/internal/control/sync.go
@@ -16,6 +16,7 @@
 	// Wants lists the keys of items that the sender asks for.
 	Wants []uint64
 
+	// Objects have values that package directory has packed.
 	Objects  []Object
 	Tables   []Table
 	Members  []Announcement
--- a/entry/internal/directory/directory_test.go
+++ b/entry/internal/directory/directory_test.go
@@ -177,6 +177,35 @@
 	must.Eq(t, 1001, a.Versions()["leaving/vm-8"])
 }
 
+// Guards against large objects that are sent in full, that arrive changed, or that a broken
+// message replaces, and against members that do not agree because one does not know an object's kind.
+func TestPackedObjects(t *testing.T) {
+	a, b := newDirectory("tvm-1", 1), newDirectory("tvm-2", 1)
+	large := serviceObject(1, 420)
+	a.PutObject(start, large)
+	b.Merge(start, control.Sync{Objects: []control.Object{
+		{Name: "services/seat-desk", Version: 9, Value: []byte{0, 1, 2, 3}},
+		{Name: "quotas/seat-desk", Version: 2, Value: []byte("{}")},
+	}})
+	answer := a.Offer(start, control.Sync{Covered: allBuckets()})
+	must.Len(t, 1, answer.Objects)
+	must.Less(t, len(large.Value)/6, len(answer.Objects[0].Value))
+	exchange(start, a, b)
+	exchange(start, b, a)
+	service, ok := b.Service("seat-desk")
+	must.True(t, ok)
+	must.Len(t, 420, service.Upstreams)
+	must.Eq(t, a.Digest(start).Hash, b.Digest(start).Hash)
+}
+
+func allBuckets() []uint16 {
+	var all []uint16
+	for b := range uint16(64) {
+		all = append(all, b)
+	}
+	return all
+}
+
 // Guards against suspect entries of the same version differing between processes, and against
 // entries that stay after they have expired or come back from a paused process.
 func TestSuspects(t *testing.T) {
--- a/entry/internal/directory/draft.go
+++ b/entry/internal/directory/draft.go
@@ -24,7 +24,7 @@
 	return draft{snapshot: *newSnapshot(), rerouted: map[string]configuration.Service{}}
 }
 
-// isSpread reports whether an object of that name is part of the directory.
+// isSpread reports whether an object of that name is taken from the platform.
 func isSpread(name string) bool {
 	_, isService := configuration.ServiceOf(name)
 	_, isLeaving := configuration.LeavingOf(name)
@@ -53,7 +53,12 @@
 	if pair, ok := successionOf(o.Name); ok {
 		return d.applySuccession(pair, o)
 	}
-	return d.applyPresets(o)
+	if o.Name == configuration.PresetObject {
+		return d.applyPresets(o)
+	}
+	// Later programs may spread further objects. They are passed on without being used;
+	// otherwise the hashes of members of different versions would never agree.
+	return nil
 }
 
 func (d *draft) applyService(name string, o control.Object) error {
--- a/entry/internal/directory/exchange.go
+++ b/entry/internal/directory/exchange.go
@@ -62,7 +62,10 @@
 func (d *Directory) take(now time.Time, in control.Sync) {
 	took := false
 	for _, o := range in.Objects {
-		took = d.put(now, objectItem(o)) || took
+		// A broken value is left out; another member or the platform has it too.
+		if i, err := receivedItem(o); err == nil {
+			took = d.put(now, i) || took
+		}
 	}
 	for _, t := range in.Tables {
 		took = d.put(now, tableItem(t)) || took
--- a/entry/internal/directory/item.go
+++ b/entry/internal/directory/item.go
@@ -21,6 +21,8 @@
 	table   *control.Table
 	member  *control.Announcement
 	suspect *control.Suspect
+	// packed is the value of the object as it is sent.
+	packed []byte
 }
 
 func keyOf(kind, name string) uint64 {
@@ -29,11 +31,28 @@
 
 func objectItem(o control.Object) item {
 	return item{
-		mark:   control.Mark{Key: keyOf("object", o.Name), High: uint64(o.Version)},
+		mark:   objectMark(o),
 		object: &o,
+		packed: pack(o.Value),
 	}
 }
 
+// receivedItem returns the item of an object from a message.
+func receivedItem(o control.Object) (item, error) {
+	value, err := unpack(o.Value)
+	if err != nil {
+		return item{}, err
+	}
+	i := item{mark: objectMark(o), packed: o.Value}
+	o.Value = value
+	i.object = &o
+	return i, nil
+}
+
+func objectMark(o control.Object) control.Mark {
+	return control.Mark{Key: keyOf("object", o.Name), High: uint64(o.Version)}
+}
+
 func tableItem(t control.Table) item {
 	return item{
 		mark:  control.Mark{Key: keyOf("table", t.Pair.String()), High: uint64(t.Term), Low: t.Sequence},
@@ -81,7 +100,7 @@
 	const perField, perPlacement = 64, 96
 	switch {
 	case i.object != nil:
-		return perField + len(i.object.Name) + len(i.object.Value)
+		return perField + len(i.object.Name) + len(i.packed)
 	case i.table != nil:
 		n := perField
 		for _, p := range i.table.Placements {
--- a/entry/internal/directory/put.go
+++ b/entry/internal/directory/put.go
@@ -13,6 +13,9 @@
 	if strings.HasPrefix(o.Name, control.TablePrefix) {
 		return d.putTableObject(now, o)
 	}
+	if !isSpread(o.Name) {
+		return false
+	}
 	return d.putOne(now, objectItem(o))
 }
 
@@ -57,7 +60,7 @@
 		d.self.Beat = i.member.Beat + 1
 		i = memberItem(d.self)
 	}
-	if i.object != nil && !isSpread(i.object.Name) || !d.store.put(now, i) {
+	if !d.store.put(now, i) {
 		return false
 	}
 	switch {
--- a/entry/internal/directory/reply.go
+++ b/entry/internal/directory/reply.go
@@ -71,7 +71,9 @@
 	r.size += i.size()
 	switch {
 	case i.object != nil:
-		r.out.Objects = append(r.out.Objects, *i.object)
+		o := *i.object
+		o.Value = i.packed
+		r.out.Objects = append(r.out.Objects, o)
 	case i.table != nil:
 		r.out.Tables = append(r.out.Tables, *i.table)
 	case i.member != nil:
--- a/entry/internal/directory/traffic_test.go
+++ b/entry/internal/directory/traffic_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/shard"
 	"bramleystand.org/entry/internal/control"
 )
 
@@ -42,6 +44,21 @@
 	return list
 }
 
+// largeTable is a table of 1,024 shards at 420 upstreams, the share of one data centre of five in 2,100.
+func largeTable(sequence int) control.Table {
+	t := control.Table{Pair: control.Pair{Service: "seat-desk", DataCentre: "tvm"}, Term: 1, Sequence: uint64(sequence)}
+	for i := range 420 {
+		t.Placements = append(t.Placements, control.Placement{
+			Upstream: fmt.Sprintf("seat-%d", i), Leaseholder: member(fmt.Sprintf("tvm-%d", i), start.UnixNano()), Fence: fence.New(1, uint32(i)),
+		})
+	}
+	for n := range shard.Shard(1024) {
+		p := &t.Placements[n%420]
+		p.Shards = append(p.Shards, n)
+	}
+	return t
+}
+
 // Measures the bytes per second that one member sends and receives in exchanges, by the
 // size of the fleet, without changes and with one change a second.
 func BenchmarkTraffic(b *testing.B) {
@@ -50,9 +67,11 @@
 		"steady":  func(*fleet, int) {},
 		"leaving": func(f *fleet, i int) { f.write(leavingObject(fmt.Sprintf("vm-%d", i), 0)) },
 		"service": func(f *fleet, _ int) { f.write(serviceObject(0, 30)) },
+		"large":   func(f *fleet, _ int) { f.write(serviceObject(0, 2100)) },
+		"table":   func(f *fleet, i int) { f.nodes[0].directory.PutTable(f.now, largeTable(i)) },
 	}
 	for _, size := range []int{10, 100, 420, 2100} {
-		for _, name := range []string{"steady", "leaving", "service"} {
+		for _, name := range []string{"steady", "leaving", "service", "large", "table"} {
 			b.Run(fmt.Sprintf("%s/%d", name, size), func(b *testing.B) {
 				var bytes, messages int
 				for range b.N {
