--- a/entry/internal/backend/conn.go
+++ b/entry/internal/backend/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -19,7 +21,7 @@
 	longestIdle = 5 * time.Second
 )
 
-var errLargeHead = errors.New("backend: head of the answer is too large")
+var errLargeHead = eris.New("backend: head of the answer is too large")
 
 // conn is a connection that knows since when the server owes it bytes.
 type conn struct {
@@ -33,14 +35,31 @@
 	// way began, 0 without one, and when bytes were last written.
 	reading atomic.Int64
 	wrote   atomic.Int64
+	// overdue is the age before which the connection isn't taken for silent.
+	overdue atomic.Int64
 	// starved is true while the sender waits for the caller's body.
 	starved atomic.Bool
 	silent  atomic.Bool
+	// raw is nil for a connection that is not a socket; peek is kept to save allocations.
+	raw   syscall.RawConn
+	peek  func(uintptr) bool
+	empty bool
 }
 
 func newConn(inner net.Conn) *conn {
 	c := &conn{Conn: inner, opened: time.Now(), budget: -1}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
+	if s, ok := inner.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	c.peek = func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		c.empty = errors.Is(err, syscall.EAGAIN)
+		return true
+	}
 	return c
 }
 
@@ -76,7 +95,17 @@
 	if reading == 0 || c.starved.Load() {
 		return false
 	}
-	return c.age(now)-max(reading, c.wrote.Load()) >= int64(limit)
+	age := c.age(now)
+	return age >= c.overdue.Load() && age-max(reading, c.wrote.Load()) >= int64(limit)
+}
+
+// expect sets when the answer to the next request is overdue.
+func (c *conn) expect(overdue time.Time) {
+	if overdue.IsZero() {
+		c.overdue.Store(0)
+		return
+	}
+	c.overdue.Store(c.age(overdue))
 }
 
 // usable tells whether an idle connection may carry another request: it is not
@@ -85,20 +114,9 @@
 	if now.Sub(c.idle) > longestIdle || c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		empty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && empty
+	c.empty = false
+	return c.raw.Read(c.peek) == nil && c.empty
 }
--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bramleystand.org/common/outcome"
 )
 
@@ -68,6 +68,7 @@
 		return nil, notRun(err)
 	}
 	x := &exchange{ctx: ctx, pool: p, conn: k, stop: context.AfterFunc(ctx, func() { k.SetDeadline(past) })}
+	k.expect(r.Overdue)
 	if n, err := k.Write(*buffer); err != nil {
 		x.finish(false)
 		if n == 0 {
@@ -138,7 +139,7 @@
 			return fmt.Errorf("backend: read answer: %w", err)
 		}
 		if r.StatusCode == http.StatusSwitchingProtocols {
-			return errors.New("backend: read answer: protocol switched without a request")
+			return eris.New("backend: read answer: protocol switched without a request")
 		}
 		if r.StatusCode < http.StatusOK {
 			continue
@@ -158,138 +159,3 @@
 		return nil
 	}
 }
-
-// send streams the body of a request.
-func (x *exchange) send(body io.Reader, length int64) {
-	buffer := buffers.Get().(*[]byte)
-	defer buffers.Put(buffer)
-	b := (*buffer)[:piece]
-	var err error
-	if length < 0 {
-		err = x.sendChunks(body, b)
-	} else {
-		err = x.sendBytes(body, length, b)
-	}
-	x.sent <- err
-}
-
-// sendBytes sends a body of known length.
-func (x *exchange) sendBytes(body io.Reader, length int64, b []byte) error {
-	for length > 0 {
-		n, err := x.read(body, b[:min(length, int64(len(b)))])
-		if n > 0 {
-			length -= int64(n)
-			if _, err := x.conn.Write(b[:n]); err != nil {
-				return err
-			}
-		}
-		if err != nil && length > 0 {
-			return x.abort(err)
-		}
-	}
-	return nil
-}
-
-// sendChunks sends a body of unknown length in the chunked coding.
-func (x *exchange) sendChunks(body io.Reader, b []byte) error {
-	for {
-		n, err := x.read(body, b[chunkHead:len(b)-2])
-		if n > 0 {
-			size := strconv.AppendInt(b[:0], int64(n), 16)
-			size = append(size, "\r\n"...)
-			first := chunkHead - len(size)
-			copy(b[first:], size)
-			end := chunkHead + n + copy(b[chunkHead+n:], "\r\n")
-			if _, err := x.conn.Write(b[first:end]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			_, err = x.conn.Write([]byte("0\r\n\r\n"))
-			return err
-		}
-		if err != nil {
-			return x.abort(err)
-		}
-	}
-}
-
-// read reads the caller's body; meanwhile the server owes nothing.
-func (x *exchange) read(body io.Reader, b []byte) (int, error) {
-	x.conn.starved.Store(true)
-	n, err := body.Read(b)
-	x.conn.wrote.Store(x.conn.age(time.Now()))
-	x.conn.starved.Store(false)
-	return n, err
-}
-
-// abort ends the exchange because the caller's body has failed.
-func (x *exchange) abort(err error) error {
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	err = fmt.Errorf("backend: read request body: %w", err)
-	x.source.Store(&err)
-	x.conn.Close()
-	return err
-}
-
-// Read reads the body of the answer. It returns io.EOF only after the whole body.
-func (x *exchange) Read(b []byte) (int, error) {
-	if x.err != nil {
-		return 0, x.err
-	}
-	n, err := x.body.Read(b)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF) && x.framed:
-		x.err = io.EOF
-		x.finish(true)
-		return n, io.EOF
-	case errors.Is(err, io.EOF):
-		err = ErrTruncated
-	}
-	x.finish(false)
-	x.err = &Error{Outcome: outcome.Unknown, Err: fmt.Errorf("backend: read answer: %w", x.cause(err))}
-	if x.Outcome == outcome.NotRun {
-		x.err.(*Error).Outcome = outcome.NotRun
-	}
-	return n, x.err
-}
-
-// Close ends the exchange; the connection is closed if the answer was not read to its end.
-func (x *exchange) Close() error {
-	x.finish(false)
-	return nil
-}
-
-// finish gives the connection back, once.
-func (x *exchange) finish(complete bool) {
-	x.once.Do(func() {
-		reusable := x.stop() && complete && x.reuse && x.conn.reader.Buffered() == 0
-		if x.sent != nil && reusable {
-			select {
-			case err := <-x.sent:
-				reusable = err == nil
-			default:
-				reusable = false
-			}
-		}
-		x.pool.put(x.conn, reusable)
-	})
-}
-
-// cause returns the reason behind an error of the connection.
-func (x *exchange) cause(err error) error {
-	if p := x.source.Load(); p != nil {
-		return *p
-	}
-	if x.conn.silent.Load() {
-		return ErrSilent
-	}
-	if x.ctx.Err() != nil {
-		return fmt.Errorf("backend: cancelled: %w", context.Cause(x.ctx))
-	}
-	return err
-}
