--- a/entry/internal/controller/control.go
+++ b/entry/internal/controller/control.go
@@ -55,17 +55,6 @@
 	c.propose(now, placements, false)
 }
 
-// relinquish hands over to the members of a record to which this controller doesn't belong.
-func (c *Controller) relinquish(now time.Time) {
-	for _, m := range c.others() {
-		c.emit(Effect{Kind: SendResign, To: m, Resign: &control.ResignRequest{
-			Pair: c.pair, Term: c.term, From: c.self, Table: c.tables.newest,
-		}})
-	}
-	c.stepDown()
-	c.schedule(now)
-}
-
 // plan proposes a table with all changes that are possible now.
 func (c *Controller) plan(now time.Time) {
 	c.planDue = now.Add(planPeriod)
--- a/entry/internal/controller/model_test.go
+++ b/entry/internal/controller/model_test.go
@@ -18,6 +18,9 @@
 	}()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{5, 4, 3, 2, 1}).Draw(t, "vms"), 5, 10)
+		for i := range rapid.SampledFrom([]int{0, 0, 2}).Draw(t, "remote") {
+			w.addRemote(i)
+		}
 		w.advance(rapid.SampledFrom([]time.Duration{0, 3 * time.Second}).Draw(t, "warmup"))
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "index") }
 		checks++
@@ -70,6 +73,7 @@
 			"pause":    func(*rapid.T) { w.vms[pick(len(w.vms))].pause(); step() },
 			"resume":   func(*rapid.T) { w.vms[pick(len(w.vms))].resume(); step() },
 			"crash":    func(*rapid.T) { w.vms[pick(len(w.vms))].crash(); step() },
+			"remove":   func(*rapid.T) { w.remove(pick(len(w.vms))); step() },
 			"restart":  func(*rapid.T) { w.restart(pick(len(w.vms))); step() },
 			"resign":   func(*rapid.T) { w.resign(pick(len(w.vms))); step() },
 			"platform": func(*rapid.T) { w.platform.down = !w.platform.down; step() },
--- a/entry/internal/controller/moves.go
+++ b/entry/internal/controller/moves.go
@@ -68,14 +68,3 @@
 		}
 	}
 }
-
-// planned returns how many moves have a chosen target.
-func (m *moves) planned() int {
-	n := 0
-	for _, v := range m.moving {
-		if v.to != "" && v.to != v.from {
-			n++
-		}
-	}
-	return n
-}
--- a/entry/internal/controller/oracle_test.go
+++ b/entry/internal/controller/oracle_test.go
@@ -43,6 +43,11 @@
 	if t == nil {
 		return
 	}
+	o.note(t)
+}
+
+// note records a table; a version names one table only.
+func (o *oracle) note(t *control.Table) {
 	if p := o.proposals[t.Version()]; p != nil && !reflect.DeepEqual(p, t) {
 		o.fail("two tables with version %v", t.Version())
 	}
@@ -114,6 +119,8 @@
 	}
 	t := v.ctrl.Table()
 	v.checked = t
+	// A controller that decides alone puts the first table of its term into force without sending it.
+	o.note(t)
 	if !d.Committed.Newer(o.acked) {
 		o.fail("table %v in force after %v", d.Committed, o.acked)
 		return
--- a/entry/internal/controller/support.go
+++ b/entry/internal/controller/support.go
@@ -75,42 +75,6 @@
 	return later(later(c.vote.foreign, c.inherited), c.granted).Sub(now)
 }
 
-// HandleResign ends the promise to a controller that stops.
-func (c *Controller) HandleResign(now time.Time, q control.ResignRequest) {
-	if q.Pair != c.pair {
-		return
-	}
-	if q.Table != nil {
-		c.tables.keep(q.Table)
-	}
-	if c.role != supporting || q.Term != c.vote.term || !q.From.Same(c.vote.candidate) {
-		return
-	}
-	c.vote.until = now
-	c.candidate = now.Add(time.Duration(c.place(c.self)) * succeedDelay)
-	c.Tick(now)
-}
-
-// Resign stops acting for good, so that the next member takes over without waiting.
-func (c *Controller) Resign(now time.Time) {
-	if c.resigned {
-		return
-	}
-	c.resigned = true
-	if c.role == supporting {
-		return
-	}
-	if c.role == controlling {
-		for _, m := range c.others() {
-			c.emit(Effect{Kind: SendResign, To: m, Resign: &control.ResignRequest{
-				Pair: c.pair, Term: c.term, From: c.self, Table: c.tables.newest,
-			}})
-		}
-	}
-	c.vote.until = now
-	c.stepDown()
-}
-
 // ask sends a request for support to all other members.
 func (c *Controller) ask(now time.Time) {
 	for _, to := range c.others() {
--- a/entry/internal/controller/vm_test.go
+++ b/entry/internal/controller/vm_test.go
@@ -12,10 +12,14 @@
 
 // vm is an entry VM with its controller and leaseholder.
 type vm struct {
-	world   *world
-	name    string
-	alive   bool
-	paused  bool
+	world *world
+	name  string
+	// home is the VM's data centre.
+	home   string
+	alive  bool
+	paused bool
+	// lost says that the VM never comes back.
+	lost    bool
 	backlog []func()
 	member  control.Member
 	clock   clock
@@ -48,7 +52,7 @@
 	w := v.world
 	v.alive, v.paused, v.backlog, v.resigns = true, false, nil, false
 	v.clock = w.clock()
-	v.member = control.Member{Name: v.name, Incarnation: int64(w.now) + 1, DataCentre: dataCentre}
+	v.member = control.Member{Name: v.name, Incarnation: int64(w.now) + 1, DataCentre: v.home}
 	v.ctrl = controller.New(pair, v.member, controller.EvenPlanner{})
 	v.holder = lease.New(pair, v.member)
 	v.seen = map[string]sighting{}
@@ -325,7 +329,7 @@
 		}
 	})
 	v.world.after(4*time.Second, func() {
-		if v.member.Incarnation == incarnation {
+		if v.member.Incarnation == incarnation && !v.lost {
 			v.start()
 		}
 	})
--- a/entry/internal/controller/world_test.go
+++ b/entry/internal/controller/world_test.go
@@ -95,7 +95,7 @@
 		w.service.Upstreams = append(w.service.Upstreams, configuration.Upstream{Name: s.name, DataCentre: dataCentre, Fenced: s.fenced})
 	}
 	for i := range vms {
-		v := &vm{world: w, name: fmt.Sprintf("entry-%02d", i)}
+		v := &vm{world: w, name: fmt.Sprintf("entry-%02d", i), home: dataCentre}
 		w.vms = append(w.vms, v)
 	}
 	for _, v := range w.vms {
@@ -178,7 +178,7 @@
 	w.platform.down, w.platform.lossy = false, false
 	for _, v := range w.vms {
 		v.resume()
-		if !v.alive && !w.removed[v.name] {
+		if !v.alive && !v.lost {
 			v.start()
 		}
 	}
@@ -211,7 +211,7 @@
 }
 
 func (w *world) restart(i int) {
-	if v := w.vms[i]; !w.removed[v.name] {
+	if v := w.vms[i]; !v.lost {
 		v.crash()
 		v.start()
 	}
@@ -240,13 +240,45 @@
 		v.do(incarnation, func() { v.ctrl.Resign(v.now()) })
 	})
 	w.after(2*time.Second, func() {
-		if v.member.Incarnation == incarnation {
+		if v.member.Incarnation == incarnation && !v.lost {
 			v.crash()
 			v.start()
 		}
 	})
 }
 
+// addRemote adds an entry VM of another data centre, which may become a succession member.
+func (w *world) addRemote(i int) {
+	v := &vm{world: w, name: fmt.Sprintf("remote-%02d", i), home: "klm"}
+	w.vms = append(w.vms, v)
+	v.start()
+}
+
+// remove takes a VM away for good and, after a while, from the platform's list.
+func (w *world) remove(i int) {
+	v := w.vms[i]
+	if len(w.removed) > 0 || v.home == dataCentre && w.local() < 3 {
+		return
+	}
+	v.crash()
+	v.lost = true
+	w.after(w.between(0, 2*time.Second), func() {
+		w.removed = maps.Clone(w.removed)
+		w.removed[v.name] = true
+	})
+}
+
+// local returns the number of entry VMs of the data centre.
+func (w *world) local() int {
+	n := 0
+	for _, v := range w.vms {
+		if v.home == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // mark sets or removes a leaving mark; maps given to controllers are never changed.
 func (w *world) mark(name string, leaving bool) {
 	m := maps.Clone(w.leaving)
