--- a/entry/internal/controller/succession.go
+++ b/entry/internal/controller/succession.go
@@ -101,7 +101,8 @@
 // mayReset reports whether no set of members can decide any more.
 func (c *Controller) mayReset() bool {
 	r := &c.record
-	if c.self.DataCentre != c.pair.DataCentre || len(c.live) == 0 {
+	// Members elsewhere may be the only ones that know a change to be settled.
+	if len(c.live) == 0 || c.self.DataCentre != c.pair.DataCentre && !r.lists(c.self) {
 		return false
 	}
 	if !c.lost(r.known.Members) {
