--- a/entry/internal/controller/world_test.go
+++ b/entry/internal/controller/world_test.go
@@ -257,7 +257,8 @@
 // remove takes a VM away for good and, after a while, from the platform's list.
 func (w *world) remove(i int) {
 	v := w.vms[i]
-	if len(w.removed) > 0 || v.home == dataCentre && w.local() < 3 {
+	lost := slices.ContainsFunc(w.vms, func(o *vm) bool { return o.lost })
+	if lost || v.home == dataCentre && w.local() < 3 {
 		return
 	}
 	v.crash()
