--- a/entry/internal/control/table.go
+++ b/entry/internal/control/table.go
@@ -1,6 +1,7 @@
 package control
 
-// Table is the routing table of a pair. Shards that no placement holds are being moved.
+// Table is the routing table of a pair. A shard that moves stays with its former
+// upstream until nobody uses it there.
 type Table struct {
 	Pair       Pair
 	Term       uint32
--- a/entry/internal/controller/draft.go
+++ b/entry/internal/controller/draft.go
@@ -46,6 +46,7 @@
 		return
 	}
 	c.nextPlan = d.now.Add(planInterval)
+	c.forgetHolders(d.now)
 	if d.evenLeaseholders() {
 		return
 	}
--- a/entry/internal/controller/succession.go
+++ b/entry/internal/controller/succession.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bramleystand.org/entry/internal/control"
@@ -22,6 +24,9 @@
 	}
 	reset := s.Founded != c.record.known.Founded
 	c.record.adopt(now, s)
+	maps.DeleteFunc(c.members, func(k id, _ *member) bool {
+		return !slices.ContainsFunc(c.others(), func(m control.Member) bool { return idOf(m) == k })
+	})
 	c.highest = max(c.highest, s.Term)
 	if c.role != supporting && (reset || s.Term > c.term) {
 		c.stepDown()
