replay: keep continuous lookups below the capacity of one server

Cause: all keys that are looked up may belong to one server of 4 slots and 5 ms (800 lookups a second); 40 keys every 50 ms are exactly that, and response times rose to 0.9 s before the event. backend-freeze was reported broken (4.05 s, bound 3 s) with calls in queues of 4 s. Change: 12 keys every 100 ms.

--- a/replay/internal/faults/faults.go
+++ b/replay/internal/faults/faults.go
@@ -39,7 +39,7 @@
 	// uploadTimeout is shorter than callers' usual one, so that a case whose uploads are stuck ends soon.
 	uploadTimeout = 20 * time.Second
 	// probeInterval is the time between two lookups of a key.
-	probeInterval = 50 * time.Millisecond
+	probeInterval = 100 * time.Millisecond
 )
 
 // Faults runs cases, each on a fleet of its own.
--- a/replay/internal/faults/scene.go
+++ b/replay/internal/faults/scene.go
@@ -27,8 +27,10 @@
 	problems []string
 }
 
-// probed is the number of keys that are looked up continuously.
-const probed = 40
+// probed is the number of keys that are looked up continuously. One server may own
+// all of them and has a capacity of 800 lookups a second; 40 keys every 50 ms
+// overloaded it, so that calls waited longer than the recovery that is measured.
+const probed = 12
 
 // owned returns the keys that the given servers own, in order.
 func (s *scene) owned(servers ...string) []string {
