--- a/entry/internal/process/dump.go
+++ b/entry/internal/process/dump.go
@@ -1,9 +1,11 @@
 package process
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
+	"bramleystand.org/common/configuration"
 	"bramleystand.org/entry/internal/control"
 	"bramleystand.org/entry/internal/lease"
 )
@@ -16,6 +18,7 @@
 		"members":     p.dumpMembers(now),
 		"versions":    p.directory.Versions(),
 		"problems":    p.dumpProblems(),
+		"services":    p.dumpServices(),
 		"preset":      p.directory.Preset().Name,
 		"tables":      p.dumpTables(),
 		"controllers": p.dumpControllers(now),
@@ -50,6 +53,19 @@
 	return out
 }
 
+// dumpServices returns the services in the form in which operators write them.
+func (p *Process) dumpServices() map[string]json.RawMessage {
+	out := make(map[string]json.RawMessage)
+	for name, service := range p.directory.Services() {
+		value, err := configuration.EncodeService(service)
+		if err != nil {
+			continue
+		}
+		out[name] = value
+	}
+	return out
+}
+
 func (p *Process) dumpTables() []map[string]any {
 	var out []map[string]any
 	for _, t := range p.directory.Tables() {
