--- a/entry/internal/controller/evacuate.go
+++ b/entry/internal/controller/evacuate.go
@@ -46,7 +46,7 @@
 			to := d.target(v, w)
 			if to == "" {
 				keep = append(keep, s)
-				if v.to != "" && d.c.eligible(v.from) {
+				if d.c.eligible(v.from) {
 					delete(d.c.moves.moving, s)
 				}
 				continue
--- a/entry/internal/controller/leaseholders.go
+++ b/entry/internal/controller/leaseholders.go
@@ -32,10 +32,11 @@
 		u.surplus = u.surplus && !least.Same(p.Leaseholder)
 		h := d.c.holders[p.Leaseholder.Name]
 		stops := d.c.leaving[p.Leaseholder.Name] || h != nil && h.member.Same(p.Leaseholder) && h.resigning
-		if u.closing && !stops && !u.surplus {
+		closing := (stops || u.surplus) && other
+		if u.closing && !closing {
 			d.c.moves.cancel(p.Upstream, p.Upstream)
 		}
-		u.closing = (stops || u.surplus) && other
+		u.closing = closing
 		if u.closing {
 			for _, s := range p.Shards {
 				d.c.moves.mark(s, p.Upstream, p.Upstream)
