Measure what each role costs as its state grows

docs/design.md promises figures for the target size that are derived from measured slopes, and there was no measurement of most of them.

Add the subcommand capacity to replay, which measures real processes, idle and under load, and the calls of the platform.

--- a/entry/internal/controller/bench_test.go
+++ b/entry/internal/controller/bench_test.go
@@ -58,10 +58,33 @@
 	}
 }
 
+// entries returns entry VMs of the data centre.
+func entries(n int) []control.Member {
+	list := make([]control.Member, n)
+	for i := range list {
+		list[i] = control.Member{
+			Name: fmt.Sprintf("entry-%03d", i), Incarnation: 1, DataCentre: dataCentre,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
+		}
+	}
+	return list
+}
+
 // single returns a controller without other members and the leaseholder of all its upstreams.
 func single(tb testing.TB, upstreams int) (*controller.Controller, *lease.Holder, time.Time) {
 	tb.Helper()
-	self := control.Member{Name: "entry-00", Incarnation: 1, DataCentre: dataCentre, Address: netip.MustParseAddrPort("10.0.0.1:7000")}
+	live := entries(1)
+	c, now := shared(tb, upstreams, live, nil, func(*controller.Controller, time.Time) {})
+	h := lease.New(pair, live[0])
+	h.Follow(c.Succession())
+	return c, h, now
+}
+
+// shared returns a controller without other members that has divided its upstreams between entry VMs, itself the first.
+// It calls renew in each renewal interval.
+func shared(tb testing.TB, upstreams int, live []control.Member, planner controller.Planner, renew func(*controller.Controller, time.Time)) (*controller.Controller, time.Time) {
+	tb.Helper()
+	self := live[0]
 	service := &configuration.Service{
 		Name: pair.Service, Shards: uint32(upstreams * shardsPerUpstream),
 		Homes: []configuration.Home{{DataCentre: dataCentre, Last: shard.Shard(upstreams*shardsPerUpstream - 1)}},
@@ -70,25 +93,30 @@
 		service.Upstreams = append(service.Upstreams, configuration.Upstream{Name: fmt.Sprintf("server-%04d", i), DataCentre: dataCentre})
 	}
 	now := epoch
-	c, h := controller.New(pair, self, nil), lease.New(pair, self)
-	c.Observe(now, []control.Member{self}, nil)
+	c := controller.New(pair, self, planner)
+	c.Observe(now, live, nil)
 	c.Configure(now, service, nil)
 	c.Adopt(now, control.Succession{Pair: pair, Term: 1, Founded: 1, Version: 1, Members: []control.Member{self}})
-	h.Follow(c.Succession())
 	for range 5 {
 		now = now.Add(control.RenewInterval)
 		c.Tick(now)
-		for _, e := range c.Take() {
-			switch e.Kind {
-			case controller.LoadTable:
-				c.TableLoaded(now, nil, 0, true)
-			case controller.StoreTable:
-				c.TableStored(now, 2, controller.Stored)
-			}
-		}
+		store(c, now)
+		renew(c, now)
 	}
 	must.NotNil(tb, c.Table())
-	return c, h, now
+	return c, now
+}
+
+// store answers the controller's calls of the platform.
+func store(c *controller.Controller, now time.Time) {
+	for _, e := range c.Take() {
+		switch e.Kind {
+		case controller.LoadTable:
+			c.TableLoaded(now, nil, 0, true)
+		case controller.StoreTable:
+			c.TableStored(now, e.Expected+1, controller.Stored)
+		}
+	}
 }
 
 // loads returns a load for each shard of a placement.
--- /dev/null
+++ b/entry/internal/upstream/capacity_test.go
@@ -0,0 +1,68 @@
+package upstream_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/configuration"
+	"bramleystand.org/common/fence"
+	"bramleystand.org/common/shard"
+	"bramleystand.org/entry/internal/backend"
+	"bramleystand.org/entry/internal/suspect"
+	"bramleystand.org/entry/internal/upstream"
+)
+
+// BenchmarkMemory measures the bytes that an idle upstream holds with its queue and
+// the client of its server, without a lease and with one of 31 shards.
+func BenchmarkMemory(b *testing.B) {
+	const upstreams = 420
+	for _, leased := range []bool{false, true} {
+		b.Run(fmt.Sprintf("leased=%v", leased), func(b *testing.B) {
+			var each float64
+			for b.Loop() {
+				before := heap()
+				list := make([]*upstream.Upstream, upstreams)
+				clients := make([]*backend.Client, upstreams)
+				suspects := suspect.New(10)
+				for i := range list {
+					spec := configuration.Upstream{Name: "u", Slots: 6, Connections: 120, Fenced: true}
+					clients[i] = backend.New(netip.MustParseAddrPort("127.0.0.1:1"), spec.Connections, &net.Dialer{})
+					list[i] = upstream.New("s", spec, &fakeLease{held: true}, clients[i], suspects, noMonitor{})
+					list[i].Limits(configuration.DefaultPresets().All[0])
+					if leased {
+						must.NoError(b, list[i].Adopt(time.Now(), fence.New(1, 1), someShards(), nil))
+					}
+				}
+				each = (heap() - before) / upstreams
+				runtime.KeepAlive(list)
+				for _, c := range clients {
+					c.Close()
+				}
+			}
+			b.ReportMetric(each, "heap-B/upstream")
+		})
+	}
+}
+
+// someShards returns the shards of one upstream of 2,100 with 65,536 shards.
+func someShards() []shard.Shard {
+	list := make([]shard.Shard, 31)
+	for i := range list {
+		list[i] = shard.Shard(i)
+	}
+	return list
+}
+
+// heap returns the bytes of all live objects.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/replay/internal/command/command.go
+++ b/replay/internal/command/command.go
@@ -15,4 +15,5 @@
 	Demo     Demo     `cmd:"" help:"Run the whole path with stand-ins and print the service per rank."`
 	Faults   Faults   `cmd:"" help:"Run real processes under failure and check the stated bounds."`
 	Latency  Latency  `cmd:"" help:"Measure the latency and memory of the path through the entry VMs."`
+	Capacity Capacity `cmd:"" help:"Measure what entry processes use of processor, network, memory and platform."`
 }
