--- a/entry/internal/controller/controller.go
+++ b/entry/internal/controller/controller.go
@@ -144,6 +144,11 @@
 	return c.role == controlling && !now.Before(c.grantFrom) && now.Before(c.authority(now))
 }
 
+// Controlling reports whether this process is the controller of the pair.
+func (c *Controller) Controlling() bool {
+	return c.role == controlling
+}
+
 // Succession returns the newest known succession record.
 func (c *Controller) Succession() control.Succession {
 	return c.record.known
--- a/entry/internal/pair/pair.go
+++ b/entry/internal/pair/pair.go
@@ -76,6 +76,9 @@
 	holderMu sync.Mutex
 	// holder is nil in other data centres, whose backend servers this process never sends to.
 	holder *lease.Holder
+	// controlled and explained are what was last written to the log; only Run uses them.
+	controlled bool
+	explained  *control.Table
 	// applied receives after each accepted renewal.
 	applied chan struct{}
 }
@@ -176,10 +179,12 @@
 	p.controller.Tick(now)
 	next := p.controller.Next(now)
 	table := p.controller.Table()
+	controlling := p.controller.Controlling()
 	p.controllerMu.Unlock()
 	if table != nil {
 		p.directory.PutTable(now, *table)
 	}
+	p.explain(controlling, table)
 	p.perform(ctx)
 	return next
 }
