--- a/replay/internal/faults/check.go
+++ b/replay/internal/faults/check.go
@@ -18,11 +18,13 @@
 	r.Switch = s.switched
 }
 
-// checkCrashes counts the servers that ended.
+// checkCrashes counts the servers that ended; the shards of all of them had to move.
 func checkCrashes(s *scene, r *Result) {
+	var ended []string
 	for _, b := range s.trial.Fleet.Servers {
 		if b.Process.Ended() {
-			r.Crashed++
+			ended = append(ended, b.Name)
 		}
 	}
+	r.Crashed, r.Least = len(ended), len(s.owned(ended...))
 }
