Measure the memory of idle connections

A connection of a caller, to a backend server and between entry processes was counted nowhere; the first two are measured at the parts that hold them.

--- a/entry/internal/process/capacity_test.go
+++ b/entry/internal/process/capacity_test.go
@@ -191,6 +191,60 @@
 	}
 }
 
+// BenchmarkConnections measures the bytes that one idle connection holds: of a caller
+// at the HTTP server, and to a backend server together with the other end's reader of 4 KiB.
+func BenchmarkConnections(b *testing.B) {
+	const connections = 100
+	report := func(name string, open func(b *testing.B)) {
+		b.Run(name, func(b *testing.B) {
+			var each float64
+			for b.Loop() {
+				before := held()
+				open(b)
+				each = (held() - before) / connections
+			}
+			b.ReportMetric(each, "B/connection")
+		})
+	}
+	report("caller", func(b *testing.B) {
+		s := httptest.NewServer(http.NotFoundHandler())
+		b.Cleanup(s.Close)
+		for range connections {
+			conn, err := net.Dial("tcp", s.Listener.Addr().String())
+			must.NoError(b, err)
+			b.Cleanup(func() { _ = conn.Close() })
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+			must.NoError(b, err)
+			_, err = conn.Read(make([]byte, 1))
+			must.NoError(b, err)
+		}
+	})
+	report("backend", func(b *testing.B) {
+		c := backend.New(respond(b), connections+2, &net.Dialer{})
+		b.Cleanup(c.Close)
+		open := make([]*backend.Response, connections)
+		for i := range open {
+			r, err := c.Do(b.Context(), &backend.Request{Method: http.MethodGet, Key: "k"})
+			must.NoError(b, err)
+			open[i] = r
+		}
+		for _, r := range open {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = r.Body.Close()
+		}
+		must.EqOp(b, connections, c.Counts().Idle)
+	})
+}
+
+// held returns the bytes of all live objects and stacks.
+func held() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 // lookup returns a request as the HTTP server passes it on.
 func lookup(b *testing.B, i int) *http.Request {
 	r, err := http.NewRequestWithContext(b.Context(), http.MethodGet, fmt.Sprintf("/v1/keys/s/trolley-%d", i%1000), http.NoBody)
