--- a/common/entrysettings/settings.go
+++ b/common/entrysettings/settings.go
@@ -30,6 +30,8 @@
 	Peer     netip.AddrPort
 	Admin    netip.AddrPort
 	Platform netip.AddrPort
+	// Announce is the peer address that other members are told; if it is not set, they are told Peer.
+	Announce netip.AddrPort
 	// Seeds are the peer addresses of entry processes that are asked first.
 	Seeds []netip.AddrPort
 	// Stop is the longest time that a graceful stop may take.
@@ -46,6 +48,7 @@
 	Peer     netip.AddrPort    `json:"peer"`
 	Admin    netip.AddrPort    `json:"admin"`
 	Platform netip.AddrPort    `json:"platform"`
+	Announce netip.AddrPort    `json:"announce"`
 	Seeds    []netip.AddrPort  `json:"seeds"`
 	Stop     settings.Duration `json:"stop"`
 	Body     int64             `json:"body"`
@@ -58,7 +61,7 @@
 	s := Settings{
 		Name: w.Name, DataCentre: w.Centre, Region: w.Region,
 		Caller: w.Caller, Peer: w.Peer, Admin: w.Admin, Platform: w.Platform,
-		Seeds: w.Seeds, Stop: time.Duration(w.Stop), Body: w.Body,
+		Announce: w.Announce, Seeds: w.Seeds, Stop: time.Duration(w.Stop), Body: w.Body,
 	}
 	if err := s.validate(parsed); err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
--- a/common/entrysettings/settings_test.go
+++ b/common/entrysettings/settings_test.go
@@ -28,6 +28,9 @@
 		Caller: at("127.0.0.1:7001"), Peer: at("127.0.0.1:7002"), Admin: at("127.0.0.1:7003"), Platform: at("127.0.0.1:7100"),
 		Seeds: []netip.AddrPort{at("127.0.0.1:7002"), at("127.0.0.1:7012")}, Stop: 20 * time.Second, Body: 64 << 20,
 	}, s)
+	s, err = entrysettings.Parse([]byte(strings.Replace(valid, `"seeds"`, `"announce": "127.0.0.9:7009", "seeds"`, 1)))
+	must.NoError(t, err)
+	must.Eq(t, at("127.0.0.9:7009"), s.Announce)
 }
 
 // Guards against a process that starts with settings it cannot work with.
@@ -38,6 +41,9 @@
 		`"127.0.0.1:7003"=>"127.0.0.1:7001"`:                 `admin: 127.0.0.1:7001 is not allowed, allowed: an address other than that of caller`,
 		`"caller": "127.0.0.1:7001"=>"caller":"127.0.0.1:0"`: `caller: 127.0.0.1:0 is not allowed, allowed: an IP address with a port other than 0`,
 		`"peer": "127.0.0.1:7002"=>"peer":"0.0.0.0:7002"`:    `peer: 0.0.0.0:7002 is not allowed, allowed: an address at which`,
+		`"seeds"=>"announce":"0.0.0.0:7009","seeds"`:         `announce: 0.0.0.0:7009 is not allowed, allowed: an IP address and port at which`,
+		`"seeds"=>"announce":"127.0.0.1:7001","seeds"`:       `announce: 127.0.0.1:7001 is not allowed, allowed: an address other than that of caller`,
+		`"seeds"=>"announce":"entry:7009","seeds"`:           `announce: "entry:7009" is not allowed`,
 		`"127.0.0.1:7100"=>"platform:80"`:                    `platform: "platform:80" is not allowed, allowed: an IP address with port`,
 		`"127.0.0.1:7012"=>"127.0.0.1:0"`:                    `seeds[1]: 127.0.0.1:0 is not allowed`,
 		`"20s"=>"20ms"`:                                      `stop: 20ms is not allowed, allowed: 1s to 10m0s`,
--- a/common/entrysettings/validate.go
+++ b/common/entrysettings/validate.go
@@ -45,6 +45,11 @@
 	}
 	// Others connect to the peer address as announced, so it must name one VM.
 	check("peer", !s.Peer.Addr().IsUnspecified(), s.Peer, "an address at which other VMs reach this one")
+	if s.Announce != (netip.AddrPort{}) {
+		check("announce", isTarget(s.Announce), s.Announce, "an IP address and port at which other VMs reach this one")
+		other := listen[s.Announce]
+		check("announce", other == "" || other == "peer", s.Announce, "an address other than that of "+other)
+	}
 	check("platform", isTarget(s.Platform), s.Platform, "the IP address and port of the platform")
 	for i, a := range s.Seeds {
 		check(fmt.Sprintf("seeds[%d]", i), isTarget(a), a, "the IP address and port of an entry process")
--- a/entry/internal/peer/client.go
+++ b/entry/internal/peer/client.go
@@ -33,17 +33,24 @@
 // errDial marks failures before anything was sent.
 var errDial = errors.New("peer: no connection")
 
+// Dialer opens connections; *net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Client calls other entry processes over pooled connections.
 type Client struct {
+	dialer  Dialer
 	pool    *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 	control *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client {
+func NewClient(d Dialer) *Client {
 	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idleConnections}
 	return &Client{
-		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](options),
+		dialer: d,
+		pool:   drpcpool.New[netip.AddrPort, drpcpool.Conn](options),
 		// Control calls have connections of their own, so that they never wait for bodies.
 		control: drpcpool.New[netip.AddrPort, drpcpool.Conn](options),
 	}
@@ -57,9 +64,10 @@
 	return nil
 }
 
-func dial(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address.String())
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
@@ -92,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var out WireOut
-	if err := c.control.Get(ctx, to, dial).Invoke(ctx, name, encoding{}, in, &out); err != nil {
+	if err := c.control.Get(ctx, to, c.dial).Invoke(ctx, name, encoding{}, in, &out); err != nil {
 		var none Out
 		return none, fmt.Errorf("peer: call %s at %s: %w", name, to, err)
 	}
@@ -102,7 +110,7 @@
 // Forward sends a request to the leaseholder of its key.
 func (c *Client) Forward(ctx context.Context, to netip.AddrPort, r *exchange.Request) *exchange.Response {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	stream, err := c.pool.Get(ctx, to, dial).NewStream(ctx, forwardCall, encoding{})
+	stream, err := c.pool.Get(ctx, to, c.dial).NewStream(ctx, forwardCall, encoding{})
 	if err != nil {
 		cancel()
 		if errors.Is(err, errDial) {
--- a/entry/internal/peer/peer_test.go
+++ b/entry/internal/peer/peer_test.go
@@ -75,7 +75,7 @@
 
 func forward(t *testing.T, to netip.AddrPort, r *exchange.Request) *exchange.Response {
 	t.Helper()
-	c := peer.NewClient()
+	c := peer.NewClient(&net.Dialer{})
 	t.Cleanup(func() { _ = c.Close() })
 	r.Deadline = time.Now().Add(time.Minute)
 	return c.Forward(t.Context(), to, r)
@@ -178,7 +178,7 @@
 // Guards against fields that a codec forgets.
 func TestControlMessages(t *testing.T) {
 	to, _ := start(t, nil)
-	c := peer.NewClient()
+	c := peer.NewClient(&net.Dialer{})
 	t.Cleanup(func() { _ = c.Close() })
 	pair := control.Pair{Service: "s", DataCentre: "d"}
 	member := control.Member{Name: "m", Incarnation: 1, DataCentre: "d", Address: to}
--- a/entry/internal/peer/server.go
+++ b/entry/internal/peer/server.go
@@ -11,7 +11,7 @@
 //	server := peer.NewServer(handler, controls, logger)
 //	go server.Serve(ctx, listener)
 //
-//	client := peer.NewClient(self)
+//	client := peer.NewClient(&net.Dialer{})
 //	response := client.Forward(ctx, leaseholder, request)
 package peer
 
--- /dev/null
+++ b/entry/internal/process/dialer_test.go
@@ -0,0 +1,26 @@
+package process_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/entry/internal/process"
+)
+
+// Guards against connections that come from another address of the VM than its own.
+func TestDialer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	from := netip.MustParseAddr("127.0.9.1")
+	c, err := process.NewDialer(from).DialContext(t.Context(), "tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	accepted, err := l.Accept()
+	must.NoError(t, err)
+	defer accepted.Close()
+	must.Eq(t, from, netip.MustParseAddrPort(accepted.RemoteAddr().String()).Addr())
+}
--- a/entry/internal/process/fleet.go
+++ b/entry/internal/process/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"bramleystand.org/common/configuration"
+	"bramleystand.org/entry/internal/backend"
 	"bramleystand.org/entry/internal/control"
 	"bramleystand.org/entry/internal/suspect"
 )
@@ -17,14 +18,15 @@
 	controls *controls
 	local    *local
 	suspects *suspect.List
+	dialer   backend.Dialer
 	logger   log.Interface
 	stops    map[runnerKey]context.CancelFunc
 	specs    map[runnerKey]configuration.Upstream
 }
 
-func newFleet(v *view, c *controls, l *local, s *suspect.List, logger log.Interface) *fleet {
+func newFleet(v *view, c *controls, l *local, s *suspect.List, d backend.Dialer, logger log.Interface) *fleet {
 	return &fleet{
-		view: v, controls: c, local: l, suspects: s, logger: logger,
+		view: v, controls: c, local: l, suspects: s, dialer: d, logger: logger,
 		stops: make(map[runnerKey]context.CancelFunc), specs: make(map[runnerKey]configuration.Upstream),
 	}
 }
@@ -79,7 +81,7 @@
 	if p == nil {
 		return
 	}
-	r := newRunner(k.service, spec, p, f.suspects, f.logger)
+	r := newRunner(k.service, spec, p, f.suspects, f.dialer, f.logger)
 	bounded, cancel := context.WithCancel(ctx)
 	f.stops[k], f.specs[k] = cancel, spec
 	f.local.put(k, r)
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -75,9 +75,9 @@
 	if err := p.listen(); err != nil {
 		return nil, err
 	}
-	address, err := netip.ParseAddrPort(p.peering.Addr().String())
+	address, err := p.address()
 	if err != nil {
-		return nil, fmt.Errorf("process: peer address: %w", err)
+		return nil, err
 	}
 	p.self = control.Member{Name: s.Name, Incarnation: now.UnixNano(), DataCentre: s.DataCentre, Address: address}
 	p.background, p.cancel = context.WithCancel(context.Background())
@@ -85,17 +85,29 @@
 	p.directory = directory.New(now, p.self, s.Seeds, random)
 	p.view = newView(p.directory)
 	p.routes = newRoutes(p.directory)
-	p.peers = peer.NewClient()
+	p.peers = peer.NewClient(NewDialer(s.Peer.Addr()))
 	p.store = &store{platform: platform, logger: logger}
 	p.local = newLocal(p.directory)
 	p.suspects = suspect.New(suspectLimit)
 	p.controls = newControls(p.view, p.startPair)
-	p.fleet = newFleet(p.view, p.controls, p.local, p.suspects, logger)
+	p.fleet = newFleet(p.view, p.controls, p.local, p.suspects, NewDialer(s.Peer.Addr()), logger)
 	route := router.New(p.self, p.routes, p.local, p.peers, router.NewRetryBudgets())
 	p.handler = caller.New(route, p.routes, s.Body, caller.NewCounters(metrics), logger)
 	return p, nil
 }
 
+// address returns the peer address that other members are told.
+func (p *Process) address() (netip.AddrPort, error) {
+	if p.settings.Announce.IsValid() {
+		return p.settings.Announce, nil
+	}
+	address, err := netip.ParseAddrPort(p.peering.Addr().String())
+	if err != nil {
+		return address, fmt.Errorf("process: peer address: %w", err)
+	}
+	return address, nil
+}
+
 func (p *Process) listen() error {
 	for _, l := range []struct {
 		address netip.AddrPort
--- a/entry/internal/process/runner.go
+++ b/entry/internal/process/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +43,8 @@
 	lapsed    bool
 }
 
-func newRunner(service string, spec configuration.Upstream, p *pair.Pair, suspects *suspect.List, logger log.Interface) *runner {
-	client := backend.New(spec.Address, spec.Connections, &net.Dialer{})
+func newRunner(service string, spec configuration.Upstream, p *pair.Pair, suspects *suspect.List, d backend.Dialer, logger log.Interface) *runner {
+	client := backend.New(spec.Address, spec.Connections, d)
 	m := newMonitor(client, spec.Slots, time.Now())
 	return &runner{
 		spec: spec, pair: p, client: client, monitor: m,
--- a/entry/main.go
+++ b/entry/main.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// httpClient returns a client that calls from the address of the process.
+func httpClient(s settings.Settings) *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = process.NewDialer(s.Peer.Addr()).DialContext
+	return &http.Client{Transport: t}
+}
+
 func run(a arguments) error {
 	data, err := os.ReadFile(a.Settings)
 	if err != nil {
@@ -49,7 +56,7 @@
 	}
 	logger := logging.New(os.Stderr, "entry", s.Name)
 	klog.SetLogger(kratoslog.New(logger))
-	objects := process.NewObjects(platform.New(s.Platform, &http.Client{}), s.Name)
+	objects := process.NewObjects(platform.New(s.Platform, httpClient(s)), s.Name)
 	p, err := process.New(s, time.Now(), objects, expvar.NewMap("bramleystand"), logger)
 	if err != nil {
 		return eris.Wrap(err, "entry: start")
