--- a/common/entrysettings/settings.go
+++ b/common/entrysettings/settings.go
@@ -48,7 +48,7 @@
 	Peer     netip.AddrPort    `json:"peer"`
 	Admin    netip.AddrPort    `json:"admin"`
 	Platform netip.AddrPort    `json:"platform"`
-	Announce netip.AddrPort    `json:"announce"`
+	Announce netip.AddrPort    `json:"announce,omitempty"`
 	Seeds    []netip.AddrPort  `json:"seeds"`
 	Stop     settings.Duration `json:"stop"`
 	Body     int64             `json:"body"`
