replay: cases that cut VMs off from each other

Cases centre-cut, entry-cut, platform-cut and silent-peers of replay faults, with an IP address of its own for each entry VM and a relay between them.

--- a/replay/internal/command/faults.go
+++ b/replay/internal/command/faults.go
@@ -9,6 +9,7 @@
 
 	"bramleystand.org/replay/internal/deployment"
 	"bramleystand.org/replay/internal/faults"
+	"bramleystand.org/replay/internal/partition"
 )
 
 // Faults runs real processes under failure.
@@ -29,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if partition.Known(f.Case) {
+		return f.partition(ctx, d)
+	}
 	var verdicts []faults.Verdict
 	known, failed := false, false
 	for _, c := range faults.Cases() {
--- a/replay/internal/fleet/entry.go
+++ b/replay/internal/fleet/entry.go
@@ -12,6 +12,8 @@
 	DataCentre string
 	Caller     netip.AddrPort
 	Peer       netip.AddrPort
-	Admin      netip.AddrPort
-	Process    *process.Process
+	// Announce is the address at which other entry VMs reach this one.
+	Announce netip.AddrPort
+	Admin    netip.AddrPort
+	Process  *process.Process
 }
--- a/replay/internal/fleet/fleet.go
+++ b/replay/internal/fleet/fleet.go
@@ -26,6 +26,7 @@
 
 	"bramleystand.org/replay/internal/address"
 	"bramleystand.org/replay/internal/process"
+	"bramleystand.org/replay/internal/relay"
 )
 
 // requestTimeout bounds each request to a process of the fleet.
@@ -38,11 +39,15 @@
 	Address netip.AddrPort
 	Entries []*Entry
 	Servers []*Server
+	// Relay interrupts connections; it is nil unless the fleet is relayed.
+	Relay *relay.Relay
 
-	options Options
-	client  *http.Client
-	mu      sync.Mutex
-	files   []*os.File
+	// platform is the address at which entry VMs reach the platform.
+	platform netip.AddrPort
+	options  Options
+	client   *http.Client
+	mu       sync.Mutex
+	files    []*os.File
 	// ended holds processes that were ended on purpose and whose exit code says nothing.
 	ended map[*process.Process]bool
 }
@@ -88,6 +93,11 @@
 	if err := f.configure(ctx); err != nil {
 		return err
 	}
+	if f.options.Relayed {
+		if err := f.relay(); err != nil {
+			return err
+		}
+	}
 	for _, e := range f.Entries {
 		if err := f.StartEntry(e); err != nil {
 			return err
@@ -110,11 +120,15 @@
 		return a
 	}
 	f.Address = next()
-	for _, dc := range o.Deployment.DataCentres[:o.Centres] {
+	f.platform = f.Address
+	for c, dc := range o.Deployment.DataCentres[:o.Centres] {
 		for i := range o.Entries {
-			f.Entries = append(f.Entries, &Entry{
-				Name: fmt.Sprintf("%s-entry-%d", dc, i+1), DataCentre: dc, Caller: next(), Peer: next(), Admin: next(),
-			})
+			e := &Entry{Name: fmt.Sprintf("%s-entry-%d", dc, i+1), DataCentre: dc, Caller: next(), Peer: next(), Admin: next()}
+			if o.Relayed {
+				e.Peer = netip.AddrPortFrom(ownAddress(c, i), e.Peer.Port())
+			}
+			e.Announce = e.Peer
+			f.Entries = append(f.Entries, e)
 		}
 		for i := range o.Servers {
 			// A quarter of the servers takes the uploads.
--- a/replay/internal/fleet/options.go
+++ b/replay/internal/fleet/options.go
@@ -17,6 +17,9 @@
 	Servers int
 	// Body is the largest request body in bytes.
 	Body int64
+	// Relayed gives each entry VM an IP address of its own and passes what it exchanges with
+	// other entry VMs and the platform through a relay.
+	Relayed bool
 	// Unfenced servers take requests without a grant.
 	Unfenced bool
 	// Backend holds further arguments of each backend server.
--- /dev/null
+++ b/replay/internal/fleet/relay.go
@@ -0,0 +1,28 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+
+	"bramleystand.org/replay/internal/relay"
+)
+
+// relay puts a relay between the entry VMs, and between them and the platform.
+func (f *Fleet) relay() error {
+	f.Relay = relay.New()
+	var err error
+	if f.platform, err = f.Relay.Open(f.Address); err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	for _, e := range f.Entries {
+		if e.Announce, err = f.Relay.Open(e.Peer); err != nil {
+			return fmt.Errorf("%s: %w", e.Name, err)
+		}
+	}
+	return nil
+}
+
+// ownAddress returns the loopback address of an entry VM. The relay tells VMs apart by it.
+func ownAddress(centre, entry int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, byte(10 + centre), byte(1 + entry)})
+}
--- a/replay/internal/fleet/start.go
+++ b/replay/internal/fleet/start.go
@@ -15,6 +15,7 @@
 	Region   string           `json:"region"`
 	Caller   netip.AddrPort   `json:"caller"`
 	Peer     netip.AddrPort   `json:"peer"`
+	Announce netip.AddrPort   `json:"announce"`
 	Admin    netip.AddrPort   `json:"admin"`
 	Platform netip.AddrPort   `json:"platform"`
 	Seeds    []netip.AddrPort `json:"seeds"`
@@ -26,11 +27,11 @@
 func (f *Fleet) StartEntry(e *Entry) error {
 	s := settingsJSON{
 		Name: e.Name, Centre: e.DataCentre, Region: f.options.Deployment.Region, Caller: e.Caller, Peer: e.Peer,
-		Admin: e.Admin, Platform: f.Address, Stop: "20s", Body: f.options.Body,
+		Announce: e.Announce, Admin: e.Admin, Platform: f.platform, Stop: "20s", Body: f.options.Body,
 	}
 	for _, o := range f.Entries {
 		if o != e {
-			s.Seeds = append(s.Seeds, o.Peer)
+			s.Seeds = append(s.Seeds, o.Announce)
 		}
 	}
 	content, err := json.MarshalIndent(s, "", "  ")
--- a/replay/internal/fleet/stop.go
+++ b/replay/internal/fleet/stop.go
@@ -76,4 +76,9 @@
 		_ = o.Close()
 	}
 	f.files = nil
+	if f.Relay != nil {
+		// An error on closing concerns nothing that still runs.
+		_ = f.Relay.Close()
+		f.Relay = nil
+	}
 }
--- /dev/null
+++ b/replay/internal/partition/choose.go
@@ -0,0 +1,148 @@
+package partition
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/replay/internal/fleet"
+)
+
+const (
+	// servedKeys and refusedKeys are how many keys of a group are looked up.
+	servedKeys  = 20
+	refusedKeys = 10
+	// leaseTime is how long a VM that has just been cut off may serve under the lease it holds.
+	leaseTime = 1200 * time.Millisecond
+	// cutGrace covers answers that were under way when the cut began.
+	cutGrace = 100 * time.Millisecond
+)
+
+// successionJSON is the platform's record of who may control a service in a data centre.
+type successionJSON struct {
+	Members []memberJSON `json:"members"`
+}
+
+type memberJSON struct {
+	Name string `json:"name"`
+}
+
+// tableJSON is the platform's copy of a routing table.
+type tableJSON struct {
+	Placements []placementJSON `json:"placements"`
+}
+
+type placementJSON struct {
+	Upstream    string     `json:"upstream"`
+	Leaseholder memberJSON `json:"leaseholder"`
+}
+
+// chooseCentre picks the first data centre. Its keys and those elsewhere stay reachable
+// from everywhere if it is cut off from the platform only.
+func chooseCentre(reachable bool) func(context.Context, *scene) error {
+	return func(_ context.Context, s *scene) error {
+		centre := s.trial.Fleet.Entries[0].DataCentre
+		s.split(func(e *fleet.Entry) bool { return e.DataCentre == centre })
+		own := func(b *fleet.Server) bool { return b.DataCentre == centre }
+		other := func(b *fleet.Server) bool { return b.DataCentre != centre }
+		s.served("own keys inside", s.keys(servedKeys, own), s.inside)
+		s.served("other keys outside", s.keys(servedKeys, other), s.outside)
+		if reachable {
+			s.served("other keys inside", s.keys(servedKeys, other), s.inside)
+			s.served("own keys outside", s.keys(servedKeys, own), s.outside)
+			return nil
+		}
+		s.refused("other keys inside", s.keys(refusedKeys, other), s.inside, cutGrace)
+		s.refused("own keys outside", s.keys(refusedKeys, own), s.outside, cutGrace)
+		return nil
+	}
+}
+
+// chooseController picks the entry VM that controls the service in the first data centre.
+func chooseController(ctx context.Context, s *scene) error {
+	controller, err := s.controller(ctx)
+	if err != nil {
+		return err
+	}
+	s.split(func(e *fleet.Entry) bool { return e.Name == controller })
+	if len(s.inside) == 0 {
+		return eris.Errorf("controller %s is not in the fleet", controller)
+	}
+	held, err := s.held(ctx, controller)
+	if err != nil {
+		return err
+	}
+	own := func(b *fleet.Server) bool { return held[b.Name] }
+	other := func(b *fleet.Server) bool { return !held[b.Name] }
+	s.served("own keys outside", s.keys(servedKeys, own), s.outside)
+	s.served("other keys outside", s.keys(servedKeys, other), s.outside)
+	s.refused("own keys inside", s.keys(refusedKeys, own), s.inside, leaseTime)
+	s.refused("other keys inside", s.keys(refusedKeys, other), s.inside, cutGrace)
+	return nil
+}
+
+// choosePeers picks the controller of the first data centre and another entry VM there.
+func choosePeers(ctx context.Context, s *scene) error {
+	controller, err := s.controller(ctx)
+	if err != nil {
+		return err
+	}
+	centre, found := s.trial.Fleet.Entries[0].DataCentre, false
+	s.split(func(e *fleet.Entry) bool {
+		other := !found && e.DataCentre == centre && e.Name != controller
+		found = found || other
+		return other || e.Name == controller
+	})
+	all := func(*fleet.Server) bool { return true }
+	s.served("all keys inside", s.keys(servedKeys, func(b *fleet.Server) bool { return b.DataCentre == centre }), s.inside)
+	s.served("all keys outside", s.keys(servedKeys, all), s.outside)
+	return nil
+}
+
+// pair names the service and the data centre in which the cut happens.
+func (s *scene) pair() string {
+	return s.service.Name + "@" + s.trial.Fleet.Entries[0].DataCentre
+}
+
+func (s *scene) controller(ctx context.Context) (string, error) {
+	var r successionJSON
+	if err := s.object(ctx, "successions/"+s.pair(), &r); err != nil {
+		return "", err
+	}
+	if len(r.Members) == 0 {
+		return "", eris.Errorf("succession record of %s has no members", s.pair())
+	}
+	return r.Members[0].Name, nil
+}
+
+// held returns the servers for which an entry VM has the leases.
+func (s *scene) held(ctx context.Context, entry string) (map[string]bool, error) {
+	var t tableJSON
+	if err := s.object(ctx, "assignments/"+s.pair(), &t); err != nil {
+		return nil, err
+	}
+	held := make(map[string]bool)
+	for _, p := range t.Placements {
+		if p.Leaseholder.Name == entry {
+			held[p.Upstream] = true
+		}
+	}
+	return held, nil
+}
+
+func (s *scene) object(ctx context.Context, name string, value any) error {
+	content, version, err := s.trial.Fleet.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	if version == 0 {
+		return eris.Errorf("platform has no object %s", name)
+	}
+	if err := json.Unmarshal(content, value); err != nil {
+		return fmt.Errorf("object %s: %w", name, err)
+	}
+	return nil
+}
--- a/replay/internal/trial/trial.go
+++ b/replay/internal/trial/trial.go
@@ -18,6 +18,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -81,6 +82,11 @@
 	return t, nil
 }
 
+// CallerAt returns a caller that uses only some entry VMs; its attempts are recorded.
+func (t *Trial) CallerAt(entries []netip.AddrPort) *caller.Caller {
+	return caller.New(t.client, entries, t.record)
+}
+
 func (t *Trial) record(a operation.Attempt) {
 	t.log.Add(a)
 	t.mu.Lock()
