peer: tell silent connections from slow requests and never use them again

Change: a leaseholder sends a sign of life every 250 ms while it handles a forwarded request; without one for 1 s the request is unknown (a lookup is resent). A connection whose call got no answer in time is closed, and the unused connections to the same peer with it. Cost: nothing for requests under 250 ms.

--- a/entry/internal/peer/client.go
+++ b/entry/internal/peer/client.go
@@ -24,6 +24,9 @@
 	// callTimeout bounds a control call, so that a silent connection costs one
 	// heartbeat and is then replaced.
 	callTimeout = 300 * time.Millisecond
+	// silenceTimeout bounds the time without a sign of life of a leaseholder that handles a
+	// request; it misses three before the connection counts as silent.
+	silenceTimeout = 4 * aliveInterval
 	// idleTimeout closes unused connections.
 	idleTimeout = time.Minute
 	// idleConnections is the most unused connections kept for one peer.
@@ -33,6 +36,9 @@
 // errDial marks failures before anything was sent.
 var errDial = errors.New("peer: no connection")
 
+// errSilent marks connections on which nothing arrives any more.
+var errSilent = errors.New("peer: no sign of life")
+
 // Dialer opens connections; *net.Dialer is one.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -67,11 +73,21 @@
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	opened, err := c.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: softCancel}), nil
+	return &conn{drpcconn.NewWithOptions(opened, drpcconn.Options{Manager: softCancel})}, nil
+}
+
+// drop closes the unused connections to a peer that left a call unanswered: those opened
+// before are likely to be silent too, and each would cost a request.
+func (c *Client) drop(to netip.AddrPort) {
+	for _, p := range []*drpcpool.Pool[netip.AddrPort, drpcpool.Conn]{c.pool, c.control} {
+		for unused, ok := p.Take(to); ok; unused, ok = p.Take(to) {
+			_ = unused.Close()
+		}
+	}
 }
 
 // Renew asks a controller to extend leases.
@@ -101,6 +117,9 @@
 	defer cancel()
 	var out WireOut
 	if err := c.control.Get(ctx, to, c.dial).Invoke(ctx, name, encoding{}, in, &out); err != nil {
+		if isUnanswered(ctx) {
+			c.drop(to)
+		}
 		var none Out
 		return none, fmt.Errorf("peer: call %s at %s: %w", name, to, err)
 	}
@@ -109,7 +128,12 @@
 
 // Forward sends a request to the leaseholder of its key.
 func (c *Client) Forward(ctx context.Context, to netip.AddrPort, r *exchange.Request) *exchange.Response {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, end := context.WithDeadline(ctx, r.Deadline)
+	ctx, fail := context.WithCancelCause(ctx)
+	cancel := func() {
+		fail(nil)
+		end()
+	}
 	stream, err := c.pool.Get(ctx, to, c.dial).NewStream(ctx, forwardCall, encoding{})
 	if err != nil {
 		cancel()
@@ -120,8 +144,13 @@
 		}
 		return unsure(err)
 	}
-	response, err := exchangeOn(stream, r, cancel)
+	silence := time.AfterFunc(silenceTimeout, func() { fail(errSilent) })
+	defer silence.Stop()
+	response, err := exchangeOn(stream, r, silence, cancel)
 	if err != nil {
+		if isUnanswered(ctx) {
+			c.drop(to)
+		}
 		_ = stream.Close()
 		cancel()
 		return unsure(err)
@@ -136,8 +165,9 @@
 	return exchange.Unsure(http.StatusBadGateway, "the connection to the leaseholder broke")
 }
 
-// exchangeOn sends a request on a stream and returns its answer, whose body owns the stream.
-func exchangeOn(stream drpc.Stream, r *exchange.Request, cancel context.CancelFunc) (*exchange.Response, error) {
+// exchangeOn sends a request on a stream and returns its answer, whose body owns the
+// stream. Each message puts off the end that silence causes.
+func exchangeOn(stream drpc.Stream, r *exchange.Request, silence *time.Timer, cancel context.CancelFunc) (*exchange.Response, error) {
 	if err := stream.MsgSend(encodeRequest(time.Now(), r), encoding{}); err != nil {
 		return nil, fmt.Errorf("peer: send request: %w", err)
 	}
@@ -146,6 +176,10 @@
 		if err := stream.MsgRecv(&w, encoding{}); err != nil {
 			return nil, fmt.Errorf("peer: receive answer: %w", err)
 		}
+		silence.Reset(silenceTimeout)
+		if w.Alive {
+			continue
+		}
 		if w.Proceed {
 			go sendRest(stream, r.Rest)
 			continue
--- a/entry/internal/peer/frame.go
+++ b/entry/internal/peer/frame.go
@@ -34,10 +34,12 @@
 	Fingerprint uint64
 }
 
-// wireResponse is the first message of an answer; Proceed alone asks for the rest of the request body.
+// wireResponse is the first message of an answer; Proceed alone asks for the rest of
+// the request body, and Alive alone says that the request is still being handled.
 type wireResponse struct {
 	_       struct{} `cbor:",toarray"`
 	Proceed bool
+	Alive   bool
 	Outcome uint8
 	Status  int
 	Header  http.Header
--- a/entry/internal/peer/server.go
+++ b/entry/internal/peer/server.go
@@ -126,7 +126,9 @@
 	}
 	ctx, cancel := context.WithDeadline(stream.Context(), r.Deadline)
 	defer cancel()
+	alive := newPulse(stream)
 	response := s.handler.Handle(ctx, r)
+	alive.stop()
 	defer response.Body.Close()
 	if err := sendResponse(stream, response); err != nil {
 		return fmt.Errorf("peer: send answer: %w", err)
