--- a/replay/internal/command/partition.go
+++ b/replay/internal/command/partition.go
@@ -30,12 +30,27 @@
 	if err := partition.WriteText(os.Stdout, results); err != nil {
 		return err
 	}
+	if err := f.writeCuts(results); err != nil {
+		return err
+	}
 	if broken {
 		return eris.New("faults: a stated bound is broken")
 	}
 	return nil
 }
 
+func (f *Faults) writeCuts(results []*partition.Result) error {
+	file, err := os.Create(f.Report)
+	if err != nil {
+		return fmt.Errorf("faults: create report: %w", err)
+	}
+	defer file.Close()
+	if err := partition.WriteJSON(file, results); err != nil {
+		return err
+	}
+	return file.Close()
+}
+
 func (f *Faults) cut(ctx context.Context, d deployment.Deployment, c partition.Case) (r *partition.Result, err error) {
 	options, clean, err := f.options(d)
 	if err != nil {
--- a/replay/internal/partition/group.go
+++ b/replay/internal/partition/group.go
@@ -74,7 +74,9 @@
 	probe.New(do, service, run+"-"+strings.ReplaceAll(g.name, " ", "-")).Run(ctx, g.keys, interval)
 }
 
-// figures evaluates the lookups that began during the cut, and those after the heal.
+// figures evaluates the lookups that began during the cut, and the time until all keys are
+// served after the heal. Lookups that must not be served count only if their deadline came
+// before the heal, since they may be served after it.
 func (g *group) figures(cutAt, healAt time.Time) Group {
 	f := Group{Name: g.name, MustServe: g.served}
 	var attempts []operation.Attempt
@@ -83,6 +85,9 @@
 		if r.Operation.Intended.Before(cutAt) || !r.Operation.Intended.Before(healAt) {
 			continue
 		}
+		if !g.served && r.Operation.Deadline.After(healAt) {
+			continue
+		}
 		f.count(r)
 		for _, a := range r.Attempts {
 			wrong := !g.served && a.Outcome == outcome.Ran && a.Sent.After(cutAt.Add(g.grace)) && a.Answered.Before(healAt)
--- a/replay/internal/partition/partition_test.go
+++ b/replay/internal/partition/partition_test.go
@@ -54,9 +54,11 @@
 		result(9, 10, outcome.Ran), result(11, 12, outcome.Ran),
 	}}
 	f := g.figures(at(0), at(10))
-	must.Eq(t, Group{Lookups: 5, Ran: 3, Refused: 1, Unknown: 1, Late: 1, Wrong: 1, Gap: 7 * time.Second, Healed: 2 * time.Second}, f)
+	must.Eq(t, Group{Lookups: 4, Ran: 2, Refused: 1, Unknown: 1, Late: 1, Wrong: 1, Gap: 7 * time.Second, Healed: 2 * time.Second}, f)
 	g.served = true
-	must.Zero(t, g.figures(at(0), at(10)).Wrong)
+	f = g.figures(at(0), at(10))
+	must.Zero(t, f.Wrong)
+	must.Eq(t, 5, f.Lookups)
 }
 
 // Guards against a process that goes back to an earlier version between two samples unnoticed.
