--- a/replay/internal/partition/case.go
+++ b/replay/internal/partition/case.go
@@ -17,6 +17,8 @@
 	// choose picks the VMs concerned and the keys that are looked up.
 	choose func(ctx context.Context, s *scene) error
 	cut    func(s *scene)
+	// silent says that open connections must have gone silent.
+	silent bool
 }
 
 // Cases returns all cases.
@@ -31,7 +33,7 @@
 			s.cutPlatform(s.inside)
 		}},
 		{Name: "platform-cut", choose: chooseCentre(true), cut: func(s *scene) { s.cutPlatform(s.inside) }},
-		{Name: "silent-peers", choose: choosePeers, cut: func(s *scene) { s.silence() }},
+		{Name: "silent-peers", choose: choosePeers, silent: true, cut: func(s *scene) { s.silence() }},
 	}
 }
 
--- a/replay/internal/partition/output.go
+++ b/replay/internal/partition/output.go
@@ -29,8 +29,8 @@
 		return fmt.Errorf("partition: write table: %w", err)
 	}
 	for _, r := range results {
-		fmt.Fprintf(w, "%s: double owners %d, double runs %d, false not-run %d, other rules %d\n", r.Case, r.Rules[oracle.DoubleOwner],
-			r.Rules[oracle.DoubleRun], r.Rules[oracle.FalseNotRun], r.Rules[oracle.ForeignAnswer]+r.Rules[oracle.MissingRun])
+		fmt.Fprintf(w, "%s: double owners %d, double runs %d, false not-run %d, other rules %d, silenced connections %d\n", r.Case, r.Rules[oracle.DoubleOwner],
+			r.Rules[oracle.DoubleRun], r.Rules[oracle.FalseNotRun], r.Rules[oracle.ForeignAnswer]+r.Rules[oracle.MissingRun], r.Silenced)
 		for _, b := range r.Broken() {
 			fmt.Fprintf(w, "%s: %s\n", r.Case, b)
 		}
--- a/replay/internal/partition/partition.go
+++ b/replay/internal/partition/partition.go
@@ -85,6 +85,9 @@
 	if _, err := s.trial.Sweep(ctx, s.service, "after"); err != nil {
 		r.Problems = append(r.Problems, err.Error())
 	}
+	if r.Silenced = s.silenced; c.silent && r.Silenced == 0 {
+		r.Problems = append(r.Problems, "no connection went silent")
+	}
 	for _, g := range s.groups {
 		r.Groups = append(r.Groups, g.figures(s.cutAt, s.healAt))
 	}
--- a/replay/internal/partition/result.go
+++ b/replay/internal/partition/result.go
@@ -20,6 +20,8 @@
 	Case      string
 	Groups    []Group
 	Processes []Process
+	// Silenced is the number of open connections that went silent.
+	Silenced int
 	// Rules counts broken invariants.
 	Rules    map[oracle.Rule]int
 	Problems []string
--- a/replay/internal/partition/scene.go
+++ b/replay/internal/partition/scene.go
@@ -21,8 +21,10 @@
 	outside []*fleet.Entry
 	groups  []*group
 	// cuts holds the pairs of VMs that have to be healed.
-	cuts                    [][2]netip.Addr
-	versions                *versions
+	cuts     [][2]netip.Addr
+	versions *versions
+	// silenced is the number of connections that went silent.
+	silenced                int
 	cutAt, switchAt, healAt time.Time
 }
 
@@ -61,7 +63,7 @@
 func (s *scene) silence() {
 	for i, x := range s.inside {
 		for _, y := range s.inside[i+1:] {
-			s.trial.Fleet.Relay.Silence(x.Peer.Addr(), y.Peer.Addr())
+			s.silenced += s.trial.Fleet.Relay.Silence(x.Peer.Addr(), y.Peer.Addr())
 		}
 	}
 }
