--- a/entry/internal/caller/handler.go
+++ b/entry/internal/caller/handler.go
@@ -97,6 +97,9 @@
 	defer cancel()
 	response := h.router.Route(ctx, request)
 	defer response.Body.Close()
+	if request.Rest != nil {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	h.counters.Count(request.Rank, response.Outcome, time.Since(start))
 	if request.TicketOnly && response.Ticket != "" {
 		writeTicket(w, response.Ticket)
--- a/entry/internal/caller/parse.go
+++ b/entry/internal/caller/parse.go
@@ -86,9 +86,17 @@
 		return exchange.Refuse(http.StatusRequestEntityTooLarge,
 			fmt.Sprintf("body has %d bytes, allowed are at most %d", r.ContentLength, h.bodyLimit))
 	}
-	// A caller that stops sending must not hold a request beyond its deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(request.Deadline)
+	if r.ContentLength == 0 {
+		return nil
+	}
+	// A caller that stops sending must not hold a request beyond its deadline. A deadline that is left
+	// set would end the connection for later requests.
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(request.Deadline)
 	prefix, rest, err := readPrefix(http.MaxBytesReader(w, r.Body, h.bodyLimit), r.ContentLength)
+	if rest == nil && err == nil {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		return exchange.Refuse(http.StatusRequestTimeout, "the body did not arrive whole before the deadline")
 	}
--- a/entry/internal/peer/capacity_test.go
+++ b/entry/internal/peer/capacity_test.go
@@ -165,7 +165,7 @@
 // BenchmarkCalls measures the processor time of both ends of a control call on an open connection.
 func BenchmarkCalls(b *testing.B) {
 	to := listen(b, &gate{})
-	c := NewClient()
+	c := NewClient(&net.Dialer{})
 	b.Cleanup(func() { _ = c.Close() })
 	run := func(name string, call func() error) {
 		b.Run(name, func(b *testing.B) {
@@ -209,7 +209,7 @@
 				g := &gate{open: make(chan struct{})}
 				to := listen(b, g)
 				before := held()
-				c := NewClient()
+				c := NewClient(&net.Dialer{})
 				g.entered.Add(n)
 				var calls sync.WaitGroup
 				for range n {
--- a/entry/internal/peer/client.go
+++ b/entry/internal/peer/client.go
@@ -24,6 +24,9 @@
 	// callTimeout bounds a control call, so that a silent connection costs one
 	// heartbeat and is then replaced.
 	callTimeout = 300 * time.Millisecond
+	// silenceTimeout bounds the time without a sign of life of a leaseholder that handles a
+	// request; it misses three before the connection counts as silent.
+	silenceTimeout = 4 * aliveInterval
 	// idleTimeout closes unused connections.
 	idleTimeout = time.Minute
 	// idleConnections is the most unused connections kept for one peer.
@@ -33,17 +36,27 @@
 // errDial marks failures before anything was sent.
 var errDial = errors.New("peer: no connection")
 
+// errSilent marks connections on which nothing arrives any more.
+var errSilent = errors.New("peer: no sign of life")
+
+// Dialer opens connections; *net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Client calls other entry processes over pooled connections.
 type Client struct {
+	dialer  Dialer
 	pool    *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 	control *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client {
+func NewClient(d Dialer) *Client {
 	options := drpcpool.Options{Expiration: idleTimeout, KeyCapacity: idleConnections}
 	return &Client{
-		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](options),
+		dialer: d,
+		pool:   drpcpool.New[netip.AddrPort, drpcpool.Conn](options),
 		// Control calls have connections of their own, so that they never wait for bodies.
 		control: drpcpool.New[netip.AddrPort, drpcpool.Conn](options),
 	}
@@ -57,13 +70,24 @@
 	return nil
 }
 
-func dial(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address.String())
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	opened, err := c.dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: softCancel}), nil
+	return &conn{drpcconn.NewWithOptions(opened, drpcconn.Options{Manager: softCancel})}, nil
+}
+
+// drop closes the unused connections to a peer that left a call unanswered: those opened
+// before are likely to be silent too, and each would cost a request.
+func (c *Client) drop(to netip.AddrPort) {
+	for _, p := range []*drpcpool.Pool[netip.AddrPort, drpcpool.Conn]{c.pool, c.control} {
+		for unused, ok := p.Take(to); ok; unused, ok = p.Take(to) {
+			_ = unused.Close()
+		}
+	}
 }
 
 // Renew asks a controller to extend leases.
@@ -92,7 +116,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var out WireOut
-	if err := c.control.Get(ctx, to, dial).Invoke(ctx, name, encoding{}, in, &out); err != nil {
+	if err := c.control.Get(ctx, to, c.dial).Invoke(ctx, name, encoding{}, in, &out); err != nil {
+		if isUnanswered(ctx) {
+			c.drop(to)
+		}
 		var none Out
 		return none, fmt.Errorf("peer: call %s at %s: %w", name, to, err)
 	}
@@ -101,47 +128,45 @@
 
 // Forward sends a request to the leaseholder of its key.
 func (c *Client) Forward(ctx context.Context, to netip.AddrPort, r *exchange.Request) *exchange.Response {
-	ctx, cancelCause := context.WithCancelCause(ctx)
-	ctx, cancelDeadline := context.WithDeadline(ctx, r.Deadline)
+	ctx, end := context.WithDeadline(ctx, r.Deadline)
+	ctx, fail := context.WithCancelCause(ctx)
 	cancel := func() {
-		cancelDeadline()
-		cancelCause(nil)
+		fail(nil)
+		end()
 	}
-	stream, err := c.pool.Get(ctx, to, dial).NewStream(ctx, forwardCall, encoding{})
+	stream, err := c.pool.Get(ctx, to, c.dial).NewStream(ctx, forwardCall, encoding{})
 	if err != nil {
-		if errors.Is(err, errDial) {
-			cancel()
-			response := exchange.Refuse(http.StatusServiceUnavailable, "the leaseholder cannot be reached")
-			response.Moved = true
-			return response
-		}
-		response := unsure(ctx, err)
+		// The request is in the first message of the stream, which was not sent. A pooled
+		// connection can be unusable because an earlier call on it was cancelled.
 		cancel()
+		response := exchange.Refuse(http.StatusServiceUnavailable, "the leaseholder cannot be reached")
+		response.Moved = true
 		return response
 	}
-	silent := time.AfterFunc(silentAfter, func() { cancelCause(errSilent) })
-	response, err := exchangeOn(stream, r, silent, cancel)
-	silent.Stop()
+	silence := time.AfterFunc(silenceTimeout, func() { fail(errSilent) })
+	defer silence.Stop()
+	response, err := exchangeOn(stream, r, silence, cancel)
 	if err != nil {
-		response = unsure(ctx, err)
-		cancel()
+		if isUnanswered(ctx) {
+			c.drop(to)
+		}
 		_ = stream.Close()
+		cancel()
+		return unsure(err)
 	}
 	return response
 }
 
-func unsure(ctx context.Context, err error) *exchange.Response {
-	if errors.Is(context.Cause(ctx), errSilent) {
-		return exchange.Unsure(http.StatusBadGateway, "the connection to the leaseholder went silent")
-	}
+func unsure(err error) *exchange.Response {
 	if errors.Is(err, context.DeadlineExceeded) {
 		return exchange.Unsure(http.StatusGatewayTimeout, "the leaseholder did not answer in time")
 	}
 	return exchange.Unsure(http.StatusBadGateway, "the connection to the leaseholder broke")
 }
 
-// exchangeOn sends a request on a stream and returns its answer, whose body owns the stream.
-func exchangeOn(stream drpc.Stream, r *exchange.Request, silent *time.Timer, cancel context.CancelFunc) (*exchange.Response, error) {
+// exchangeOn sends a request on a stream and returns its answer, whose body owns the
+// stream. Each message puts off the end that silence causes.
+func exchangeOn(stream drpc.Stream, r *exchange.Request, silence *time.Timer, cancel context.CancelFunc) (*exchange.Response, error) {
 	if err := stream.MsgSend(encodeRequest(time.Now(), r), encoding{}); err != nil {
 		return nil, fmt.Errorf("peer: send request: %w", err)
 	}
@@ -150,8 +175,8 @@
 		if err := stream.MsgRecv(&w, encoding{}); err != nil {
 			return nil, fmt.Errorf("peer: receive answer: %w", err)
 		}
-		silent.Reset(silentAfter)
-		if w.Working {
+		silence.Reset(silenceTimeout)
+		if w.Alive {
 			continue
 		}
 		if w.Proceed {
--- a/entry/internal/peer/peer_test.go
+++ b/entry/internal/peer/peer_test.go
@@ -75,7 +75,7 @@
 
 func forward(t *testing.T, to netip.AddrPort, r *exchange.Request) *exchange.Response {
 	t.Helper()
-	c := peer.NewClient()
+	c := peer.NewClient(&net.Dialer{})
 	t.Cleanup(func() { _ = c.Close() })
 	r.Deadline = time.Now().Add(time.Minute)
 	return c.Forward(t.Context(), to, r)
@@ -163,28 +163,27 @@
 	must.True(t, response.Moved)
 }
 
-// Guards against a request that waits for its whole deadline on a connection that went silent.
-func TestSilentConnection(t *testing.T) {
+// Guards against a request being reported as possibly run although the pooled connection was already
+// unusable: its first message carries the request, and it was not sent.
+func TestUnusableConnection(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer l.Close()
-	response := forward(t, netip.MustParseAddrPort(l.Addr().String()), &exchange.Request{})
-	must.Eq(t, outcome.Unknown, response.Outcome)
-	must.StrContains(t, response.Reason, "silent")
-}
-
-// Guards against a slow request being taken for a silent connection.
-func TestSlowRequest(t *testing.T) {
-	to, _ := start(t, func(ctx context.Context, _ *exchange.Request) *exchange.Response {
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
 		}
-		return exchange.Text(outcome.Ran, http.StatusOK, "slow")
-	})
-	response := forward(t, to, &exchange.Request{})
-	must.Eq(t, outcome.Ran, response.Outcome)
-	must.NoError(t, response.Body.Close())
+	}()
+	c := peer.NewClient(&net.Dialer{})
+	t.Cleanup(func() { _ = c.Close() })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	response := c.Forward(ctx, netip.MustParseAddrPort(l.Addr().String()), &exchange.Request{Deadline: time.Now().Add(time.Minute)})
+	must.Eq(t, outcome.NotRun, response.Outcome)
 }
 
 // Guards against a promise that a request was not run although the leaseholder had it when it stopped.
@@ -202,7 +201,7 @@
 // Guards against fields that a codec forgets.
 func TestControlMessages(t *testing.T) {
 	to, _ := start(t, nil)
-	c := peer.NewClient()
+	c := peer.NewClient(&net.Dialer{})
 	t.Cleanup(func() { _ = c.Close() })
 	pair := control.Pair{Service: "s", DataCentre: "d"}
 	member := control.Member{Name: "m", Incarnation: 1, DataCentre: "d", Address: to}
--- a/entry/internal/peer/server.go
+++ b/entry/internal/peer/server.go
@@ -11,7 +11,7 @@
 //	server := peer.NewServer(handler, controls, logger)
 //	go server.Serve(ctx, listener)
 //
-//	client := peer.NewClient(self)
+//	client := peer.NewClient(&net.Dialer{})
 //	response := client.Forward(ctx, leaseholder, request)
 package peer
 
@@ -126,9 +126,9 @@
 	}
 	ctx, cancel := context.WithDeadline(stream.Context(), r.Deadline)
 	defer cancel()
-	beats := startHeartbeat(stream)
+	alive := newPulse(stream)
 	response := s.handler.Handle(ctx, r)
-	beats.stop()
+	alive.stop()
 	defer response.Body.Close()
 	if err := sendResponse(stream, response); err != nil {
 		return fmt.Errorf("peer: send answer: %w", err)
--- a/entry/internal/process/capacity_test.go
+++ b/entry/internal/process/capacity_test.go
@@ -126,7 +126,7 @@
 	}
 	must.NoError(b, u.Adopt(time.Now(), fence.New(1, 1), all, nil))
 	self, holder := control.Member{Name: "e1"}, control.Member{Name: "e1"}
-	peers := peer.NewClient()
+	peers := peer.NewClient(&net.Dialer{})
 	b.Cleanup(func() { _ = peers.Close() })
 	if forward {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/entry/internal/process/depart.go
+++ b/entry/internal/process/depart.go
@@ -30,10 +30,7 @@
 	for _, c := range p.controls.all() {
 		c.Leave(start)
 	}
-	if p.alone(start) {
-		return nil
-	}
-	if !waitFor(bounded, func() bool { return p.leases() == 0 }) {
+	if !waitFor(bounded, func() bool { return p.leases() == 0 || p.alone(time.Now()) }) {
 		p.logger.WithField("leases", p.leases()).Warn("leases not handed over before the deadline")
 	}
 	for _, c := range p.controls.all() {
@@ -41,7 +38,7 @@
 	}
 	// A member that is only replaced once it is gone can't acknowledge the change,
 	// and two members that leave together would cost the pair its majority.
-	if !waitFor(bounded, func() bool { return p.memberships() == 0 }) {
+	if !waitFor(bounded, func() bool { return p.memberships() == 0 || p.alone(time.Now()) }) {
 		p.logger.WithField("pairs", p.memberships()).Warn("still a succession member at the deadline")
 	}
 	waitFor(bounded, func() bool { return time.Since(start) >= noticeTime })
--- a/entry/internal/process/runner.go
+++ b/entry/internal/process/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -22,8 +21,9 @@
 const (
 	// tickInterval is the time between two looks at an upstream.
 	tickInterval = 50 * time.Millisecond
-	// loadInterval is the time between two load reports.
-	loadInterval = 2 * time.Second
+	// loadInterval is the time between two load reports. They make up most of a renewal
+	// (445 of 472 bytes for each upstream), and moves are planned every 10 s.
+	loadInterval = 10 * time.Second
 	// grantTimeout bounds one grant to a backend server.
 	grantTimeout = 300 * time.Millisecond
 )
@@ -40,12 +40,11 @@
 	fence     fence.Fence
 	granting  atomic.Bool
 	nextLoads time.Time
-	loads     []control.ShardLoad
 	lapsed    bool
 }
 
-func newRunner(service string, spec configuration.Upstream, p *pair.Pair, suspects *suspect.List, logger log.Interface) *runner {
-	client := backend.New(spec.Address, spec.Connections, &net.Dialer{})
+func newRunner(service string, spec configuration.Upstream, p *pair.Pair, suspects *suspect.List, d backend.Dialer, logger log.Interface) *runner {
+	client := backend.New(spec.Address, spec.Connections, d)
 	m := newMonitor(client, spec.Slots, time.Now())
 	return &runner{
 		spec: spec, pair: p, client: client, monitor: m,
@@ -135,11 +134,12 @@
 		}
 	}
 	r.upstream.SetSlots(r.monitor.slots())
+	var loads []control.ShardLoad
 	if !now.Before(r.nextLoads) {
 		r.nextLoads = now.Add(loadInterval)
-		r.loads = r.upstream.Loads(now)
+		loads = r.upstream.Loads(now)
 	}
-	r.pair.Holder(func(h *lease.Holder) { h.Report(now, r.spec.Name, state, r.loads) })
+	r.pair.Holder(func(h *lease.Holder) { h.Report(now, r.spec.Name, state, loads) })
 }
 
 // grant tells a fenced server what it owns and until when; one grant is under way at a time.
--- a/replay/internal/fleet/options.go
+++ b/replay/internal/fleet/options.go
@@ -21,6 +21,9 @@
 	Body int64
 	// Stop is the longest time that a graceful stop of an entry process may take.
 	Stop time.Duration
+	// Relayed gives each entry VM an IP address of its own and passes what it exchanges with
+	// other entry VMs and the platform through a relay.
+	Relayed bool
 	// Unfenced servers take requests without a grant.
 	Unfenced bool
 	// Backend holds further arguments of each backend server.
