--- a/entry/internal/controller/loss_test.go
+++ b/entry/internal/controller/loss_test.go
@@ -56,7 +56,7 @@
 					must.Eq(t, "", w.oracle.failure)
 					longest, sum = max(longest, took), sum+took
 				}
-				t.Logf("unserved: mean %v, longest %v", (sum / time.Duration(seeds)).Round(time.Millisecond), longest.Round(time.Millisecond))
+				t.Logf("%s: unserved mean %v, longest %v", t.Name(), (sum / time.Duration(seeds)).Round(time.Millisecond), longest.Round(time.Millisecond))
 			})
 		}
 	}
