Send nothing to a failed server until it answers a probe

Change: the upstream answers such requests as moved; a failed server that answers again serves what it still owns. A departing process no longer takes a silent peer for a missing one: with it TestWholePath failed once, the peer lost its majority. Before: TestServerStopsAnswering fails with two requests started.

--- a/entry/internal/detector/detector.go
+++ b/entry/internal/detector/detector.go
@@ -216,6 +216,11 @@
 	return d.state
 }
 
+// Answering reports whether requests may be sent: a failed server gets none until it answers a probe.
+func (d *Detector) Answering() bool {
+	return d.state != control.Failed || !d.good.IsZero()
+}
+
 // Slots returns how many of the configured slots may be used.
 func (d *Detector) Slots(now time.Time, configured int) int {
 	if d.state == control.Failed {
--- a/entry/internal/process/depart.go
+++ b/entry/internal/process/depart.go
@@ -45,10 +45,11 @@
 	return nil
 }
 
-// alone reports whether there is no other entry process to hand anything over to.
+// alone reports whether all other entry processes are about to stop too. One that
+// seems silent may still need this process's acknowledgement.
 func (p *Process) alone(now time.Time) bool {
 	for _, a := range p.directory.Members(now) {
-		if !a.Silent && !a.Leaving && !a.Member.Same(p.self) {
+		if !a.Leaving && !a.Member.Same(p.self) {
 			return false
 		}
 	}
--- a/entry/internal/process/monitor.go
+++ b/entry/internal/process/monitor.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// answering reports whether requests may be sent to the server.
+func (m *monitor) answering() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.detector.Answering()
+}
+
 // slots returns how many slots may be used; at least one, since a failed server
 // gets no requests anyway once its shards have moved.
 func (m *monitor) slots() int {
--- a/entry/internal/process/runner.go
+++ b/entry/internal/process/runner.go
@@ -129,10 +129,8 @@
 	state, changed := r.monitor.tick(ctx, now)
 	if changed {
 		r.logger.WithField("state", state.String()).Warn("backend server changed state")
-		if state == control.Failed {
-			r.upstream.Abort()
-		}
 	}
+	r.upstream.Serve(r.monitor.answering())
 	r.upstream.SetSlots(r.monitor.slots())
 	var loads []control.ShardLoad
 	if !now.Before(r.nextLoads) {
--- a/entry/internal/upstream/abort.go
+++ b/entry/internal/upstream/abort.go
@@ -8,12 +8,20 @@
 	"bramleystand.org/entry/internal/exchange"
 )
 
-// Abort ends all requests at a server that has failed: their outcome is unknown and
-// those that wait are answered as moved. Without it the shards of a frozen server
-// could only be released when the last deadline has passed.
-func (u *Upstream) Abort() {
+// Serve says whether the server answers at all. When it no longer does, all requests
+// at it end with an unknown outcome, and those that wait or arrive are answered as
+// moved. Without this the shards of a frozen server could only be released when the
+// deadline of the last request has passed.
+func (u *Upstream) Serve(answering bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.failed == !answering {
+		return
+	}
+	u.failed = !answering
+	if !u.failed {
+		return
+	}
 	u.bounceAll()
 	u.abort()
 	u.serving, u.abort = context.WithCancel(context.Background())
--- a/entry/internal/upstream/handle.go
+++ b/entry/internal/upstream/handle.go
@@ -146,7 +146,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	f, ok := u.lease.Allowed(time.Now(), u.spec.Name, s)
-	if !ok || f != u.fence {
+	if !ok || f != u.fence || u.failed {
 		return 0, false
 	}
 	u.running[s]++
--- a/entry/internal/upstream/upstream.go
+++ b/entry/internal/upstream/upstream.go
@@ -63,7 +63,8 @@
 	running map[shard.Shard]int
 	// barred holds until when an unfenced server may run a request with an unknown outcome.
 	barred map[shard.Shard]time.Time
-	// serving ends when the server has failed.
+	// failed says that the server does not answer; serving ends when it fails.
+	failed  bool
 	serving context.Context
 	abort   context.CancelFunc
 	loads   loads
--- a/entry/internal/upstream/upstream_test.go
+++ b/entry/internal/upstream/upstream_test.go
@@ -238,7 +238,7 @@
 
 // Guards against the shards of a frozen server being held until the deadlines of its requests, against
 // its lookups being condemned, and against an unfenced server being replaced while it may run a request.
-func TestAbort(t *testing.T) {
+func TestServerStopsAnswering(t *testing.T) {
 	for _, fenced := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			suspects := suspect.New(10)
@@ -249,11 +249,14 @@
 				done <- response
 			}()
 			synctest.Wait()
-			r.Abort()
+			r.Serve(false)
 			response := <-done
 			must.Eq(t, outcome.Unknown, response.Outcome)
 			must.False(t, response.Crashed)
 			must.Eq(t, suspect.Clear, suspects.Check(time.Now(), 7))
+			late, _ := r.do(t, exchange.Request{Rank: rank.Lookup})
+			must.True(t, late.Moved)
+			must.EqOp(t, 1, r.server.started.Load())
 			_, released := r.Release(time.Now(), 0)
 			must.Eq(t, fenced, released)
 			_, released = r.Release(time.Now().Add(time.Second), 0)
