--- a/entry/internal/peer/capacity_test.go
+++ b/entry/internal/peer/capacity_test.go
@@ -106,6 +106,7 @@
 		measure(b, fmt.Sprintf("first renew answer, %d upstreams", n), granted(n, false), encodeRenewResponse, decodeRenewResponse)
 	}
 	measure(b, "support request", support(nil), encodeSupportRequest, decodeSupportRequest)
+	measure(b, "support answer", answers{}.Support(time.Time{}, support(nil)), encodeSupportResponse, decodeSupportResponse)
 	for _, n := range []int{30, 300, 420, 2100} {
 		measure(b, fmt.Sprintf("support request with table, %d upstreams", n), support(table(n)), encodeSupportRequest, decodeSupportRequest)
 	}
@@ -118,7 +119,9 @@
 func (answers) Renew(time.Time, control.RenewRequest) control.RenewResponse { return granted(1, true) }
 
 func (answers) Support(_ time.Time, q control.SupportRequest) control.SupportResponse {
-	return control.SupportResponse{Pair: q.Pair, Accepted: true, Term: q.Term, Record: q.Record, Member: someMember, Version: q.Version}
+	return control.SupportResponse{
+		Pair: q.Pair, Accepted: true, Term: q.Term, Record: q.Record, Member: someMember, Version: q.Version,
+	}
 }
 
 func (answers) Resign(time.Time, control.ResignRequest) {}
