replay: state that a cut must not fail lookups of keys whose leases it leaves alone

The design says that a data centre that is cut off serves its own shards. Change: bound 0 for failed lookups in centre-cut, platform-cut and silent-peers, where no leaseholder is cut off from its controller.

--- a/replay/internal/partition/choose.go
+++ b/replay/internal/partition/choose.go
@@ -48,11 +48,11 @@
 		s.split(func(e *fleet.Entry) bool { return e.DataCentre == centre })
 		own := func(b *fleet.Server) bool { return b.DataCentre == centre }
 		other := func(b *fleet.Server) bool { return b.DataCentre != centre }
-		s.served("own keys inside", s.keys(servedKeys, own), s.inside)
-		s.served("other keys outside", s.keys(servedKeys, other), s.outside)
+		s.steady("own keys inside", s.keys(servedKeys, own), s.inside)
+		s.steady("other keys outside", s.keys(servedKeys, other), s.outside)
 		if reachable {
-			s.served("other keys inside", s.keys(servedKeys, other), s.inside)
-			s.served("own keys outside", s.keys(servedKeys, own), s.outside)
+			s.steady("other keys inside", s.keys(servedKeys, other), s.inside)
+			s.steady("own keys outside", s.keys(servedKeys, own), s.outside)
 			return nil
 		}
 		s.refused("other keys inside", s.keys(refusedKeys, other), s.inside, cutGrace)
@@ -97,8 +97,8 @@
 		return other || e.Name == controller
 	})
 	all := func(*fleet.Server) bool { return true }
-	s.served("all keys inside", s.keys(servedKeys, func(b *fleet.Server) bool { return b.DataCentre == centre }), s.inside)
-	s.served("all keys outside", s.keys(servedKeys, all), s.outside)
+	s.steady("all keys inside", s.keys(servedKeys, func(b *fleet.Server) bool { return b.DataCentre == centre }), s.inside)
+	s.steady("all keys outside", s.keys(servedKeys, all), s.outside)
 	return nil
 }
 
--- a/replay/internal/partition/figures.go
+++ b/replay/internal/partition/figures.go
@@ -12,6 +12,8 @@
 	Name string
 	// MustServe says that the keys must be served during the cut.
 	MustServe bool
+	// Steady says that each lookup must be served.
+	Steady bool
 	// Lookups is the number of lookups that began during the cut, by how they ended.
 	Lookups, Ran, Refused, Unknown, Lost int
 	// Late counts lookups that ended after their deadline.
@@ -55,6 +57,7 @@
 		}
 	}
 	add(g.MustServe && g.Gap > servedBound, "not served for %s, bound %s", g.Gap.Round(time.Millisecond), servedBound)
+	add(g.Steady && g.Ran < g.Lookups, "%d of %d lookups failed, bound 0", g.Lookups-g.Ran, g.Lookups)
 	add(g.Healed > servedBound || g.Missing > 0, "served %s after the heal, %d never, bound %s", g.Healed.Round(time.Millisecond), g.Missing, servedBound)
 	add(g.Late > 0, "%d lookups ended late, bound 0", g.Late)
 	add(g.Lost > 0, "%d lookups without an answer, bound 0", g.Lost)
--- a/replay/internal/partition/group.go
+++ b/replay/internal/partition/group.go
@@ -33,11 +33,17 @@
 	// once grace has passed since its start.
 	served bool
 	grace  time.Duration
+	// steady says that no lookup may fail, because the cut ends no lease of the keys.
+	steady bool
 
 	mu      sync.Mutex
 	results []operation.Result
 }
 
+func (s *scene) steady(name string, keys []string, entries []*fleet.Entry) {
+	s.add(&group{name: name, keys: keys, served: true, steady: true}, entries)
+}
+
 func (s *scene) served(name string, keys []string, entries []*fleet.Entry) {
 	s.add(&group{name: name, keys: keys, served: true}, entries)
 }
@@ -78,7 +84,7 @@
 // served after the heal. Lookups that must not be served count only if their deadline came
 // before the heal, since they may be served after it.
 func (g *group) figures(cutAt, healAt time.Time) Group {
-	f := Group{Name: g.name, MustServe: g.served}
+	f := Group{Name: g.name, MustServe: g.served, Steady: g.steady}
 	var attempts []operation.Attempt
 	for _, r := range g.results {
 		attempts = append(attempts, r.Attempts...)
--- a/replay/internal/partition/partition_test.go
+++ b/replay/internal/partition/partition_test.go
@@ -17,12 +17,18 @@
 func TestBroken(t *testing.T) {
 	over := servedBound + time.Millisecond
 	good := Result{
-		Groups:    []Group{{MustServe: true, Gap: servedBound, Healed: servedBound, Refused: 1, Unknown: 1}, {Gap: cutTime}},
+		Groups: []Group{
+			{MustServe: true, Lookups: 2, Ran: 1},
+			{MustServe: true, Steady: true, Lookups: 1, Ran: 1},
+			{MustServe: true, Gap: servedBound, Healed: servedBound, Refused: 1, Unknown: 1},
+			{Gap: cutTime},
+		},
 		Processes: []Process{{Followed: switchBound}},
 	}
 	must.SliceEmpty(t, good.Broken())
 	for name, r := range map[string]Result{
 		"gap":      {Groups: []Group{{MustServe: true, Gap: over}}},
+		"failed":   {Groups: []Group{{MustServe: true, Steady: true, Lookups: 2, Ran: 1}}},
 		"heal":     {Groups: []Group{{Healed: over}}},
 		"missing":  {Groups: []Group{{Missing: 1}}},
 		"late":     {Groups: []Group{{Late: 1}}},
