Drive upstreams only while their lease is held, and grant less often

Cause: every process looked at each upstream of its data centre every 50 ms and sent a grant with all shards on each look (docs/CAPACITY.md, broken budgets 1, 2). Change: runners without a lease sleep until the pair's renewals name them; a grant is sent when the shards change and every 300 ms, not 20 times a second.

--- a/entry/internal/process/local.go
+++ b/entry/internal/process/local.go
@@ -9,6 +9,8 @@
 
 	"bramleystand.org/entry/internal/directory"
 	"bramleystand.org/entry/internal/exchange"
+	"bramleystand.org/entry/internal/lease"
+	"bramleystand.org/entry/internal/pair"
 )
 
 // local runs the requests of which this process is the leaseholder.
@@ -41,6 +43,24 @@
 	return response
 }
 
+// follow wakes the runners of the upstreams under lease after each renewal, until the context ends.
+func (l *local) follow(ctx context.Context, service string, p *pair.Pair) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.Applied():
+		}
+		var names []string
+		p.Holder(func(h *lease.Holder) { names = h.Upstreams() })
+		for _, name := range names {
+			if r := l.get(runnerKey{service, name}); r != nil {
+				r.wakeUp()
+			}
+		}
+	}
+}
+
 // find returns the runner whose lease has the shard. The routing table is only a
 // hint: the leases of this process are newer than its copy of the table.
 func (l *local) find(r *exchange.Request) *runner {
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -124,6 +124,9 @@
 func (p *Process) startPair(id control.Pair) *pair.Pair {
 	c := pair.New(id, p.self, loadPlanner{}, p.view, p.peers, p.store, p.logger)
 	p.loop(c.Run)
+	if id.DataCentre == p.self.DataCentre {
+		p.loop(func(ctx context.Context) { p.local.follow(ctx, id.Service, c) })
+	}
 	return c
 }
 
--- a/entry/internal/process/runner.go
+++ b/entry/internal/process/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	loadInterval = 10 * time.Second
 	// grantTimeout bounds one grant to a backend server.
 	grantTimeout = 300 * time.Millisecond
+	// grantInterval is the time between two grants of the same shards. A grant lasts up to
+	// control.LeaseTTL, so that two may be lost before the server refuses requests.
+	grantInterval = 300 * time.Millisecond
 )
 
 // runner drives one upstream: its grants, probes, releases and reports.
@@ -37,8 +41,17 @@
 	monitor  *monitor
 	logger   log.Interface
 
-	fence     fence.Fence
-	granting  atomic.Bool
+	// wake makes run look at the lease at once.
+	wake chan struct{}
+
+	fence fence.Fence
+	// granted and shards are what the latest grant was for.
+	granted  fence.Fence
+	shards   []shard.Shard
+	granting atomic.Bool
+	// regrant asks for a grant before nextGrant.
+	regrant   atomic.Bool
+	nextGrant time.Time
 	nextLoads time.Time
 	lapsed    bool
 }
@@ -50,24 +63,39 @@
 		spec: spec, pair: p, client: client, monitor: m,
 		upstream: upstream.New(service, spec, p, client, suspects, m),
 		logger:   logger.WithField("upstream", spec.Name),
+		wake:     make(chan struct{}, 1),
 	}
 }
 
-// run drives the upstream until the context ends.
+// run drives the upstream until the context ends. Without a lease it only waits to
+// be woken: a data centre has far more upstreams than a process has leases.
 func (r *runner) run(ctx context.Context) {
 	defer r.client.Close()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		r.tick(ctx, time.Now())
+		ticks := ticker.C
+		if r.fence == 0 {
+			ticks = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			r.tick(ctx, time.Now())
+		case <-r.wake:
+		case <-ticks:
 		}
 	}
 }
 
+// wakeUp makes run look at the lease at once.
+func (r *runner) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // tick does what is due. It takes what it needs from the lease first, because the
 // upstream's lock comes before that of the lease.
 func (r *runner) tick(ctx context.Context, now time.Time) {
@@ -88,12 +116,18 @@
 	for _, s := range releasing {
 		if release, ok := r.upstream.Release(now, s); ok {
 			r.pair.Holder(func(h *lease.Holder) { h.Idle(now, r.spec.Name, release) })
+			r.regrant.Store(true)
 		}
 	}
 	if f == 0 {
 		return
 	}
-	if r.spec.Fenced && current {
+	if f != r.granted || !slices.Equal(shards, r.shards) {
+		r.granted, r.shards = f, shards
+		r.regrant.Store(true)
+	}
+	if r.spec.Fenced && current && (r.regrant.Load() || !now.Before(r.nextGrant)) {
+		r.nextGrant = now.Add(grantInterval)
 		r.grant(ctx)
 	}
 	r.observe(ctx, now)
@@ -145,13 +179,17 @@
 	if !r.granting.CompareAndSwap(false, true) {
 		return
 	}
+	r.regrant.Store(false)
 	go func() {
 		defer r.granting.Store(false)
-		r.sendGrant(ctx)
+		if !r.sendGrant(ctx) {
+			r.regrant.Store(true)
+		}
 	}()
 }
 
-func (r *runner) sendGrant(ctx context.Context) {
+// sendGrant reports whether the server has accepted the grant.
+func (r *runner) sendGrant(ctx context.Context) bool {
 	now := time.Now()
 	var (
 		g        lease.Grant
@@ -163,13 +201,14 @@
 		deadline = h.Deadline()
 	})
 	if !ok {
-		return
+		return true
 	}
 	bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	if _, err := r.client.Grant(bounded, g.Fence, g.Revision, g.Shards, deadline); err != nil {
 		r.logger.WithError(err).Debug("grant failed")
-		return
+		return false
 	}
 	r.pair.Holder(func(h *lease.Holder) { h.Granted(time.Now(), r.spec.Name, g) })
+	return true
 }
