Take VMs that the platform lists as leaving out of use

Cause: only the operators' marks moved shards; a VM that the platform was about to remove kept its shards until it failed, and controllers that watch nothing did not learn of removed VMs. Change: the list's leaving VMs count as marked; succession members read the list. Before: TestMachineList fails (leaving is ignored). After: it passes.

--- a/entry/internal/pair/pair.go
+++ b/entry/internal/pair/pair.go
@@ -69,6 +69,8 @@
 	logger    log.Interface
 	// wake makes Run look at the state machines at once.
 	wake chan struct{}
+	// reconfigure makes Run read the configuration again.
+	reconfigure chan struct{}
 
 	controllerMu sync.Mutex
 	controller   *controller.Controller
@@ -87,7 +89,7 @@
 func New(id control.Pair, self control.Member, planner controller.Planner, d Directory, peers Peers, store Store, logger log.Interface) *Pair {
 	p := &Pair{
 		id: id, self: self, directory: d, peers: peers, store: store, logger: logger.WithField("pair", id.String()),
-		wake: make(chan struct{}, 1), applied: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), reconfigure: make(chan struct{}, 1), applied: make(chan struct{}, 1),
 		controller: controller.New(id, self, planner),
 	}
 	if id.DataCentre == self.DataCentre {
@@ -101,6 +103,11 @@
 	return p.applied
 }
 
+// Reconfigure makes the pair look at the configuration again, when the list of VMs has changed.
+func (p *Pair) Reconfigure() {
+	signal(p.reconfigure)
+}
+
 // Run drives the state machines until the context ends.
 func (p *Pair) Run(ctx context.Context) {
 	changed, cancel := p.directory.Subscribe()
@@ -114,6 +121,8 @@
 			return
 		case <-changed:
 			p.configure(time.Now())
+		case <-p.reconfigure:
+			p.configure(time.Now())
 		case <-p.wake:
 		case <-timer.C:
 		}
--- a/entry/internal/process/objects.go
+++ b/entry/internal/process/objects.go
@@ -85,16 +85,16 @@
 }
 
 // Machines implements Platform.
-func (o *Objects) Machines(ctx context.Context) (int64, []string, error) {
+func (o *Objects) Machines(ctx context.Context) (int64, []Machine, error) {
 	list, err := o.client.Machines(ctx)
 	if err != nil {
 		return 0, nil, fmt.Errorf("process: list VMs: %w", err)
 	}
-	names := make([]string, len(list.All))
+	machines := make([]Machine, len(list.All))
 	for i, m := range list.All {
-		names[i] = m.Name
+		machines[i] = Machine{Name: m.Name, Leaving: m.Leaving}
 	}
-	return list.Version, names, nil
+	return list.Version, machines, nil
 }
 
 func decodeObjects(in []platform.Object) []control.Object {
--- a/entry/internal/process/view.go
+++ b/entry/internal/process/view.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bramleystand.org/common/configuration"
 	"bramleystand.org/entry/internal/directory"
 )
 
@@ -16,10 +17,11 @@
 	version int64
 	seen    map[string]bool
 	removed map[string]bool
+	leaving map[string]bool
 }
 
 func newView(d *directory.Directory) *view {
-	return &view{Directory: d, seen: make(map[string]bool), removed: make(map[string]bool)}
+	return &view{Directory: d, seen: make(map[string]bool), removed: make(map[string]bool), leaving: make(map[string]bool)}
 }
 
 // Centres returns the data centres of all known members.
@@ -45,23 +47,37 @@
 	return out
 }
 
-// observe takes a version of the platform's list of VMs; an older version is ignored, because the list lags.
-func (v *view) observe(version int64, names []string) {
+// Leaving returns the leaving mark of a VM: the operators' one, or one that stands for the platform's list.
+func (v *view) Leaving(vm string) (configuration.Leaving, bool) {
+	if mark, ok := v.Directory.Leaving(vm); ok {
+		return mark, true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return configuration.Leaving{VM: vm, Author: "platform"}, v.leaving[vm]
+}
+
+// observe takes a version of the platform's list of VMs and reports whether it was
+// new; an older version is ignored, because the list lags.
+func (v *view) observe(version int64, machines []Machine) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if version <= v.version {
-		return
+		return false
 	}
 	v.version = version
-	present := make(map[string]bool, len(names))
-	for _, name := range names {
-		present[name] = true
-		v.seen[name] = true
-		delete(v.removed, name)
+	present := make(map[string]bool, len(machines))
+	v.leaving = make(map[string]bool)
+	for _, m := range machines {
+		present[m.Name] = true
+		v.seen[m.Name] = true
+		v.leaving[m.Name] = m.Leaving
+		delete(v.removed, m.Name)
 	}
 	for name := range v.seen {
 		if !present[name] {
 			v.removed[name] = true
 		}
 	}
+	return true
 }
