--- a/entry/internal/upstream/confirm.go
+++ b/entry/internal/upstream/confirm.go
@@ -22,7 +22,7 @@
 	if _, ok := u.enter(r.Shard); !ok {
 		return moved()
 	}
-	defer u.leave(r.Shard, 0)
+	defer u.leave(r, 0)
 	table := u.table()
 	verdict, operation := table.Spend(time.Now(), spent)
 	switch verdict {
--- a/entry/internal/upstream/handle.go
+++ b/entry/internal/upstream/handle.go
@@ -153,11 +153,15 @@
 	return f, true
 }
 
-// leave ends a request that enter has counted.
-func (u *Upstream) leave(s shard.Shard, service time.Duration) {
+// leave ends a request that enter has counted; service is zero if it was not sent.
+func (u *Upstream) leave(r *exchange.Request, service time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.loads.add(s, service)
+	s := r.Shard
+	if service > 0 {
+		u.loads.add(s, service)
+		u.hot.Add(time.Now(), r.Key, service)
+	}
 	if u.running[s]--; u.running[s] == 0 {
 		delete(u.running, s)
 	}
--- a/entry/internal/upstream/run.go
+++ b/entry/internal/upstream/run.go
@@ -55,7 +55,7 @@
 		if r.unsure {
 			r.upstream.bar(r.request)
 		}
-		r.upstream.leave(r.request.Shard, service)
+		r.upstream.leave(r.request, service)
 		r.slot.Release(service)
 	})
 }
--- a/entry/internal/upstream/upstream.go
+++ b/entry/internal/upstream/upstream.go
@@ -27,6 +27,7 @@
 	"bramleystand.org/common/shard"
 	"bramleystand.org/entry/internal/backend"
 	"bramleystand.org/entry/internal/control"
+	"bramleystand.org/entry/internal/hotkey"
 	"bramleystand.org/entry/internal/queue"
 	"bramleystand.org/entry/internal/ticket"
 )
@@ -34,6 +35,13 @@
 // tableLimits bounds the memory of the operation table of one upstream.
 var tableLimits = ticket.Limits{Operations: 100_000, Bytes: 32 << 20}
 
+const (
+	// hotKeys is the number of keys whose load is counted.
+	hotKeys = 256
+	// shownKeys is the number of keys that a dump shows.
+	shownKeys = 10
+)
+
 // Lease tells what this process may send to the upstream.
 type Lease interface {
 	Allowed(now time.Time, upstream string, s shard.Shard) (fence.Fence, bool)
@@ -68,6 +76,7 @@
 	serving context.Context
 	abort   context.CancelFunc
 	loads   loads
+	hot     *hotkey.Sketch
 	// patience tells when an answer is overdue.
 	patience patience
 	// waits ends the waiting of the requests of each shard when they must go elsewhere.
@@ -83,6 +92,7 @@
 		waits:   make(map[shard.Shard]wait),
 		barred:  make(map[shard.Shard]time.Time),
 		loads:   newLoads(time.Now()),
+		hot:     hotkey.New(hotKeys, time.Now()),
 	}
 	u.serving, u.abort = context.WithCancel(context.Background())
 	return u
@@ -206,13 +216,15 @@
 	Queue   queue.State
 	Tickets *ticket.State
 	Running int
+	// Hot holds the most loaded keys.
+	Hot []hotkey.Counter
 }
 
 // State returns a snapshot.
 func (u *Upstream) State() State {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s := State{Queue: u.queue.State()}
+	s := State{Queue: u.queue.State(), Hot: u.hot.Top(shownKeys)}
 	for _, n := range u.running {
 		s.Running += n
 	}
