--- a/replay/internal/command/demo.go
+++ b/replay/internal/command/demo.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"bramleystand.org/replay/internal/deployment"
+	"bramleystand.org/replay/internal/fleet"
 	"bramleystand.org/replay/internal/load"
 	"bramleystand.org/replay/internal/report"
 	"bramleystand.org/replay/internal/trial"
@@ -23,6 +24,7 @@
 	Rate       float64 `default:"120" help:"Average requests a second on an ordinary day."`
 	Seconds    int     `default:"12" help:"Length of each trace in seconds."`
 	Seed       uint64  `default:"1" help:"Seed of the trace."`
+	Hold       bool    `help:"After the trace, leave the first deployment running until Ctrl-C and print its addresses."`
 }
 
 // Run runs each deployment and fails if an answer or an execution is wrong or a process misbehaves.
@@ -36,6 +38,9 @@
 		if err := d.run(ctx, x); err != nil {
 			return fmt.Errorf("demo: %s: %w", x.Name, err)
 		}
+		if d.Hold {
+			return nil
+		}
 	}
 	return nil
 }
@@ -58,6 +63,10 @@
 	if err := d.replay(ctx, t, x); err != nil {
 		return errors.Join(err, t.Fleet.Stop(ctx))
 	}
+	if d.Hold {
+		hold(ctx, t.Fleet)
+		ctx = context.WithoutCancel(ctx)
+	}
 	stopping := time.Now()
 	if err := t.Fleet.Stop(ctx); err != nil {
 		return err
@@ -66,6 +75,19 @@
 	return nil
 }
 
+// hold prints where the processes listen and waits for an interrupt.
+func hold(ctx context.Context, f *fleet.Fleet) {
+	fmt.Printf("platform %s\n", f.Address)
+	for _, e := range f.Entries {
+		fmt.Printf("entry VM %s: callers %s, admin %s\n", e.Name, e.Caller, e.Admin)
+	}
+	for _, s := range f.Servers {
+		fmt.Printf("backend server %s: %s\n", s.Name, s.Address)
+	}
+	fmt.Println("press Ctrl-C to stop")
+	<-ctx.Done()
+}
+
 // replay sends the trace, prints the service and verifies.
 func (d *Demo) replay(ctx context.Context, t *trial.Trial, x deployment.Deployment) error {
 	tr, err := generate(x.Name, d.Day, d.Rate, time.Duration(d.Seconds)*time.Second, d.Seed)
