Keep the media type of a final action's answer and drop server headers

Cause: a resend got the stored answer as text/plain, and callers saw the clock and incarnation headers that only the leaseholder needs. Change: the operation record keeps Content-Type; the two headers are removed. Tickets are no longer counted as confirmations that were not run. Before: TestRunsTicketOnce fails on the headers. After: it passes.

--- a/entry/internal/caller/handler.go
+++ b/entry/internal/caller/handler.go
@@ -100,11 +100,11 @@
 	if request.Rest != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	h.counters.Count(request.Rank, response.Outcome, time.Since(start))
 	if request.TicketOnly && response.Ticket != "" {
 		writeTicket(w, response.Ticket)
 		return
 	}
+	h.counters.Count(request.Rank, response.Outcome, time.Since(start))
 	h.write(w, response)
 }
 
--- a/entry/internal/control/record.go
+++ b/entry/internal/control/record.go
@@ -13,7 +13,9 @@
 	// Done is false while the operation runs; a record that is handed over undone has an unknown outcome.
 	Done   bool
 	Status int
-	Body   []byte
+	// Type is the media type of the body.
+	Type string
+	Body []byte
 	// Remaining is the time until the ticket expires, counted from the handover.
 	Remaining time.Duration
 }
--- a/entry/internal/peer/wirerenew.go
+++ b/entry/internal/peer/wirerenew.go
@@ -15,6 +15,7 @@
 	Outcome   uint8
 	Done      bool
 	Status    int
+	Type      string
 	Body      []byte
 	Remaining int64
 }
@@ -88,14 +89,14 @@
 func encodeRecord(r control.Record) wireRecord {
 	return wireRecord{
 		Ticket: r.Ticket, Outcome: uint8(r.Outcome), Done: r.Done,
-		Status: r.Status, Body: r.Body, Remaining: int64(r.Remaining),
+		Status: r.Status, Type: r.Type, Body: r.Body, Remaining: int64(r.Remaining),
 	}
 }
 
 func decodeRecord(w wireRecord) control.Record {
 	return control.Record{
 		Ticket: w.Ticket, Outcome: outcome.Outcome(w.Outcome), Done: w.Done,
-		Status: w.Status, Body: w.Body, Remaining: time.Duration(w.Remaining),
+		Status: w.Status, Type: w.Type, Body: w.Body, Remaining: time.Duration(w.Remaining),
 	}
 }
 
--- a/entry/internal/ticket/answer.go
+++ b/entry/internal/ticket/answer.go
@@ -6,7 +6,9 @@
 type Answer struct {
 	Outcome outcome.Outcome
 	Status  int
-	Body    []byte
+	// Type is the media type of the body.
+	Type string
+	Body []byte
 	// Truncated is set if the body was too long to be kept; Body is then empty.
 	Truncated bool
 }
--- a/entry/internal/ticket/table.go
+++ b/entry/internal/ticket/table.go
@@ -230,7 +230,7 @@
 func (t *Table) receive(now time.Time, h *history, k Ticket, r control.Record) {
 	o := &Operation{ticket: k, expires: now.Add(r.Remaining), done: make(chan struct{}), ended: true}
 	if r.Done {
-		o.answer = Answer{Outcome: r.Outcome, Status: r.Status, Body: r.Body}
+		o.answer = Answer{Outcome: r.Outcome, Status: r.Status, Type: r.Type, Body: r.Body}
 	}
 	close(o.done)
 	t.hold(h, o)
@@ -279,7 +279,7 @@
 func record(now time.Time, o *Operation) control.Record {
 	r := control.Record{Ticket: o.ticket.String(), Remaining: max(o.expires.Sub(now), 0)}
 	if o.ended && !o.answer.Truncated {
-		r.Done, r.Outcome, r.Status, r.Body = true, o.answer.Outcome, o.answer.Status, o.answer.Body
+		r.Done, r.Outcome, r.Status, r.Type, r.Body = true, o.answer.Outcome, o.answer.Status, o.answer.Type, o.answer.Body
 	}
 	return r
 }
--- a/entry/internal/upstream/confirm.go
+++ b/entry/internal/upstream/confirm.go
@@ -14,6 +14,9 @@
 // storedBytes is the length of the longest answer of a final action that is kept for resends.
 const storedBytes = 64 << 10
 
+// contentType is the one header of an answer that is kept for resends.
+const contentType = "Content-Type"
+
 // confirm runs a final action at most once for its ticket. The ticket is looked at
 // before anything can refuse the request: a resend that is refused must not be
 // told that it was not run if an earlier attempt may have been. The shard is not
@@ -84,7 +87,9 @@
 	}
 	full := exchange.Text(outcome.Ran, response.Status, string(content))
 	full.Header = response.Header
-	return full, ticket.Answer{Outcome: outcome.Ran, Status: response.Status, Body: content}
+	return full, ticket.Answer{
+		Outcome: outcome.Ran, Status: response.Status, Type: response.Header.Get(contentType), Body: content,
+	}
 }
 
 // cancelled ends a context with the body that needs it.
@@ -112,7 +117,9 @@
 func stored(a ticket.Answer) *exchange.Response {
 	switch {
 	case a.Outcome == outcome.Ran && !a.Truncated:
-		return exchange.Text(outcome.Ran, a.Status, string(a.Body))
+		response := exchange.Text(outcome.Ran, a.Status, string(a.Body))
+		response.Header = http.Header{contentType: {a.Type}}
+		return response
 	case a.Outcome == outcome.NotRun:
 		return moved()
 	}
--- a/entry/internal/upstream/run.go
+++ b/entry/internal/upstream/run.go
@@ -20,6 +20,9 @@
 	"bramleystand.org/entry/internal/suspect"
 )
 
+// serverHeaders concern only the leaseholder and the server.
+var serverHeaders = []string{"Bramley-Clock", "Bramley-Incarnation"}
+
 // run is one request that has a slot.
 type run struct {
 	upstream *Upstream
@@ -74,6 +77,9 @@
 	now := time.Now()
 	u.monitor.Answered(now, r.watched)
 	u.learn(r.request.Rank, now.Sub(r.started))
+	for _, h := range serverHeaders {
+		answer.Header.Del(h)
+	}
 	response := &exchange.Response{Outcome: answer.Outcome, Status: answer.Status, Header: answer.Header, Body: http.NoBody}
 	switch answer.Outcome {
 	case outcome.NotRun:
--- a/entry/internal/upstream/upstream_test.go
+++ b/entry/internal/upstream/upstream_test.go
@@ -46,7 +46,8 @@
 
 func answer(text string) (*backend.Response, error) {
 	return &backend.Response{
-		Status: http.StatusOK, Outcome: outcome.Ran, Length: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+		Status: http.StatusOK, Outcome: outcome.Ran, Length: int64(len(text)),
+		Header: http.Header{"Content-Type": {"text/x"}, "Bramley-Clock": {"1"}}, Body: io.NopCloser(strings.NewReader(text)),
 	}, nil
 }
 
@@ -129,6 +130,7 @@
 		response, text := r.do(t, request)
 		must.Eq(t, outcome.Ran, response.Outcome)
 		must.Eq(t, "confirmed", text)
+		must.Eq(t, http.Header{"Content-Type": {"text/x"}}, response.Header)
 		must.EqOp(t, 1, r.server.started.Load())
 	})
 }
