--- a/entry/main.go
+++ b/entry/main.go
@@ -42,6 +42,8 @@
 func httpClient(s settings.Settings) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DialContext = process.NewDialer(s.Peer.Addr()).DialContext
+	// A proxy of the environment must not come between the process and the platform.
+	t.Proxy = nil
 	return &http.Client{Transport: t}
 }
 
