Release the shards of an unfenced server once its process has ended

Ruled out: releasing on a broken connection alone, because a server may go on with a request whose connection it closed. Change: when the server refuses a new connection, requests whose connections it broke no longer hold their shards. Before: TestUnfencedServerGone fails.

--- a/entry/internal/process/monitor.go
+++ b/entry/internal/process/monitor.go
@@ -28,6 +28,8 @@
 	detector *detector.Detector
 	next     uint64
 	last     control.ServerState
+	// refused says that the server refused the connection of the latest probe.
+	refused bool
 }
 
 func newMonitor(p prober, slots int, now time.Time) *monitor {
@@ -96,16 +98,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	m.refused = errors.Is(err, syscall.ECONNREFUSED)
 	switch {
 	case err == nil:
 		m.detector.ProbeAnswered(now)
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case m.refused:
 		m.detector.ProbeRefused(now)
 	default:
 		m.detector.ProbeFailed(now)
 	}
 }
 
+// gone reports whether the server refused the connection of the latest probe.
+func (m *monitor) gone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refused
+}
+
 // answering reports whether requests may be sent to the server.
 func (m *monitor) answering() bool {
 	m.mu.Lock()
--- a/entry/internal/process/runner.go
+++ b/entry/internal/process/runner.go
@@ -165,6 +165,9 @@
 		r.logger.WithField("state", state.String()).Warn("backend server changed state")
 	}
 	r.upstream.Serve(r.monitor.answering())
+	if r.monitor.gone() {
+		r.upstream.Gone()
+	}
 	r.upstream.SetSlots(r.monitor.slots())
 	var loads []control.ShardLoad
 	if !now.Before(r.nextLoads) {
--- a/entry/internal/upstream/abort.go
+++ b/entry/internal/upstream/abort.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bramleystand.org/common/shard"
-	"bramleystand.org/entry/internal/exchange"
 )
 
 // Serve says whether the server answers at all. When it no longer does, all requests
@@ -38,23 +37,37 @@
 
 // bar keeps the shard of a request that an unfenced server may still be running until
 // the request's deadline. A fenced server aborts it when its grant has ended.
-func (u *Upstream) bar(r *exchange.Request) {
+func (u *Upstream) bar(r *run) {
 	if u.spec.Fenced {
 		return
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.barred[r.Shard].Before(r.Deadline) {
-		u.barred[r.Shard] = r.Deadline
+	bars := u.barred
+	if r.broken {
+		bars = u.broken
 	}
+	if s := r.request.Shard; bars[s].Before(r.request.Deadline) {
+		bars[s] = r.request.Deadline
+	}
+}
+
+// Gone says that the server refuses connections. Requests whose connections it broke
+// are then not running: its process has ended. A server that only stopped listening
+// keeps the connections of what it still runs.
+func (u *Upstream) Gone() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	clear(u.broken)
 }
 
 // isBarred reports whether an unfenced server may still be running a request for the shard. The mutex is held.
 func (u *Upstream) isBarred(now time.Time, s shard.Shard) bool {
-	until, ok := u.barred[s]
-	if ok && !now.Before(until) {
-		delete(u.barred, s)
-		return false
-	}
-	return ok
+	return now.Before(u.barred[s]) || now.Before(u.broken[s])
+}
+
+// forget drops the bars of a shard that is released. The mutex is held.
+func (u *Upstream) forget(s shard.Shard) {
+	delete(u.barred, s)
+	delete(u.broken, s)
 }
--- a/entry/internal/upstream/run.go
+++ b/entry/internal/upstream/run.go
@@ -36,6 +36,8 @@
 	watched uint64
 	// unsure says that the server may still be running the request.
 	unsure bool
+	// broken says that the server broke the connection.
+	broken bool
 	// cancel ends the exchange with the server.
 	cancel context.CancelCauseFunc
 	end    sync.Once
@@ -56,7 +58,7 @@
 		}
 		r.upstream.monitor.Finished(r.watched)
 		if r.unsure {
-			r.upstream.bar(r.request)
+			r.upstream.bar(r)
 		}
 		r.upstream.leave(r.request, service)
 		r.slot.Release(service)
@@ -192,6 +194,7 @@
 	response := exchange.Unsure(http.StatusBadGateway, "the connection to the backend server broke")
 	u.monitor.Broken(now, r.watched)
 	if !errors.Is(err, backend.ErrSilent) {
+		r.broken = true
 		r.accuse(now)
 		response.Crashed = true
 	}
--- a/entry/internal/upstream/upstream.go
+++ b/entry/internal/upstream/upstream.go
@@ -71,6 +71,8 @@
 	running map[shard.Shard]int
 	// barred holds until when an unfenced server may run a request with an unknown outcome.
 	barred map[shard.Shard]time.Time
+	// broken is the same for requests whose connections the server broke.
+	broken map[shard.Shard]time.Time
 	// failed says that the server does not answer; serving ends when it fails.
 	failed  bool
 	serving context.Context
@@ -91,6 +93,7 @@
 		running: make(map[shard.Shard]int),
 		waits:   make(map[shard.Shard]wait),
 		barred:  make(map[shard.Shard]time.Time),
+		broken:  make(map[shard.Shard]time.Time),
 		loads:   newLoads(time.Now()),
 		hot:     hotkey.New(hotKeys, time.Now()),
 	}
@@ -194,6 +197,7 @@
 	if u.running[s] > 0 || u.isBarred(now, s) {
 		return control.Release{}, false
 	}
+	u.forget(s)
 	out := control.Release{Shard: s, History: u.fence}
 	if u.tickets == nil {
 		return out, true
--- a/entry/internal/upstream/upstream_test.go
+++ b/entry/internal/upstream/upstream_test.go
@@ -267,6 +267,20 @@
 	}
 }
 
+// Guards against the shards of an unfenced server whose process has ended being held until the deadlines of
+// its requests, and against them being released while it may only have closed a connection.
+func TestUnfencedServerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRigAt(t, suspect.New(10), false, broke)
+		r.do(t, exchange.Request{Rank: rank.Lookup})
+		_, released := r.Release(time.Now(), 0)
+		must.False(t, released)
+		r.Gone()
+		_, released = r.Release(time.Now(), 0)
+		must.True(t, released)
+	})
+}
+
 // Guards against a request that breaks servers reaching a third one.
 func TestCondemns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
