--- a/common/platform/answer.go
+++ b/common/platform/answer.go
@@ -38,14 +38,14 @@
 	Objects []objectJSON `json:"objects"`
 }
 
-// machinesJSON is the list of VMs.
-type machinesJSON struct {
-	Version  int64 `json:"version"`
-	Machines []struct {
+// vmsJSON is the list of VMs.
+type vmsJSON struct {
+	Version int64 `json:"version"`
+	VMs     []struct {
 		Name  string `json:"name"`
 		DC    string `json:"dc"`
 		State string `json:"state"`
-	} `json:"machines"`
+	} `json:"vms"`
 }
 
 func (n objectsJSON) decode() []Object {
@@ -79,14 +79,14 @@
 	return n, err
 }
 
-func (a answer) machines() (Machines, error) {
-	var n machinesJSON
+func (a answer) vms() (VMs, error) {
+	var n vmsJSON
 	if err := a.parse(&n); err != nil {
-		return Machines{}, err
+		return VMs{}, err
 	}
-	list := Machines{Version: n.Version, All: make([]Machine, 0, len(n.Machines))}
-	for _, m := range n.Machines {
-		list.All = append(list.All, Machine{Name: m.Name, DataCentre: m.DC, Leaving: m.State == "leaving"})
+	list := VMs{Version: n.Version, All: make([]VM, 0, len(n.VMs))}
+	for _, m := range n.VMs {
+		list.All = append(list.All, VM{Name: m.Name, DataCentre: m.DC, Leaving: m.State == "leaving"})
 	}
 	return list, nil
 }
--- a/common/platform/client.go
+++ b/common/platform/client.go
@@ -88,15 +88,15 @@
 	return n.decode(), n.Version, nil
 }
 
-// Machines returns the list of VMs.
-func (c *Client) Machines(ctx context.Context) (Machines, error) {
-	a, err := c.call(ctx, callTimeout, http.MethodGet, "/machines", nil, nil)
+// VMs returns the list of VMs.
+func (c *Client) VMs(ctx context.Context) (VMs, error) {
+	a, err := c.call(ctx, callTimeout, http.MethodGet, "/vms", nil, nil)
 	if err != nil {
-		return Machines{}, fmt.Errorf("platform: machines: %w", err)
+		return VMs{}, fmt.Errorf("platform: vms: %w", err)
 	}
-	n, err := a.machines()
+	n, err := a.vms()
 	if err != nil {
-		return Machines{}, fmt.Errorf("platform: machines: %w", err)
+		return VMs{}, fmt.Errorf("platform: vms: %w", err)
 	}
 	return n, nil
 }
--- a/common/platform/client_test.go
+++ b/common/platform/client_test.go
@@ -183,13 +183,13 @@
 		must.True(t, errors.As((<-done).err, &rejected))
 		must.ErrorContains(t, rejected, "too large")
 
-		go s.expect(t, "GET /machines", jsonReply(200, `{"version":2,"machines":[{"name":"a","dc":"klm","state":"leaving"}]}`))
-		m, err := client.Machines(t.Context())
+		go s.expect(t, "GET /vms", jsonReply(200, `{"version":2,"vms":[{"name":"a","dc":"klm","state":"leaving"}]}`))
+		m, err := client.VMs(t.Context())
 		must.NoError(t, err)
-		must.Eq(t, platform.Machines{Version: 2, All: []platform.Machine{{Name: "a", DataCentre: "klm", Leaving: true}}}, m)
+		must.Eq(t, platform.VMs{Version: 2, All: []platform.VM{{Name: "a", DataCentre: "klm", Leaving: true}}}, m)
 
-		go s.expect(t, "GET /machines", jsonReply(200, `{"version":2,"machi`))
-		_, err = client.Machines(t.Context())
+		go s.expect(t, "GET /vms", jsonReply(200, `{"version":2,"machi`))
+		_, err = client.VMs(t.Context())
 		var unavailable *platform.UnavailableError
 		must.True(t, errors.As(err, &unavailable), must.Sprint("a broken answer is none"))
 	})
--- a/common/platform/machine.go
+++ b/common/platform/vm.go
@@ -1,7 +1,7 @@
 package platform
 
-// Machine is a VM in the platform's list.
-type Machine struct {
+// VM is a VM in the platform's list.
+type VM struct {
 	Name       string
 	DataCentre string
 	Leaving    bool
--- a/entry/internal/process/objects.go
+++ b/entry/internal/process/objects.go
@@ -84,17 +84,17 @@
 	return 0, controller.Unknown
 }
 
-// Machines implements Platform.
-func (o *Objects) Machines(ctx context.Context) (int64, []Machine, error) {
-	list, err := o.client.Machines(ctx)
+// VMs implements Platform.
+func (o *Objects) VMs(ctx context.Context) (int64, []VM, error) {
+	list, err := o.client.VMs(ctx)
 	if err != nil {
 		return 0, nil, fmt.Errorf("process: list VMs: %w", err)
 	}
-	machines := make([]Machine, len(list.All))
+	vms := make([]VM, len(list.All))
 	for i, m := range list.All {
-		machines[i] = Machine{Name: m.Name, Leaving: m.Leaving}
+		vms[i] = VM{Name: m.Name, Leaving: m.Leaving}
 	}
-	return list.Version, machines, nil
+	return list.Version, vms, nil
 }
 
 func decodeObjects(in []platform.Object) []control.Object {
--- a/entry/internal/process/platform.go
+++ b/entry/internal/process/platform.go
@@ -16,6 +16,6 @@
 	Load(ctx context.Context, name string) (o control.Object, found bool, err error)
 	// Store writes a value if the object's version is the expected one, zero for none.
 	Store(ctx context.Context, name string, value []byte, expected int64) (version int64, result controller.Result)
-	// Machines returns the list of VMs and its version.
-	Machines(ctx context.Context) (version int64, machines []Machine, err error)
+	// VMs returns the list of VMs and its version.
+	VMs(ctx context.Context) (version int64, vms []VM, err error)
 }
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -197,7 +197,7 @@
 	p.loop(p.controls.run)
 	p.loop(p.fleet.run)
 	p.loop(p.fleet.spreadSuspects)
-	p.loop(p.watchMachines)
+	p.loop(p.watchVMs)
 }
 
 // close ends all loops.
--- a/entry/internal/process/process_test.go
+++ b/entry/internal/process/process_test.go
@@ -82,8 +82,8 @@
 	return f.version, controller.Stored
 }
 
-func (f *fakePlatform) Machines(context.Context) (int64, []process.Machine, error) {
-	return 1, []process.Machine{{Name: "e1"}, {Name: "e2"}}, nil
+func (f *fakePlatform) VMs(context.Context) (int64, []process.VM, error) {
+	return 1, []process.VM{{Name: "e1"}, {Name: "e2"}}, nil
 }
 
 // server is an unfenced backend server that counts the confirmations it ran.
--- a/entry/internal/process/view.go
+++ b/entry/internal/process/view.go
@@ -59,16 +59,16 @@
 
 // observe takes a version of the platform's list of VMs and reports whether it was
 // new; an older version is ignored, because the list lags.
-func (v *view) observe(version int64, machines []Machine) bool {
+func (v *view) observe(version int64, vms []VM) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if version <= v.version {
 		return false
 	}
 	v.version = version
-	present := make(map[string]bool, len(machines))
+	present := make(map[string]bool, len(vms))
 	v.leaving = make(map[string]bool)
-	for _, m := range machines {
+	for _, m := range vms {
 		present[m.Name] = true
 		v.seen[m.Name] = true
 		v.leaving[m.Name] = m.Leaving
--- a/platformd/internal/fault/state.go
+++ b/platformd/internal/fault/state.go
@@ -21,8 +21,8 @@
 	Delay time.Duration
 	// LoseAnswers is the number of writes that still take effect without an answer.
 	LoseAnswers int
-	// StaleMachines holds the machine list as it is.
-	StaleMachines bool
+	// StaleVMs holds the list of VMs as it is.
+	StaleVMs bool
 }
 
 // Outage returns the way in which calls fail at a time.
--- a/platformd/internal/process/process.go
+++ b/platformd/internal/process/process.go
@@ -17,15 +17,15 @@
 	"github.com/apex/log"
 
 	"bramleystand.org/platformd/internal/fault"
-	"bramleystand.org/platformd/internal/machine"
 	"bramleystand.org/platformd/internal/server"
 	"bramleystand.org/platformd/internal/settings"
 	"bramleystand.org/platformd/internal/store"
+	"bramleystand.org/platformd/internal/vm"
 )
 
 // Run serves until the context is cancelled, then ends waiting watches and finishes other calls.
 func Run(ctx context.Context, s settings.Settings, logger log.Interface) error {
-	machines, err := s.ReadMachines()
+	vms, err := s.ReadVMs()
 	if err != nil {
 		return fmt.Errorf("process: %w", err)
 	}
@@ -34,7 +34,7 @@
 		return fmt.Errorf("process: listen: %w", err)
 	}
 	defer listener.Close()
-	platform := server.New(store.New(s.History), machine.New(machines, s.Lag), fault.New())
+	platform := server.New(store.New(s.History), vm.New(vms, s.Lag), fault.New())
 	if expvar.Get("platformd") == nil {
 		expvar.Publish("platformd", expvar.Func(platform.Calls))
 	}
--- a/platformd/internal/server/calls.go
+++ b/platformd/internal/server/calls.go
@@ -12,7 +12,7 @@
 	put
 	remove
 	watch
-	machines
+	vms
 	kinds
 )
 
@@ -27,24 +27,24 @@
 
 // callsJSON holds the number of calls of each kind.
 type callsJSON struct {
-	Get      int64 `json:"get"`
-	List     int64 `json:"list"`
-	Put      int64 `json:"put"`
-	Delete   int64 `json:"delete"`
-	Watch    int64 `json:"watch"`
-	Machines int64 `json:"machines"`
-	Total    int64 `json:"total"`
+	Get    int64 `json:"get"`
+	List   int64 `json:"list"`
+	Put    int64 `json:"put"`
+	Delete int64 `json:"delete"`
+	Watch  int64 `json:"watch"`
+	VMs    int64 `json:"vms"`
+	Total  int64 `json:"total"`
 }
 
 func (c *calls) encode() callsJSON {
 	n := callsJSON{
-		Get:      c.counts[get].Load(),
-		List:     c.counts[list].Load(),
-		Put:      c.counts[put].Load(),
-		Delete:   c.counts[remove].Load(),
-		Watch:    c.counts[watch].Load(),
-		Machines: c.counts[machines].Load(),
+		Get:    c.counts[get].Load(),
+		List:   c.counts[list].Load(),
+		Put:    c.counts[put].Load(),
+		Delete: c.counts[remove].Load(),
+		Watch:  c.counts[watch].Load(),
+		VMs:    c.counts[vms].Load(),
 	}
-	n.Total = n.Get + n.List + n.Put + n.Delete + n.Watch + n.Machines
+	n.Total = n.Get + n.List + n.Put + n.Delete + n.Watch + n.VMs
 	return n
 }
--- a/platformd/internal/server/control.go
+++ b/platformd/internal/server/control.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bramleystand.org/platformd/internal/fault"
-	"bramleystand.org/platformd/internal/machine"
+	"bramleystand.org/platformd/internal/vm"
 )
 
 // endless is the length of an outage without an end.
@@ -18,11 +18,11 @@
 
 // faultsJSON is a change of faults; fields that are missing stay as they are.
 type faultsJSON struct {
-	Outage        *string `json:"outage,omitempty"`
-	OutageMs      *int64  `json:"outageMs,omitempty"`
-	DelayMs       *int64  `json:"delayMs,omitempty"`
-	LoseAnswers   *int    `json:"loseAnswers,omitempty"`
-	StaleMachines *bool   `json:"staleMachines,omitempty"`
+	Outage      *string `json:"outage,omitempty"`
+	OutageMs    *int64  `json:"outageMs,omitempty"`
+	DelayMs     *int64  `json:"delayMs,omitempty"`
+	LoseAnswers *int    `json:"loseAnswers,omitempty"`
+	StaleVMs    *bool   `json:"staleVMs,omitempty"`
 }
 
 // validate returns an error that names field, value and what is allowed.
@@ -60,8 +60,8 @@
 	if f.LoseAnswers != nil {
 		s.LoseAnswers = *f.LoseAnswers
 	}
-	if f.StaleMachines != nil {
-		s.StaleMachines = *f.StaleMachines
+	if f.StaleVMs != nil {
+		s.StaleVMs = *f.StaleVMs
 	}
 }
 
@@ -70,7 +70,7 @@
 	f, _ := s.faults.State()
 	now := time.Now()
 	mode, delay := string(f.Outage(now)), f.Delay.Milliseconds()
-	n := faultsJSON{Outage: &mode, DelayMs: &delay, LoseAnswers: &f.LoseAnswers, StaleMachines: &f.StaleMachines}
+	n := faultsJSON{Outage: &mode, DelayMs: &delay, LoseAnswers: &f.LoseAnswers, StaleVMs: &f.StaleVMs}
 	if mode != "" {
 		left := f.OutageUntil.Sub(now).Milliseconds()
 		n.OutageMs = &left
@@ -96,24 +96,24 @@
 	}
 	now := time.Now()
 	s.faults.Change(func(state *fault.State) { f.apply(state, now) })
-	if f.StaleMachines != nil {
-		s.machines.SetStale(*f.StaleMachines, now)
+	if f.StaleVMs != nil {
+		s.vms.SetStale(*f.StaleVMs, now)
 	}
 	writeJSON(w, http.StatusOK, s.state())
 }
 
-// replaceMachines sets the list of VMs, visible after the lag.
-func (s *Server) replaceMachines(w http.ResponseWriter, r *http.Request) {
+// replaceVMs sets the list of VMs, visible after the lag.
+func (s *Server) replaceVMs(w http.ResponseWriter, r *http.Request) {
 	var n struct {
-		Machines []machineJSON `json:"machines"`
+		VMs []vmJSON `json:"vms"`
 	}
 	if err := decode(w, r, &n); err != nil {
 		writeJSON(w, http.StatusBadRequest, problemJSON{Error: err.Error()})
 		return
 	}
-	var replaced []machine.Machine
-	for _, m := range n.Machines {
-		replaced = append(replaced, machine.Machine{Name: m.Name, DataCentre: m.DC, State: m.State})
+	var replaced []vm.VM
+	for _, m := range n.VMs {
+		replaced = append(replaced, vm.VM{Name: m.Name, DataCentre: m.DC, State: m.State})
 	}
 	for _, m := range replaced {
 		if err := m.Validate(); err != nil {
@@ -121,8 +121,8 @@
 			return
 		}
 	}
-	s.machines.Replace(replaced, time.Now())
-	writeJSON(w, http.StatusOK, encodeMachines(s.machines.View(time.Now())))
+	s.vms.Replace(replaced, time.Now())
+	writeJSON(w, http.StatusOK, encodeVMs(s.vms.View(time.Now())))
 }
 
 // decode reads a JSON body without unknown fields.
@@ -147,18 +147,18 @@
 
 // dumpJSON is the whole state.
 type dumpJSON struct {
-	Calls    callsJSON    `json:"calls"`
-	Faults   faultsJSON   `json:"faults"`
-	Machines machinesJSON `json:"machines"`
-	Objects  objectsJSON  `json:"objects"`
+	Calls   callsJSON   `json:"calls"`
+	Faults  faultsJSON  `json:"faults"`
+	VMs     vmsJSON     `json:"vms"`
+	Objects objectsJSON `json:"objects"`
 }
 
 // dump writes the whole state.
 func (s *Server) dump(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, dumpJSON{
-		Calls:    s.calls.encode(),
-		Faults:   s.state(),
-		Machines: encodeMachines(s.machines.View(time.Now())),
-		Objects:  encodeObjects(s.store.List("")),
+		Calls:   s.calls.encode(),
+		Faults:  s.state(),
+		VMs:     encodeVMs(s.vms.View(time.Now())),
+		Objects: encodeObjects(s.store.List("")),
 	})
 }
--- a/platformd/internal/server/json.go
+++ b/platformd/internal/server/json.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"net/http"
 
-	"bramleystand.org/platformd/internal/machine"
 	"bramleystand.org/platformd/internal/store"
+	"bramleystand.org/platformd/internal/vm"
 )
 
 // objectJSON is an object in a list or a watch; the value is in base64.
@@ -38,17 +38,17 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// machineJSON is a VM.
-type machineJSON struct {
+// vmJSON is a VM.
+type vmJSON struct {
 	Name  string `json:"name"`
 	DC    string `json:"dc"`
 	State string `json:"state"`
 }
 
-// machinesJSON is the list of VMs.
-type machinesJSON struct {
-	Version  int64         `json:"version"`
-	Machines []machineJSON `json:"machines"`
+// vmsJSON is the list of VMs.
+type vmsJSON struct {
+	Version int64    `json:"version"`
+	VMs     []vmJSON `json:"vms"`
 }
 
 func encodeObjects(list []store.Object, version int64) objectsJSON {
@@ -66,10 +66,10 @@
 	return n
 }
 
-func encodeMachines(version int64, list []machine.Machine) machinesJSON {
-	n := machinesJSON{Version: version, Machines: make([]machineJSON, 0, len(list))}
+func encodeVMs(version int64, list []vm.VM) vmsJSON {
+	n := vmsJSON{Version: version, VMs: make([]vmJSON, 0, len(list))}
 	for _, m := range list {
-		n.Machines = append(n.Machines, machineJSON{Name: m.Name, DC: m.DataCentre, State: m.State})
+		n.VMs = append(n.VMs, vmJSON{Name: m.Name, DC: m.DataCentre, State: m.State})
 	}
 	return n
 }
--- a/platformd/internal/server/objects.go
+++ b/platformd/internal/server/objects.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// listMachines answers with the list of VMs as it is visible now.
-func (s *Server) listMachines(w http.ResponseWriter, _ *http.Request, _ string) {
-	writeJSON(w, http.StatusOK, encodeMachines(s.machines.View(time.Now())))
+// listVMs answers with the list of VMs as it is visible now.
+func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, encodeVMs(s.vms.View(time.Now())))
 }
--- a/platformd/internal/server/server.go
+++ b/platformd/internal/server/server.go
@@ -1,9 +1,9 @@
-// Package server offers the platform's object API and machine list over HTTP, and
+// Package server offers the platform's object API and list of VMs over HTTP, and
 // the control requests of tests.
 //
 // # Usage
 //
-//	s := server.New(store.New(4096), machine.New(list, lag), fault.New())
+//	s := server.New(store.New(4096), vm.New(list, lag), fault.New())
 //	http.Server{Handler: s}.Serve(listener)
 package server
 
@@ -15,8 +15,8 @@
 	"sync"
 
 	"bramleystand.org/platformd/internal/fault"
-	"bramleystand.org/platformd/internal/machine"
 	"bramleystand.org/platformd/internal/store"
+	"bramleystand.org/platformd/internal/vm"
 )
 
 const pathObjects = "/objects/"
@@ -24,7 +24,7 @@
 // Server answers calls.
 type Server struct {
 	store    *store.Store
-	machines *machine.List
+	vms      *vm.List
 	faults   *fault.Switch
 	calls    calls
 	control  *http.ServeMux
@@ -32,13 +32,13 @@
 	stop     sync.Once
 }
 
-// New returns a server for a store and a machine list.
-func New(s *store.Store, m *machine.List, f *fault.Switch) *Server {
-	v := &Server{store: s, machines: m, faults: f, control: http.NewServeMux(), stopping: make(chan struct{})}
+// New returns a server for a store and a list of VMs.
+func New(s *store.Store, m *vm.List, f *fault.Switch) *Server {
+	v := &Server{store: s, vms: m, faults: f, control: http.NewServeMux(), stopping: make(chan struct{})}
 	v.control.HandleFunc("GET /calls", v.showCalls)
 	v.control.HandleFunc("GET /faults", v.showFaults)
 	v.control.HandleFunc("POST /faults", v.changeFaults)
-	v.control.HandleFunc("POST /machines", v.replaceMachines)
+	v.control.HandleFunc("POST /vms", v.replaceVMs)
 	v.control.HandleFunc("GET /dump", v.dump)
 	v.control.Handle("GET /debug/vars", expvar.Handler())
 	return v
@@ -93,8 +93,8 @@
 		return list, "", s.list
 	case "/watch":
 		return watch, "", s.watch
-	case "/machines":
-		return machines, "", s.listMachines
+	case "/vms":
+		return vms, "", s.listVMs
 	}
 	return get, "", nil
 }
--- a/platformd/internal/server/server_test.go
+++ b/platformd/internal/server/server_test.go
@@ -13,16 +13,16 @@
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/platformd/internal/fault"
-	"bramleystand.org/platformd/internal/machine"
 	"bramleystand.org/platformd/internal/server"
 	"bramleystand.org/platformd/internal/store"
+	"bramleystand.org/platformd/internal/vm"
 )
 
 // bench runs the handler without a network.
 type bench struct{ *server.Server }
 
 func newBench() bench {
-	return bench{server.New(store.New(2), machine.New(nil, time.Minute), fault.New())}
+	return bench{server.New(store.New(2), vm.New(nil, time.Minute), fault.New())}
 }
 
 // call returns nil if the connection was closed without an answer.
@@ -60,7 +60,7 @@
 		Deleted bool
 		Value   []byte
 	}
-	Machines []struct{ Name, DC, State string }
+	VMs []struct{ Name, DC, State string }
 }
 
 // calls returns the numbers of calls.
@@ -196,19 +196,19 @@
 }
 
 // Guards against a list of VMs without its lag.
-func TestMachines(t *testing.T) {
+func TestVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newBench()
-		must.Eq(t, 200, p.call(t.Context(), "POST", "/machines", `{"machines":[{"name":"a","dc":"klm","state":"live"}]}`).Code)
-		must.Eq(t, 400, p.call(t.Context(), "POST", "/machines", `{"machines":[{"name":"a","state":"x"}]}`).Code)
-		n := parse(t, 200, p.call(t.Context(), "GET", "/machines", ""))
-		must.SliceEmpty(t, n.Machines)
-		p.call(t.Context(), "POST", "/faults", `{"staleMachines":true}`)
+		must.Eq(t, 200, p.call(t.Context(), "POST", "/vms", `{"vms":[{"name":"a","dc":"klm","state":"live"}]}`).Code)
+		must.Eq(t, 400, p.call(t.Context(), "POST", "/vms", `{"vms":[{"name":"a","state":"x"}]}`).Code)
+		n := parse(t, 200, p.call(t.Context(), "GET", "/vms", ""))
+		must.SliceEmpty(t, n.VMs)
+		p.call(t.Context(), "POST", "/faults", `{"staleVMs":true}`)
 		time.Sleep(time.Minute)
-		must.SliceEmpty(t, parse(t, 200, p.call(t.Context(), "GET", "/machines", "")).Machines)
-		p.call(t.Context(), "POST", "/faults", `{"staleMachines":false}`)
-		n = parse(t, 200, p.call(t.Context(), "GET", "/machines", ""))
-		must.Eq(t, "klm", n.Machines[0].DC)
+		must.SliceEmpty(t, parse(t, 200, p.call(t.Context(), "GET", "/vms", "")).VMs)
+		p.call(t.Context(), "POST", "/faults", `{"staleVMs":false}`)
+		n = parse(t, 200, p.call(t.Context(), "GET", "/vms", ""))
+		must.Eq(t, "klm", n.VMs[0].DC)
 		must.Eq(t, 2, n.Version)
 	})
 }
--- a/platformd/internal/settings/settings.go
+++ b/platformd/internal/settings/settings.go
@@ -4,7 +4,7 @@
 //
 //	var s settings.Settings
 //	kong.Parse(&s)
-//	machines, err := s.ReadMachines()
+//	vms, err := s.ReadVMs()
 package settings
 
 import (
@@ -15,16 +15,16 @@
 	"os"
 	"time"
 
-	"bramleystand.org/platformd/internal/machine"
+	"bramleystand.org/platformd/internal/vm"
 )
 
 // Settings describes the represented platform.
 type Settings struct {
-	Listen   netip.AddrPort `help:"Address; port 0 picks a free one." required:""`
-	Machines string         `help:"JSON file with the list of VMs: [{\"name\", \"dc\", \"state\"}]." type:"existingfile" optional:""`
-	Lag      time.Duration  `help:"Time until a change of the list of VMs is visible." default:"0s"`
-	History  int            `help:"Changes that a watch can go back at least." default:"4096"`
-	Stop     time.Duration  `help:"Time to finish calls after SIGTERM." default:"5s"`
+	Listen  netip.AddrPort `help:"Address; port 0 picks a free one." required:""`
+	VMs     string         `name:"vms" help:"JSON file with the list of VMs: [{\"name\", \"dc\", \"state\"}]." type:"existingfile" optional:""`
+	Lag     time.Duration  `help:"Time until a change of the list of VMs is visible." default:"0s"`
+	History int            `help:"Changes that a watch can go back at least." default:"4096"`
+	Stop    time.Duration  `help:"Time to finish calls after SIGTERM." default:"5s"`
 }
 
 // Validate returns an error that names the setting, its value and what is allowed.
@@ -41,33 +41,33 @@
 	return nil
 }
 
-// machineJSON is a VM in the file.
-type machineJSON struct {
+// vmJSON is a VM in the file.
+type vmJSON struct {
 	Name  string `json:"name"`
 	DC    string `json:"dc"`
 	State string `json:"state"`
 }
 
-// ReadMachines returns the VMs of the file, or none without one.
-func (s *Settings) ReadMachines() ([]machine.Machine, error) {
-	if s.Machines == "" {
+// ReadVMs returns the VMs of the file, or none without one.
+func (s *Settings) ReadVMs() ([]vm.VM, error) {
+	if s.VMs == "" {
 		return nil, nil
 	}
-	text, err := os.ReadFile(s.Machines)
+	text, err := os.ReadFile(s.VMs)
 	if err != nil {
-		return nil, fmt.Errorf("settings: machines: %w", err)
+		return nil, fmt.Errorf("settings: vms: %w", err)
 	}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
-	var file []machineJSON
+	var file []vmJSON
 	if err := d.Decode(&file); err != nil {
-		return nil, fmt.Errorf("settings: machines: %s: %w", s.Machines, err)
+		return nil, fmt.Errorf("settings: vms: %s: %w", s.VMs, err)
 	}
-	var list []machine.Machine
+	var list []vm.VM
 	for _, f := range file {
-		m := machine.Machine{Name: f.Name, DataCentre: f.DC, State: f.State}
+		m := vm.VM{Name: f.Name, DataCentre: f.DC, State: f.State}
 		if err := m.Validate(); err != nil {
-			return nil, fmt.Errorf("settings: machines: %s: %w", s.Machines, err)
+			return nil, fmt.Errorf("settings: vms: %s: %w", s.VMs, err)
 		}
 		list = append(list, m)
 	}
--- a/platformd/internal/settings/settings_test.go
+++ b/platformd/internal/settings/settings_test.go
@@ -11,8 +11,8 @@
 )
 
 // Guards against a file of VMs that is read in part or with unknown states.
-func TestReadMachines(t *testing.T) {
-	s := settings.Settings{Machines: filepath.Join(t.TempDir(), "machines.json")}
+func TestReadVMs(t *testing.T) {
+	s := settings.Settings{VMs: filepath.Join(t.TempDir(), "vms.json")}
 	for text, want := range map[string]string{
 		`[{"name":"a","dc":"klm","state":"live"}]`:   "",
 		`[{"name":"a","dc":"klm","state":"gone"}]`:   `"gone"`,
@@ -20,8 +20,8 @@
 		`{"name":"a"}`:                               "cannot unmarshal",
 		`[{"name":"","dc":"klm","state":"leaving"}]`: "name",
 	} {
-		must.NoError(t, os.WriteFile(s.Machines, []byte(text), 0o600))
-		list, err := s.ReadMachines()
+		must.NoError(t, os.WriteFile(s.VMs, []byte(text), 0o600))
+		list, err := s.ReadVMs()
 		if want == "" {
 			must.NoError(t, err)
 			must.Eq(t, "klm", list[0].DataCentre)
--- a/platformd/internal/machine/list.go
+++ b/platformd/internal/vm/list.go
@@ -1,10 +1,10 @@
-// Package machine keeps the list of VMs, which others see with a lag.
+// Package vm keeps the list of VMs, which others see with a lag.
 //
 // # Usage
 //
-//	l.Replace(machines, time.Now())
-//	version, machines := l.View(time.Now())
-package machine
+//	l.Replace(vms, time.Now())
+//	version, vms := l.View(time.Now())
+package vm
 
 import (
 	"sync"
@@ -23,30 +23,30 @@
 
 // version is one state of the list.
 type version struct {
-	number   int64
-	visible  time.Time
-	machines []Machine
+	number  int64
+	visible time.Time
+	vms     []VM
 }
 
 // New returns a list whose first version is visible at once, and all others after the lag.
-func New(machines []Machine, lag time.Duration) *List {
-	return &List{lag: lag, versions: []version{{number: 1, machines: machines}}}
+func New(vms []VM, lag time.Duration) *List {
+	return &List{lag: lag, versions: []version{{number: 1, vms: vms}}}
 }
 
-// Replace sets the machines.
-func (l *List) Replace(machines []Machine, now time.Time) {
+// Replace sets the list.
+func (l *List) Replace(vms []VM, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last := l.versions[len(l.versions)-1].number
-	l.versions = append(l.versions, version{last + 1, now.Add(l.lag), machines})
+	l.versions = append(l.versions, version{last + 1, now.Add(l.lag), vms})
 }
 
 // View returns the version that is visible, and its number.
-func (l *List) View(now time.Time) (int64, []Machine) {
+func (l *List) View(now time.Time) (int64, []VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.view(now)
-	return v.number, v.machines
+	return v.number, v.vms
 }
 
 // view forgets the versions before the visible one; the caller holds the lock.
--- a/replay/internal/command/capacity.go
+++ b/replay/internal/command/capacity.go
@@ -49,7 +49,7 @@
 	ctx, stop := interruptible()
 	defer stop()
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(w, "entry VMs\tidle upstreams\tCPU % of a core, mean\thighest\tread B/s\twritten B/s\tcalls/s\tresident MiB\thighest\tget/s\tlist/s\tput/s\tmachines/s\twatch/s\tserver requests/s\t\n")
+	fmt.Fprint(w, "entry VMs\tidle upstreams\tCPU % of a core, mean\thighest\tread B/s\twritten B/s\tcalls/s\tresident MiB\thighest\tget/s\tlist/s\tput/s\tvms/s\twatch/s\tserver requests/s\t\n")
 	for _, n := range c.Entries {
 		if err := c.idle(ctx, w, n, 0); err != nil {
 			return err
@@ -136,7 +136,7 @@
 	fmt.Fprintf(w, "%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t\n",
 		entries, upstreams, perEntry(int64(sum.CPU))/1e7, float64(highest.CPU)/seconds/1e7, perEntry(sum.Read), perEntry(sum.Written),
 		perEntry(sum.Calls), float64(sum.Resident)/float64(entries)/(1<<20), float64(highest.Resident)/(1<<20),
-		perSecond("get"), perSecond("list"), perSecond("put"), perSecond("machines"), perSecond("watch"), float64(requestsAfter-requests)/seconds)
+		perSecond("get"), perSecond("list"), perSecond("put"), perSecond("vms"), perSecond("watch"), float64(requestsAfter-requests)/seconds)
 	return f.Stop(ctx)
 }
 
--- a/replay/internal/fleet/machines.go
+++ b/replay/internal/fleet/vms.go
@@ -11,12 +11,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// machinesJSON is the platform's list of VMs.
-type machinesJSON struct {
-	Machines []machineJSON `json:"machines"`
+// vmsJSON is the platform's list of VMs.
+type vmsJSON struct {
+	VMs []vmJSON `json:"vms"`
 }
 
-type machineJSON struct {
+type vmJSON struct {
 	Name  string `json:"name"`
 	DC    string `json:"dc"`
 	State string `json:"state"`
@@ -27,29 +27,29 @@
 
 // list tells the platform which VMs there are.
 func (f *Fleet) list(ctx context.Context) error {
-	var m machinesJSON
+	var m vmsJSON
 	for _, e := range f.Entries {
-		m.Machines = append(m.Machines, machineJSON{Name: e.Name, DC: e.DataCentre, State: live})
+		m.VMs = append(m.VMs, vmJSON{Name: e.Name, DC: e.DataCentre, State: live})
 	}
 	for _, s := range f.Servers {
-		m.Machines = append(m.Machines, machineJSON{Name: s.Name, DC: s.DataCentre, State: live})
+		m.VMs = append(m.VMs, vmJSON{Name: s.Name, DC: s.DataCentre, State: live})
 	}
 	content, err := json.Marshal(m)
 	if err != nil {
-		return fmt.Errorf("encode machines: %w", err)
+		return fmt.Errorf("encode vms: %w", err)
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Address.String()+"/machines", bytes.NewReader(content))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Address.String()+"/vms", bytes.NewReader(content))
 	if err != nil {
-		return fmt.Errorf("list machines: %w", err)
+		return fmt.Errorf("list vms: %w", err)
 	}
 	response, err := f.client.Do(r)
 	if err != nil {
-		return fmt.Errorf("list machines: %w", err)
+		return fmt.Errorf("list vms: %w", err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		reason, _ := io.ReadAll(response.Body)
-		return eris.Errorf("list machines: status %d: %s", response.StatusCode, reason)
+		return eris.Errorf("list vms: status %d: %s", response.StatusCode, reason)
 	}
 	return nil
 }
--- a/replay/internal/latency/latency.go
+++ b/replay/internal/latency/latency.go
@@ -2,7 +2,7 @@
 // to the backend server.
 //
 // Both kinds alternate in short rounds of one run, so that a change of the
-// machine's speed affects both alike.
+// vm's speed affects both alike.
 //
 // # Usage
 //
