Remove code that stood twice

Cause: the two kinds of fault cases each read successions and tables from the platform; the ticket table had its own copy of control.Epoch. Change: fleet.Controller and fleet.Held serve both; control.Epoch is used throughout.

--- a/entry/internal/ticket/handover.go
+++ b/entry/internal/ticket/handover.go
@@ -9,6 +9,6 @@
 // Handover is the history of a shard with its operations for the next leaseholder.
 type Handover struct {
 	Shard   shard.Shard
-	Epochs  []Epoch
+	Epochs  []control.Epoch
 	Records []control.Record
 }
--- a/entry/internal/ticket/table.go
+++ b/entry/internal/ticket/table.go
@@ -108,7 +108,7 @@
 			e.next, e.until = t.sequence, now.Add(Lifetime)
 		}
 		if e.first < e.next && e.until.After(now) {
-			out.Epochs = append(out.Epochs, Epoch{
+			out.Epochs = append(out.Epochs, control.Epoch{
 				Fence: e.fence, First: e.first, Next: e.next, Age: now.Sub(e.started), Remaining: e.until.Sub(now),
 			})
 		}
--- a/entry/internal/upstream/upstream.go
+++ b/entry/internal/upstream/upstream.go
@@ -136,7 +136,7 @@
 	}
 	var first error
 	for _, h := range handovers {
-		if err := u.tickets.Receive(now, decodeHandover(h)); err != nil && first == nil {
+		if err := u.tickets.Receive(now, ticket.Handover{Shard: h.Shard, Epochs: h.Epochs, Records: h.Records}); err != nil && first == nil {
 			first = err
 		}
 	}
@@ -203,7 +203,7 @@
 		return out, true
 	}
 	if h, ok := u.tickets.Release(now, s); ok {
-		encodeHandover(&out, h)
+		out.Epochs, out.Records = h.Epochs, h.Records
 	}
 	return out, true
 }
--- a/replay/internal/partition/choose.go
+++ b/replay/internal/partition/choose.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,30 +19,11 @@
 	cutGrace = 100 * time.Millisecond
 )
 
-// successionJSON is the platform's record of who may control a service in a data centre.
-type successionJSON struct {
-	Members []memberJSON `json:"members"`
-}
-
-type memberJSON struct {
-	Name string `json:"name"`
-}
-
-// tableJSON is the platform's copy of a routing table.
-type tableJSON struct {
-	Placements []placementJSON `json:"placements"`
-}
-
-type placementJSON struct {
-	Upstream    string     `json:"upstream"`
-	Leaseholder memberJSON `json:"leaseholder"`
-}
-
 // chooseCentre picks the first data centre. Its keys and those elsewhere stay reachable
 // from everywhere if it is cut off from the platform only.
 func chooseCentre(reachable bool) func(context.Context, *scene) error {
 	return func(_ context.Context, s *scene) error {
-		centre := s.trial.Fleet.Entries[0].DataCentre
+		centre := s.centre()
 		s.split(func(e *fleet.Entry) bool { return e.DataCentre == centre })
 		own := func(b *fleet.Server) bool { return b.DataCentre == centre }
 		other := func(b *fleet.Server) bool { return b.DataCentre != centre }
@@ -90,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	centre, found := s.trial.Fleet.Entries[0].DataCentre, false
+	centre, found := s.centre(), false
 	s.split(func(e *fleet.Entry) bool {
 		other := !found && e.DataCentre == centre && e.Name != controller
 		found = found || other
@@ -102,47 +81,24 @@
 	return nil
 }
 
-// pair names the service and the data centre in which the cut happens.
-func (s *scene) pair() string {
-	return s.service.Name + "@" + s.trial.Fleet.Entries[0].DataCentre
+// centre returns the data centre in which the cut happens.
+func (s *scene) centre() string {
+	return s.trial.Fleet.Entries[0].DataCentre
 }
 
 func (s *scene) controller(ctx context.Context) (string, error) {
-	var r successionJSON
-	if err := s.object(ctx, "successions/"+s.pair(), &r); err != nil {
-		return "", err
-	}
-	if len(r.Members) == 0 {
-		return "", eris.Errorf("succession record of %s has no members", s.pair())
-	}
-	return r.Members[0].Name, nil
+	return s.trial.Fleet.Controller(ctx, s.service.Name, s.centre())
 }
 
 // held returns the servers for which an entry VM has the leases.
 func (s *scene) held(ctx context.Context, entry string) (map[string]bool, error) {
-	var t tableJSON
-	if err := s.object(ctx, "assignments/"+s.pair(), &t); err != nil {
+	servers, err := s.trial.Fleet.Held(ctx, s.service.Name, s.centre(), entry)
+	if err != nil {
 		return nil, err
 	}
-	held := make(map[string]bool)
-	for _, p := range t.Placements {
-		if p.Leaseholder.Name == entry {
-			held[p.Upstream] = true
-		}
+	held := make(map[string]bool, len(servers))
+	for _, name := range servers {
+		held[name] = true
 	}
 	return held, nil
 }
-
-func (s *scene) object(ctx context.Context, name string, value any) error {
-	content, version, err := s.trial.Fleet.Get(ctx, name)
-	if err != nil {
-		return err
-	}
-	if version == 0 {
-		return eris.Errorf("platform has no object %s", name)
-	}
-	if err := json.Unmarshal(content, value); err != nil {
-		return fmt.Errorf("object %s: %w", name, err)
-	}
-	return nil
-}
