--- a/entry/internal/controller/main_test.go
+++ b/entry/internal/controller/main_test.go
@@ -8,5 +8,5 @@
 )
 
 func TestMain(m *testing.M) {
-	os.Exit(seed.Run(m, "60"))
+	os.Exit(seed.Run(m, "200"))
 }
