caller: use the fingerprint of package suspect

Cause: the fingerprint of a request was written twice; only the one in suspect separates the fields by their lengths. A restarted fleet shares one form, old and new processes differ in it.

--- a/entry/internal/caller/parse.go
+++ b/entry/internal/caller/parse.go
@@ -7,11 +7,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bramleystand.org/common/rank"
 	"bramleystand.org/common/shard"
 	"bramleystand.org/entry/internal/exchange"
+	"bramleystand.org/entry/internal/suspect"
 )
 
 // Request headers.
@@ -73,7 +72,7 @@
 	if refusal := h.readBody(w, r, request); refusal != nil {
 		return nil, refusal
 	}
-	request.Fingerprint = fingerprint(request)
+	request.Fingerprint = uint64(suspect.Of(request.Service, request.Key, request.Method, request.Query, request.Prefix))
 	return request, nil
 }
 
@@ -149,14 +148,3 @@
 	}
 	return out
 }
-
-// fingerprint identifies a request that is sent again, also through another entry VM.
-func fingerprint(r *exchange.Request) uint64 {
-	d := xxhash.New()
-	for _, s := range []string{r.Service, r.Key, r.Method, r.Query} {
-		_, _ = d.WriteString(s)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.Prefix)
-	return d.Sum64()
-}
--- a/entry/internal/peer/codec_test.go
+++ b/entry/internal/peer/codec_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// travels encodes and decodes a value in which every field is set.
-func travels[T, W any](t *testing.T, encode func(T) *W, decode func(*W) T) (sent, got T) {
+// roundTrip encodes and decodes a value in which every field is set.
+func roundTrip[T, W any](t *testing.T, encode func(T) *W, decode func(*W) T) (sent, got T) {
 	t.Helper()
 	var seed int64
 	populate(reflect.ValueOf(&sent).Elem(), &seed)
@@ -61,17 +61,17 @@
 
 // Guards against a field that is added to a message and forgotten in its codec.
 func TestCodecsCarryEveryField(t *testing.T) {
-	a, b := travels(t, encodeRenewRequest, decodeRenewRequest)
+	a, b := roundTrip(t, encodeRenewRequest, decodeRenewRequest)
 	must.Eq(t, a, b)
-	c, d := travels(t, encodeRenewResponse, decodeRenewResponse)
+	c, d := roundTrip(t, encodeRenewResponse, decodeRenewResponse)
 	must.Eq(t, c, d)
-	e, f := travels(t, encodeSupportRequest, decodeSupportRequest)
+	e, f := roundTrip(t, encodeSupportRequest, decodeSupportRequest)
 	must.Eq(t, e, f)
-	g, h := travels(t, encodeSupportResponse, decodeSupportResponse)
+	g, h := roundTrip(t, encodeSupportResponse, decodeSupportResponse)
 	must.Eq(t, g, h)
-	i, j := travels(t, encodeResignRequest, decodeResignRequest)
+	i, j := roundTrip(t, encodeResignRequest, decodeResignRequest)
 	must.Eq(t, i, j)
-	k, l := travels(t, encodeSync, decodeSync)
+	k, l := roundTrip(t, encodeSync, decodeSync)
 	roundTimes(&k, &l)
 	must.Eq(t, k, l)
 }
