Write a bounded log of every decision, latencies and states as metrics

A failed request had one line at most, refusals before the dispatcher had none, a flood of failures was unbounded, and a reader of the log that stopped would have stopped the process.

- a line for every request with what decided it: configuration version, table revision, wait, steps; refusals too; moves of keys say from where and why
- clocks of VMs are compared with the coordinator's

--- a/common/gatewaysettings/settings.go
+++ b/common/gatewaysettings/settings.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"time"
 
+	"bramleystand.org/common/linebudget"
 	"bramleystand.org/common/settings"
 )
 
@@ -39,6 +40,8 @@
 	Retries Retries
 	// Memory is the most memory of the process in bytes.
 	Memory int64
+	// Logs is the most that the process writes to its log in a second.
+	Logs linebudget.Limit
 }
 
 // Retries are Share of the requests of a window and Slack more.
@@ -61,6 +64,12 @@
 	Stop    settings.Duration `json:"stop"`
 	Retries wireRetries       `json:"retries"`
 	Memory  int64             `json:"memory"`
+	Logs    wireLogs          `json:"logs"`
+}
+
+type wireLogs struct {
+	Lines int `json:"lines"`
+	Bytes int `json:"bytes"`
 }
 
 type wireRetries struct {
@@ -79,7 +88,7 @@
 	s := Settings{
 		Name: w.Name, DataCentre: w.Centre, Client: w.Client, Ready: w.Ready, Peer: w.Peer, Admin: w.Admin,
 		Store: w.Store, Seeds: w.Seeds, Stop: time.Duration(w.Stop), Memory: w.Memory * megabyte,
-		Retries: Retries(w.Retries),
+		Retries: Retries(w.Retries), Logs: linebudget.Limit(w.Logs),
 	}
 	if err := s.validate(parsed); err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
--- a/common/gatewaysettings/settings_test.go
+++ b/common/gatewaysettings/settings_test.go
@@ -11,7 +11,8 @@
 )
 
 const valid = `{"name":"edge-1","centre":"x","client":"10.1.0.1:80","ready":"10.1.0.1:81","peer":"10.1.0.1:82","admin":"10.1.0.1:83",
-"store":"10.200.1.7:8169","seeds":["10.2.0.1:82"],"stop":"6s","retries":{"share":0.2,"slack":58,"processes":16},"memory":284}`
+"store":"10.200.1.7:8169","seeds":["10.2.0.1:82"],"stop":"6s","retries":{"share":0.2,"slack":58,"processes":16},"memory":284,
+"logs":{"lines":200,"bytes":65536}}`
 
 // Guards against settings that are read into the wrong place or unit.
 func TestParse(t *testing.T) {
@@ -31,6 +32,8 @@
 		{`"6s"`, `"1ms"`}:                   "stop: 1ms is not allowed",
 		{`"share":0.2`, `"share":-1`}:       "retries.share: -1 is not allowed, allowed: 0 to 1",
 		{`"processes":16`, `"processes":0`}: "retries.processes: 0 is not allowed",
+		{`"lines":200`, `"lines":1`}:        "logs.lines: 1 is not allowed, allowed: 10 to 100000",
+		{`65536`, `-1`}:                     "logs.bytes: -1 is not allowed",
 		{`284`, `3`}:                        "memory: 3145728 is not allowed",
 		{`"edge-1"`, `""`}:                  `name: "" is not allowed`,
 		{`"memory"`, `"memories"`}:          "memories: an unknown field is not allowed",
--- a/common/gatewaysettings/validate.go
+++ b/common/gatewaysettings/validate.go
@@ -16,6 +16,11 @@
 	maxStop      = 10 * time.Minute
 	minMemory    = 32 * megabyte
 	maxProcesses = 10_000
+	// A line takes some 300 bytes; below 10 lines a second even rare events would be left out.
+	minLines = 10
+	maxLines = 100_000
+	minBytes = 4 << 10
+	maxBytes = 64 << 20
 )
 
 // validate checks all values. If the parser has rejected the document, its errors come first
@@ -50,5 +55,7 @@
 	check("retries.slack", s.Retries.Slack >= 0, s.Retries.Slack, "0 or more")
 	check("retries.processes", s.Retries.Processes >= 1 && s.Retries.Processes <= maxProcesses, s.Retries.Processes, fmt.Sprintf("1 to %d", maxProcesses))
 	check("memory", s.Memory >= minMemory, s.Memory, fmt.Sprintf("%d MB or more", minMemory/megabyte))
+	check("logs.lines", s.Logs.Lines >= minLines && s.Logs.Lines <= maxLines, s.Logs.Lines, fmt.Sprintf("%d to %d", minLines, maxLines))
+	check("logs.bytes", s.Logs.Bytes >= minBytes && s.Logs.Bytes <= maxBytes, s.Logs.Bytes, fmt.Sprintf("%d to %d", minBytes, maxBytes))
 	return errors.Join(problems...)
 }
--- a/entry/gateway.go
+++ b/entry/gateway.go
@@ -7,11 +7,12 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/apex/log"
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/rotisserie/eris"
 
+	"bramleystand.org/common/boundedlog"
 	"bramleystand.org/common/gatewaysettings"
-	"bramleystand.org/common/logging"
 	"bramleystand.org/entry/internal/gatewayprocess"
 	"bramleystand.org/entry/internal/kratoslog"
 )
@@ -21,6 +22,8 @@
 	memoryShare = 0.6
 	// collectPercent keeps the peak of the memory, which has a price, at half more than what is live.
 	collectPercent = 50
+	// closeTime is how long the end of the process waits for the reader of its log.
+	closeTime = 500 * time.Millisecond
 )
 
 // gatewayCommand runs the process on the users' platform.
@@ -40,9 +43,13 @@
 	}
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
-	logger := logging.New(os.Stderr, "entry", s.Name)
+	lines := boundedlog.New(os.Stdout, s.Logs, log.Fields{"program": "entry", "name": s.Name})
+	defer func() { _ = lines.Close(time.Now().Add(closeTime)) }()
+	logger := &log.Logger{Handler: lines, Level: log.DebugLevel}
 	klog.SetLogger(kratoslog.New(logger))
-	p, err := gatewayprocess.New(s, c.Settings, time.Now(), expvar.NewMap("bramleystand"), logger)
+	metrics := expvar.NewMap("bramleystand")
+	metrics.Set("log", expvar.Func(func() any { return lines.Counts() }))
+	p, err := gatewayprocess.New(s, c.Settings, time.Now(), metrics, logger)
 	if err != nil {
 		return eris.Wrap(err, "entry: start")
 	}
--- a/entry/internal/admission/scheduler.go
+++ b/entry/internal/admission/scheduler.go
@@ -60,6 +60,12 @@
 // Waiting reports whether requests wait.
 func (s *Scheduler) Waiting() bool { return len(s.waiting) > 0 }
 
+// Running returns the number of requests that have a slot.
+func (s *Scheduler) Running() int { return s.running }
+
+// Queued returns the number of requests that wait.
+func (s *Scheduler) Queued() int { return len(s.waiting) }
+
 // Wait returns how long a request of a rank that came now would wait.
 func (s *Scheduler) Wait(rank int) time.Duration {
 	if s.running < s.slots && len(s.waiting) == 0 {
--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/guide.go
@@ -23,8 +23,9 @@
 		_, holding := n.election.Holding()
 		n.mu.Unlock()
 		if known && !holding && holder.Name != n.self.Name {
+			n.clock.begin(holder.Name)
 			if err := n.peers.Follow(ctx, holder.Address, guideTime, n.take); err != nil && ctx.Err() == nil {
-				n.logger.WithError(err).Debug("coordinator not followed")
+				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
 			}
 		}
 		if now := time.Now(); !holding && !now.Before(nextList) {
@@ -70,6 +71,7 @@
 // take uses an update of the coordinator.
 func (n *Node) take(u report.Update) {
 	now := time.Now()
+	n.compareClocks(now, u)
 	if u.Sure {
 		n.mu.Lock()
 		n.guided = now
@@ -110,7 +112,7 @@
 			return errNotCoordinator
 		}
 		changed := n.view.Changed()
-		u := report.Update{Term: term, Sure: sure, Condemned: n.crashes.Verdicts(time.Now())}
+		u := report.Update{Term: term, Sent: time.Now(), Sure: sure, Condemned: n.crashes.Verdicts(time.Now())}
 		for _, o := range n.replica.Tables() {
 			if o.Revision > sent[o.Name] {
 				sent[o.Name] = o.Revision
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -83,6 +84,9 @@
 	relying bool
 
 	checks map[string]Checker
+	clock  clocks
+	// orders counts the orders to servers by kind and end.
+	orders map[string]int
 }
 
 // Checker reads the list of a kind again.
@@ -105,7 +109,7 @@
 	return &Node{
 		self: self, store: store, grants: grants, peers: peers, view: v, replica: r, demands: d, crashes: l, dialer: dialer, logger: logger,
 		election: election.New(self, now, rand.N(mostJitter)), reported: make(map[string]reporter),
-		members: []election.Member{self}, checks: make(map[string]Checker),
+		members: []election.Member{self}, checks: make(map[string]Checker), orders: make(map[string]int),
 	}
 }
 
@@ -113,6 +117,24 @@
 // called before Run.
 func (n *Node) Watch(kind string, c Checker) { n.checks[kind] = c }
 
+// Orders returns how many orders the process has sent to servers, by kind and end.
+func (n *Node) Orders() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.orders)
+}
+
+// Role returns the term in which the process is the coordinator, or zero.
+func (n *Node) Role() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	term, holding := n.election.Holding()
+	if !holding {
+		return 0
+	}
+	return term
+}
+
 // Patience returns how long a watch on the store may wait: the coordinator looks often, and the
 // others trust it while they hear from it.
 func (n *Node) Patience() time.Duration {
@@ -234,7 +256,7 @@
 		n.election.Conflict(time.Now())
 	case err != nil:
 		if held && time.Since(n.election.Confirmed()) > confirmTime {
-			n.logger.WithError(err).Debug("lock not renewed")
+			n.logger.WithError(err).WithField("term", l.Term).Info("lock not renewed")
 		}
 	default:
 		n.election.Stored(now, l, stored.Revision)
--- a/entry/internal/cluster/steward.go
+++ b/entry/internal/cluster/steward.go
@@ -112,10 +112,14 @@
 // logDecisions writes what has happened to the keys of a service.
 func (s *steward) logDecisions(name string, d *duty) {
 	for _, m := range d.coordinator.Decisions() {
-		s.node.logger.WithFields(log.Fields{
-			"service": name, "first": m.Keys.First, "last": m.Keys.Last, "server": m.Server.ID, "life": m.Server.Incarnation,
-			"fence": m.Fence.String(), "term": s.term,
-		}).Info("keys " + string(m.What))
+		fields := log.Fields{
+			"service": name, "first": uint64(m.Keys.First), "last": uint64(m.Keys.Last), "server": m.Server.ID,
+			"life": m.Server.Incarnation, "fence": m.Fence.String(), "term": s.term,
+		}
+		if m.What == coordinator.Moving {
+			fields["from"], fields["reason"] = m.From.ID, string(m.Cause)
+		}
+		s.node.logger.WithFields(fields).Info("keys " + string(m.What))
 	}
 }
 
@@ -267,15 +271,28 @@
 	r.Unsent = r.Unsent || errors.Is(r.Err, platform.ErrUnsent)
 	if r.Err != nil {
 		s.node.logger.WithError(r.Err).WithFields(log.Fields{
-			"server": o.Server.ID, "first": o.Keys.First, "last": o.Keys.Last, "release": o.Release,
+			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
+			"fence": o.Fence.String(), "term": s.term, "reason": kindOf(o), "unsent": r.Unsent,
 		}).Info("order failed")
 	}
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
+	s.node.orders[kindOf(o)]++
+	if r.Err != nil {
+		s.node.orders[kindOf(o)+" failed"]++
+	}
 	d.coordinator.Finish(time.Now(), r)
 	s.signal()
 }
 
+// kindOf returns the kind of an order for logs and metrics.
+func kindOf(o coordinator.Order) string {
+	if o.Release {
+		return "release"
+	}
+	return "grant"
+}
+
 // probe connects to silent servers, so that they get grants again once they can be reached.
 func (s *steward) probe(ctx context.Context, group *sync.WaitGroup, now time.Time, d *duty) {
 	for _, server := range d.coordinator.Silent(now) {
--- a/entry/internal/coordinator/deal.go
+++ b/entry/internal/coordinator/deal.go
@@ -161,6 +161,7 @@
 	if keys.Last < s.keys.Last {
 		c.shares = slices.Insert(c.shares, i+1, s.split(keys.Last))
 	}
+	cause, from := c.cause(now, s)
 	for _, h := range s.holders {
 		h.next = now
 	}
@@ -172,5 +173,5 @@
 	c.generation++
 	s.generation = c.generation
 	c.moves++
-	c.decide(Decision{What: Moving, Keys: s.keys, Server: to})
+	c.decide(Decision{What: Moving, Keys: s.keys, Server: to, From: from, Cause: cause})
 }
--- a/entry/internal/coordinator/decision.go
+++ b/entry/internal/coordinator/decision.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"bramleystand.org/common/fence"
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/entry/internal/ownership"
@@ -29,6 +31,47 @@
 	Keys   keyspace.Range
 	Server ownership.Server
 	Fence  fence.Fence
+	// From is the server that the keys are moved away from, if there is one, and Cause why.
+	From  ownership.Server
+	Cause Cause
+}
+
+// Cause says why keys are moved.
+type Cause string
+
+// The causes of a move.
+const (
+	// Unowned keys are held by nobody.
+	Unowned Cause = "no owner"
+	// Leaving means that the owner's entry in the store says that it ends.
+	Leaving Cause = "owner is leaving"
+	// Gone means that the owner has no entry in the store any more, or another process has its name.
+	Gone Cause = "owner is not registered"
+	// Silent means that the owner does not answer the coordinator.
+	Silent Cause = "owner does not answer"
+	// Load means that other servers have more room.
+	Load Cause = "load"
+)
+
+// cause returns why the keys of a share would be moved now, and the server that holds them.
+func (c *Coordinator) cause(now time.Time, s *share) (Cause, ownership.Server) {
+	h := s.target
+	if h == nil && len(s.holders) > 0 {
+		h = s.holders[0]
+	}
+	if h == nil {
+		return Unowned, ownership.Server{}
+	}
+	entry, registered := c.servers[h.server.Life]
+	switch {
+	case !registered:
+		return Gone, h.server
+	case entry.Draining:
+		return Leaving, h.server
+	case c.silent(now, h.server.Life):
+		return Silent, h.server
+	}
+	return Load, h.server
 }
 
 // decide keeps a decision for the log.
--- a/entry/internal/dispatch/choose.go
+++ b/entry/internal/dispatch/choose.go
@@ -71,6 +71,9 @@
 		changed := d.view.Changed()
 		now := time.Now()
 		servers := d.view.Servers()
+		if table := d.view.Table(p.call.Service); table != nil {
+			p.table = table.Revision
+		}
 		s, ok := d.lookup(now, servers, p.call)
 		if ok {
 			t := d.targets.get(servers, s)
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -100,6 +100,9 @@
 	fallback    *Result
 	server      string
 	fingerprint suspect.Fingerprint
+	steps       []Step
+	// table is the revision of the table that the owner was last looked up in.
+	table uint64
 }
 
 // Do returns the final answer to a call.
@@ -111,7 +114,7 @@
 	d.budgets.Earn(c.Arrived, c.Service)
 	p := &progress{call: c, tried: make(map[registry.Life]bool), fingerprint: f}
 	r := d.run(ctx, p)
-	r.Attempts, r.Server = p.sent, p.server
+	r.Attempts, r.Server, r.Steps, r.Table = p.sent, p.server, p.steps, p.table
 	return r
 }
 
@@ -121,7 +124,11 @@
 		if refusal != nil {
 			return p.final(refusal)
 		}
+		begin := time.Now()
+		p.steps = append(p.steps, Step{Server: t.server.ID})
 		result, again := d.attempt(ctx, p, t)
+		step := &p.steps[len(p.steps)-1]
+		step.Reason, step.Took = result.Reason, time.Since(begin)-step.Waited
 		if !again {
 			return result
 		}
@@ -147,7 +154,9 @@
 // attempt sends the request to a server; again tells whether another attempt may help.
 func (d *Dispatcher) attempt(ctx context.Context, p *progress, t *target) (r *Result, again bool) {
 	c := p.call
+	arrived := time.Now()
 	slot, err := d.gate.Enter(ctx, c.admission(t.server))
+	p.steps[len(p.steps)-1].Waited = time.Since(arrived)
 	if err != nil {
 		return d.notAdmitted(ctx, p, t, err)
 	}
--- a/entry/internal/dispatch/result.go
+++ b/entry/internal/dispatch/result.go
@@ -20,6 +20,30 @@
 	Attempts int
 	Server   string
 	Cause    error
+	// Steps are the servers that were tried, in their order.
+	Steps []Step
+	// Table is the revision of the table of key owners that the last choice was made by, or zero.
+	Table uint64
+}
+
+// Step is one server that was tried.
+type Step struct {
+	Server string
+	// Reason is how it ended.
+	Reason Reason
+	// Waited is the time until the server had a slot or the request was refused, and Took that
+	// until the server's answer.
+	Waited time.Duration
+	Took   time.Duration
+}
+
+// Waited returns the time that the call has waited for slots.
+func (r *Result) Waited() time.Duration {
+	var sum time.Duration
+	for _, s := range r.Steps {
+		sum += s.Waited
+	}
+	return sum
 }
 
 // refused returns the answer to a call that was not run.
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -72,6 +72,8 @@
 
 	mu    sync.Mutex
 	abort context.CancelFunc
+	// heard is when the store last answered.
+	heard time.Time
 }
 
 // New returns a follower that does nothing until Run.
@@ -89,6 +91,20 @@
 	}
 }
 
+// Heard returns when the store last answered a list or a watch, or zero.
+func (f *Follower) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
+// hear notes that the store has answered.
+func (f *Follower) hear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = time.Now()
+}
+
 // begin returns the context of a watch that Check can end.
 func (f *Follower) begin(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
 	bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
@@ -129,6 +145,7 @@
 	if err != nil {
 		return 0, err
 	}
+	f.hear()
 	f.sink.Reset(time.Now(), objects)
 	return revision, nil
 }
@@ -147,6 +164,7 @@
 			}
 			return
 		}
+		f.hear()
 		if len(events) > 0 {
 			f.sink.Apply(time.Now(), events)
 			sleep(ctx, gather)
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -106,9 +106,7 @@
 	defer cancel()
 	result := h.dispatcher.Do(ctx, c)
 	h.counters.count(c, result, time.Since(now))
-	if result.Reason != dispatch.Answered {
-		h.logFailure(c, result)
-	}
+	h.logResult(configuration, c, result)
 	h.answer(w, r, result)
 }
 
@@ -260,6 +258,8 @@
 // refuseUnread refuses a request whose body has not been read. The connection is closed after
 // it; net/http would otherwise wait for the body before it sends the answer.
 func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, status int, retryAt time.Time, reason string) {
+	h.counters.refuse(status, reason)
+	h.logRefusal(r, status, reason)
 	if r.ContentLength != 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -280,18 +280,3 @@
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body)
 }
-
-// logFailure writes why a request was not answered by a server.
-func (h *Handler) logFailure(c *dispatch.Call, r *dispatch.Result) {
-	entry := h.logger.WithFields(log.Fields{
-		"id": c.ID, "route": c.Route.Name, "service": c.Service, "status": r.Status, "reason": string(r.Reason),
-		"attempts": r.Attempts, "server": r.Server, "ms": time.Since(c.Arrived).Milliseconds(),
-	})
-	if c.HasKey {
-		entry = entry.WithField("key", c.Key)
-	}
-	if r.Cause != nil {
-		entry = entry.WithError(r.Cause)
-	}
-	entry.Info("request not served")
-}
--- /dev/null
+++ b/entry/internal/gateway/log.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"bramleystand.org/common/traffic"
+	"bramleystand.org/entry/internal/dispatch"
+)
+
+// logResult writes how a request ended and what decided it. Lines of answered requests have
+// level debug, so that a bounded log leaves them out first.
+func (h *Handler) logResult(configuration *traffic.Configuration, c *dispatch.Call, r *dispatch.Result) {
+	fields := log.Fields{
+		"id": c.ID, "route": c.Route.Name, "service": c.Service, "rank": c.Route.Rank, "status": r.Status, "reason": string(r.Reason),
+		"attempts": r.Attempts, "server": r.Server, "ms": time.Since(c.Arrived).Milliseconds(), "wait": r.Waited().Milliseconds(),
+		"limit": c.Deadline.Sub(c.Arrived).Milliseconds(), "configuration": configuration.Version,
+	}
+	if c.HasKey {
+		fields["key"], fields["table"] = uint64(c.Key), r.Table
+	}
+	if n := len(r.Steps); n > 0 && r.Steps[n-1].Server != r.Server {
+		fields["chosen"] = r.Steps[n-1].Server
+	}
+	if len(r.Steps) > 1 {
+		fields["steps"] = formatSteps(r.Steps)
+	}
+	if r.Cause != nil {
+		fields["error"] = r.Cause
+	}
+	if !r.RetryAt.IsZero() {
+		fields["retry"] = time.Until(r.RetryAt).Milliseconds()
+	}
+	if r.Reason == dispatch.Answered {
+		h.logger.WithFields(fields).Debug("request served")
+		return
+	}
+	h.logger.WithFields(fields).Info("request not served")
+}
+
+// formatSteps returns the servers that were tried, each with the wait for a slot, the time of
+// the answer in ms and the end.
+func formatSteps(steps []dispatch.Step) string {
+	var out []string
+	for _, s := range steps {
+		out = append(out, fmt.Sprintf("%s waited %d took %d: %s", s.Server, s.Waited.Milliseconds(), s.Took.Milliseconds(), s.Reason))
+	}
+	return strings.Join(out, "; ")
+}
+
+// logRefusal writes why a request was refused before it was given to a server.
+func (h *Handler) logRefusal(r *http.Request, status int, reason string) {
+	h.logger.WithFields(log.Fields{
+		"id": h.fields.ID(r.Header), "host": r.Host, "path": r.URL.Path, "status": status, "reason": reason, "attempts": 0,
+	}).Info("request refused")
+}
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -36,6 +36,7 @@
 	"bramleystand.org/entry/internal/dialer"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/fleetsize"
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/operator"
@@ -43,6 +44,7 @@
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/retry"
 	"bramleystand.org/entry/internal/slots"
+	"bramleystand.org/entry/internal/storemeter"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
@@ -71,24 +73,30 @@
 	file     string
 	budgets  *retry.Budgets
 	retries  atomic.Pointer[gatewaysettings.Retries]
+	sizeMu   sync.Mutex
+	size     fleetsize.Size
 	self     election.Member
 	logger   log.Interface
 
 	view    *view.View
 	replica *replica.Replica
-	store   *platform.Store
+	store   *storemeter.Store
 	node    *cluster.Node
 	peers   *report.Client
 	keeper  *slots.Keeper
 	gate    *slots.Gate
 	handler *gateway.Handler
 	server  *report.Server
+	// followers keep the copies of the store's objects, by what they are.
+	followers map[string]*follow.Follower
 
 	clients, ready, peering, admin net.Listener
 
 	// hangups gets SIGHUP from the start on; without a receiver it would end the process.
-	hangups    chan os.Signal
-	stopping   atomic.Bool
+	hangups  chan os.Signal
+	stopping atomic.Bool
+	// answered is the last answer to the balancer.
+	answered   atomic.Bool
 	background context.Context
 	cancel     context.CancelFunc
 	loops      sync.WaitGroup
@@ -97,7 +105,7 @@
 // New opens the listeners and builds the process; nothing runs yet. The file is where the
 // settings came from.
 func New(s gatewaysettings.Settings, file string, now time.Time, metrics *expvar.Map, logger log.Interface) (*Process, error) {
-	p := &Process{settings: s, file: file, logger: logger, view: view.New()}
+	p := &Process{settings: s, file: file, logger: logger, view: view.New(), followers: make(map[string]*follow.Follower)}
 	p.hangups = make(chan os.Signal, 1)
 	signal.Notify(p.hangups, syscall.SIGHUP)
 	if err := p.listen(); err != nil {
@@ -107,7 +115,7 @@
 	p.self = election.Member{Name: s.Name, Incarnation: now.UnixNano(), DataCentre: s.DataCentre, Address: s.Peer}
 	d := dialer.NewProbing(s.Client.Addr())
 	p.replica = replica.New(p.view, logger)
-	p.store = platform.NewStore(s.Store, newClient(d))
+	p.store = storemeter.New(platform.NewStore(s.Store, newClient(d)))
 	p.peers = report.NewClient(d)
 	demands := cluster.NewDemands()
 	ledger := crashes.NewLedger()
@@ -119,6 +127,12 @@
 	dispatcher := dispatch.New(p.view, p.gate, p.budgets, d, platform.Fields{}, s.DataCentre, demands, ledger)
 	p.handler = gateway.New(p.view, dispatcher, platform.Fields{}, demands, gateway.NewCounters(metrics), logger)
 	p.server = report.NewServer(p.node, p.keeper)
+	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
+		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.Patience, p.logger)
+		p.node.Watch(kind, f)
+		p.followers[name] = f
+	}
+	p.publish(metrics)
 	return p, nil
 }
 
@@ -166,7 +180,7 @@
 		),
 		kratos.BeforeStop(p.depart),
 	)
-	p.logger.WithField("clients", p.clients.Addr().String()).Info("started")
+	p.logger.WithFields(log.Fields{"clients": p.clients.Addr().String(), "incarnation": p.self.Incarnation, "centre": p.self.DataCentre}).Info("started")
 	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
 	defer stop()
 	if err := app.Run(); err != nil && !errors.Is(err, context.Canceled) {
@@ -194,7 +208,11 @@
 		http.NotFound(w, r)
 		return
 	}
-	if !p.isReady() {
+	ready := p.isReady()
+	if p.answered.Swap(ready) != ready {
+		p.logger.WithField("ready", ready).Info("answer to the balancer has changed")
+	}
+	if !ready {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -222,9 +240,7 @@
 			p.logger.WithError(err).Error("peers can't be served")
 		}
 	})
-	for _, kind := range []string{platform.KindConfiguration, platform.KindServers} {
-		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.Patience, p.logger)
-		p.node.Watch(kind, f)
+	for _, f := range p.followers {
 		p.loop(f.Run)
 	}
 	p.loop(p.node.Run)
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -214,7 +214,7 @@
 	eventually(t, 5*time.Second, "it has started", has("started"))
 	must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	eventually(t, 5*time.Second, "bad settings are refused", has("settings refused; the previous ones stay in force"))
-	good := fmt.Sprintf(`{"name":"first","centre":"x","client":"%s","ready":"%s","peer":"%s","admin":"%s","store":"%s","seeds":[],"stop":"5s","retries":{"share":0.1,"slack":9,"processes":3},"memory":100}`,
+	good := fmt.Sprintf(`{"name":"first","centre":"x","client":"%s","ready":"%s","peer":"%s","admin":"%s","store":"%s","seeds":[],"stop":"5s","retries":{"share":0.1,"slack":9,"processes":3},"memory":100,"logs":{"lines":200,"bytes":65536}}`,
 		p.settings.Client, p.settings.Ready, p.settings.Peer, p.settings.Admin, p.settings.Store)
 	must.NoError(t, os.WriteFile(p.file, []byte(good), 0o600))
 	eventually(t, 5*time.Second, "good settings are read without a signal", has("settings read"))
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -1,6 +1,8 @@
 package report
 
 import (
+	"time"
+
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/crashes"
@@ -68,6 +70,8 @@
 // sign of life.
 type Update struct {
 	Term uint64
+	// Sent is when the coordinator sent the update by its own clock.
+	Sent time.Time
 	// Sure is false if the coordinator has not reached the store of late.
 	Sure    bool
 	Objects []Object
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
@@ -76,6 +77,7 @@
 type wireUpdate struct {
 	_         struct{} `cbor:",toarray"`
 	Term      uint64
+	Sent      int64
 	Sure      bool
 	Objects   []wireObject
 	Marks     []wireMark
@@ -164,7 +166,7 @@
 }
 
 func encodeUpdate(u Update) *wireUpdate {
-	w := &wireUpdate{Term: u.Term, Sure: u.Sure, Condemned: u.Condemned, Objects: encodeObjects(u.Objects).Objects}
+	w := &wireUpdate{Term: u.Term, Sent: u.Sent.UnixNano(), Sure: u.Sure, Condemned: u.Condemned, Objects: encodeObjects(u.Objects).Objects}
 	for _, m := range u.Marks {
 		w.Marks = append(w.Marks, wireMark{Kind: m.Kind, Revision: m.Revision, Count: m.Count})
 	}
@@ -172,7 +174,7 @@
 }
 
 func decodeUpdate(w *wireUpdate) Update {
-	u := Update{Term: w.Term, Sure: w.Sure, Condemned: w.Condemned, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
+	u := Update{Term: w.Term, Sent: time.Unix(0, w.Sent), Sure: w.Sure, Condemned: w.Condemned, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
 	for _, m := range w.Marks {
 		u.Marks = append(u.Marks, Mark{Kind: m.Kind, Revision: m.Revision, Count: m.Count})
 	}
--- a/entry/internal/retry/budgets.go
+++ b/entry/internal/retry/budgets.go
@@ -63,6 +63,17 @@
 	return true
 }
 
+// Left returns the retries that are saved, by service.
+func (b *Budgets) Left(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]float64, len(b.buckets))
+	for service := range b.buckets {
+		out[service] = b.fill(now, service).tokens
+	}
+	return out
+}
+
 // fill adds the tokens earned by time. The mutex is held.
 func (b *Budgets) fill(now time.Time, service string) *bucket {
 	c, ok := b.buckets[service]
--- a/entry/internal/slots/keeper.go
+++ b/entry/internal/slots/keeper.go
@@ -162,6 +162,19 @@
 	return out
 }
 
+// Counts returns the numbers of servers that are kept, of requests that run on them and of
+// those that wait.
+func (k *Keeper) Counts() map[string]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := map[string]int{"servers": len(k.servers), "running": 0, "waiting": 0}
+	for _, s := range k.servers {
+		c["running"] += s.scheduler.Running()
+		c["waiting"] += s.scheduler.Queued()
+	}
+	return c
+}
+
 // drop gives back all slots of a process that is gone.
 func (k *Keeper) drop(now time.Time, c *client) {
 	k.mu.Lock()
