Share retries out by the largest fleet of the last ten minutes

Cause, by reading: a process that is cut off hears of fewer members and took a larger part of the shared retries, while those that it no longer hears of keep theirs; with more processes than settings.retries.processes (16) the sum could exceed the bound.

Test: fleetsize.TestSize.

--- a/entry/internal/gatewayprocess/reload.go
+++ b/entry/internal/gatewayprocess/reload.go
@@ -85,7 +85,9 @@
 // shareRetries sets this process's part of the retries.
 func (p *Process) shareRetries() {
 	r := p.retries.Load()
-	members := len(p.node.Members())
+	p.sizeMu.Lock()
+	members := p.size.Note(time.Now(), len(p.node.Members()))
+	p.sizeMu.Unlock()
 	p.budgets.SetLimit(retryLimit(*r, members+members/sparePart))
 }
 
