--- a/bramleyctl/internal/command/command.go
+++ b/bramleyctl/internal/command/command.go
@@ -56,6 +56,7 @@
 	Leaving  leavingCommand   `cmd:"" help:"List the VMs that are marked as leaving."`
 	Status   statusCommand    `cmd:"" help:"Show members, controllers and versions in force."`
 	Owner    ownerCommand     `cmd:"" help:"Show who serves a key, and why."`
+	Explain  explainCommand   `cmd:"" help:"Find the cause of a request's end in the logs of entry processes."`
 	Dump     dumpCommand      `cmd:"" help:"Print the state of a process."`
 	Check    checkCommand     `cmd:"" help:"Check a file without using it."`
 }
--- a/bramleyctl/internal/command/owner.go
+++ b/bramleyctl/internal/command/owner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"bramleystand.org/bramleyctl/internal/dump"
 	"bramleystand.org/common/configuration"
@@ -12,12 +13,17 @@
 )
 
 type ownerCommand struct {
-	Service string `arg:"" help:"Name of the service."`
-	Key     string `arg:"" help:"The key."`
+	Service string    `arg:"" help:"Name of the service."`
+	Key     string    `arg:"" help:"The key."`
+	Logs    []string  `help:"Log files of entry processes on the users' platform, to be used in place of --entry." type:"existingfile"`
+	At      time.Time `help:"With --logs, the time that is asked about; the end of the logs if it is missing."`
 }
 
 // Run prints the ownership by the newest tables of the given entry processes.
 func (c ownerCommand) Run(s *session) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs(s)
+	}
 	dumps, failed, err := s.dumps()
 	if err != nil {
 		return err
