Refuse late requests without waking up a hundred times a second

Cause, by reading: the keeper looked at its lines each 10 ms, twice per process, also with nothing waiting; each wake-up takes processor time, which has a price. Ruled out: one timer per request, which costs more in a flood. Test: TestExpiryInFlood, which fails if each new request puts the look off.

--- a/entry/internal/slots/gate_test.go
+++ b/entry/internal/slots/gate_test.go
@@ -169,3 +169,32 @@
 	must.NoError(t, err)
 	s.Leave(time.Millisecond)
 }
+
+// Guards against a request that waits beyond its time because others keep coming.
+func TestExpiryInFlood(t *testing.T) {
+	f := &fleet{}
+	a := start(t, f, "a", "x")
+	for _, server := range []string{"full", "flooded"} {
+		_, err := a.gate.Enter(t.Context(), admission(server, 1, 10*time.Second))
+		must.NoError(t, err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := a.gate.Enter(t.Context(), admission("full", 1, 300*time.Millisecond))
+		done <- err
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	for range 1000 {
+		group.Go(func() { _, _ = a.gate.Enter(ctx, admission("flooded", 1, 10*time.Second)) })
+		select {
+		case err := <-done:
+			must.Error(t, err)
+			return
+		case <-time.After(3 * time.Millisecond):
+		}
+	}
+	t.Fatal("the request still waits")
+}
--- a/entry/internal/slots/keeper.go
+++ b/entry/internal/slots/keeper.go
@@ -33,6 +33,9 @@
 // Keeper holds the slots of the servers that this process keeps. It is safe for concurrent use;
 // replies are made without its lock.
 type Keeper struct {
+	// wake tells Run that a request has begun to wait.
+	wake chan struct{}
+
 	mu       sync.Mutex
 	servers  map[registry.Life]*kept
 	requests map[ticket]placed
@@ -63,35 +66,52 @@
 
 // NewKeeper returns a keeper without servers.
 func NewKeeper() *Keeper {
-	return &Keeper{servers: make(map[registry.Life]*kept), requests: make(map[ticket]placed)}
+	return &Keeper{wake: make(chan struct{}, 1), servers: make(map[registry.Life]*kept), requests: make(map[ticket]placed)}
 }
 
-// Run refuses requests that have waited too long, until the context ends.
+// Run refuses requests that have waited too long, until the context ends. It sleeps while
+// nothing waits, because each wake-up takes processor time.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(unusedTime)
+	defer timer.Stop()
+	waiting := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			k.expire(now)
+		case <-k.wake:
+			// Requests that come one after the other must not put the next look off.
+			if !waiting {
+				waiting = true
+				timer.Reset(expireInterval)
+			}
+		case now := <-timer.C:
+			waiting = k.expire(now)
+			if waiting {
+				timer.Reset(expireInterval)
+			} else {
+				timer.Reset(unusedTime)
+			}
 		}
 	}
 }
 
-func (k *Keeper) expire(now time.Time) {
+// expire refuses requests and forgets servers that are due; it reports whether requests wait.
+func (k *Keeper) expire(now time.Time) bool {
 	k.mu.Lock()
+	waiting := false
 	var due []answer
 	for l, s := range k.servers {
 		if s.scheduler.Waiting() {
 			due = append(due, k.answers(now, s, s.scheduler.Expire(now))...)
+			waiting = waiting || s.scheduler.Waiting()
 		} else if s.scheduler.Idle() && now.Sub(s.used) > unusedTime {
 			delete(k.servers, l)
 		}
 	}
 	k.mu.Unlock()
 	send(due)
+	return waiting
 }
 
 // answer is a reply with the process that gets it.
@@ -133,7 +153,14 @@
 		Owner: ticket{c, m.number},
 	}
 	k.requests[ticket{c, m.number}] = placed{r, m.life}
-	return k.answers(now, s, s.scheduler.Offer(now, r))
+	out := k.answers(now, s, s.scheduler.Offer(now, r))
+	if s.scheduler.Waiting() {
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+	}
+	return out
 }
 
 func (k *Keeper) leave(now time.Time, t ticket, l registry.Life, service time.Duration) []answer {
