Let large VMs coordinate, and send tables as differences

Each change of a table went whole to each process: at 400 servers 40 KB to 77 processes, 3 MB, over two seconds of such a link.

- settings.cores; a small VM takes a free lock 0.3 s later than a large one
- updates carry what changed against the table sent before on the stream
- marks of the copies are kept, not counted for each follower

--- a/common/gatewaysettings/settings.go
+++ b/common/gatewaysettings/settings.go
@@ -38,6 +38,8 @@
 	Stop time.Duration
 	// Retries are the requests that all entry processes together may send again to a service.
 	Retries Retries
+	// Cores is the processor time that the process gets in a second, in seconds of a core of usual speed.
+	Cores float64
 	// Memory is the most memory of the process in bytes.
 	Memory int64
 	// Logs is the most that the process writes to its log in a second.
@@ -63,10 +65,16 @@
 	Seeds   []netip.AddrPort  `json:"seeds"`
 	Stop    settings.Duration `json:"stop"`
 	Retries wireRetries       `json:"retries"`
+	Cores   wireCores         `json:"cores"`
 	Memory  int64             `json:"memory"`
 	Logs    wireLogs          `json:"logs"`
 }
 
+type wireCores struct {
+	Share float64 `json:"share"`
+	Speed float64 `json:"speed"`
+}
+
 type wireLogs struct {
 	Lines int `json:"lines"`
 	Bytes int `json:"bytes"`
@@ -88,7 +96,7 @@
 	s := Settings{
 		Name: w.Name, DataCentre: w.Centre, Client: w.Client, Ready: w.Ready, Peer: w.Peer, Admin: w.Admin,
 		Store: w.Store, Seeds: w.Seeds, Stop: time.Duration(w.Stop), Memory: w.Memory * megabyte,
-		Retries: Retries(w.Retries), Logs: linebudget.Limit(w.Logs),
+		Retries: Retries(w.Retries), Cores: w.Cores.Share * w.Cores.Speed, Logs: linebudget.Limit(w.Logs),
 	}
 	if err := s.validate(parsed); err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
--- a/common/gatewaysettings/settings_test.go
+++ b/common/gatewaysettings/settings_test.go
@@ -11,7 +11,7 @@
 )
 
 const valid = `{"name":"edge-1","centre":"x","client":"10.1.0.1:80","ready":"10.1.0.1:81","peer":"10.1.0.1:82","admin":"10.1.0.1:83",
-"store":"10.200.1.7:8169","seeds":["10.2.0.1:82"],"stop":"6s","retries":{"share":0.2,"slack":58,"processes":16},"memory":284,
+"store":"10.200.1.7:8169","seeds":["10.2.0.1:82"],"stop":"6s","retries":{"share":0.2,"slack":58,"processes":16},"cores":{"share":0.25,"speed":2},"memory":284,
 "logs":{"lines":200,"bytes":65536}}`
 
 // Guards against settings that are read into the wrong place or unit.
@@ -21,6 +21,7 @@
 	must.Eq(t, "edge-1", s.Name)
 	must.Eq(t, 6*time.Second, s.Stop)
 	must.Eq(t, 284<<20, s.Memory)
+	must.Eq(t, 0.5, s.Cores)
 	must.Eq(t, gatewaysettings.Retries{Share: 0.2, Slack: 58, Processes: 16}, s.Retries)
 }
 
@@ -34,6 +35,7 @@
 		{`"processes":16`, `"processes":0`}: "retries.processes: 0 is not allowed",
 		{`"lines":200`, `"lines":1`}:        "logs.lines: 1 is not allowed, allowed: 10 to 100000",
 		{`65536`, `-1`}:                     "logs.bytes: -1 is not allowed",
+		{`"share":0.25`, `"share":0`}:       "cores: 0 is not allowed",
 		{`284`, `3`}:                        "memory: 3145728 is not allowed",
 		{`"edge-1"`, `""`}:                  `name: "" is not allowed`,
 		{`"memory"`, `"memories"`}:          "memories: an unknown field is not allowed",
--- a/common/gatewaysettings/validate.go
+++ b/common/gatewaysettings/validate.go
@@ -16,6 +16,7 @@
 	maxStop      = 10 * time.Minute
 	minMemory    = 32 * megabyte
 	maxProcesses = 10_000
+	maxCores     = 10_000
 	// A line takes some 300 bytes; below 10 lines a second even rare events would be left out.
 	minLines = 10
 	maxLines = 100_000
@@ -54,6 +55,7 @@
 	check("retries.share", s.Retries.Share >= 0 && s.Retries.Share <= 1, s.Retries.Share, "0 to 1")
 	check("retries.slack", s.Retries.Slack >= 0, s.Retries.Slack, "0 or more")
 	check("retries.processes", s.Retries.Processes >= 1 && s.Retries.Processes <= maxProcesses, s.Retries.Processes, fmt.Sprintf("1 to %d", maxProcesses))
+	check("cores", s.Cores > 0 && s.Cores <= maxCores, s.Cores, fmt.Sprintf("a share and a speed whose product is above 0 and at most %d", maxCores))
 	check("memory", s.Memory >= minMemory, s.Memory, fmt.Sprintf("%d MB or more", minMemory/megabyte))
 	check("logs.lines", s.Logs.Lines >= minLines && s.Logs.Lines <= maxLines, s.Logs.Lines, fmt.Sprintf("%d to %d", minLines, maxLines))
 	check("logs.bytes", s.Logs.Bytes >= minBytes && s.Logs.Bytes <= maxBytes, s.Logs.Bytes, fmt.Sprintf("%d to %d", minBytes, maxBytes))
--- /dev/null
+++ b/entry/internal/cluster/differences_internal_test.go
@@ -0,0 +1,54 @@
+package cluster
+
+import (
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/keyspace"
+	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/ownership"
+	"bramleystand.org/entry/internal/replica"
+	"bramleystand.org/entry/internal/view"
+)
+
+// table returns a table of one range that a server holds.
+func table(revision uint64, server string) *ownership.Table {
+	return &ownership.Table{Service: "s", Revision: revision, Assignments: []ownership.Assignment{{
+		Range: keyspace.Range{Last: keyspace.Last}, Holders: []ownership.Server{{Life: registry.Life{ID: server}}},
+	}}}
+}
+
+// Guards against a follower that uses a difference to another table than its own, and against
+// one that goes on with a stream on which a table is missing.
+func TestDifferences(t *testing.T) {
+	v := view.New()
+	logger := &log.Logger{Handler: discard.New()}
+	n := &Node{view: v, replica: replica.New(v, logger), logger: logger, received: make(map[string]*ownership.Table)}
+	d := &differences{}
+	first, second, third := table(3, "a"), table(5, "b"), table(8, "c")
+	whole, err := d.object(nil, first)
+	must.NoError(t, err)
+	next, err := d.object(first, second)
+	must.NoError(t, err)
+	last, err := d.object(second, third)
+	must.NoError(t, err)
+	must.ErrorIs(t, n.takeTable(next), errNoBase)
+	must.NoError(t, n.takeTable(whole))
+	must.ErrorIs(t, n.takeTable(last), errNoBase)
+	must.NoError(t, n.takeTable(next))
+	must.NoError(t, n.takeTable(last))
+	must.Eq(t, third, v.Table("s"))
+	// An older table on a new stream changes nothing, and differences to it are still understood.
+	clear(n.received)
+	must.NoError(t, n.takeTable(whole))
+	must.Eq(t, 8, v.Table("s").Revision)
+	must.NoError(t, n.takeTable(next))
+	must.Eq(t, 8, v.Table("s").Revision)
+	again, err := d.object(first, second)
+	must.NoError(t, err)
+	must.Eq(t, next, again)
+	must.Len(t, 3, d.all)
+}
--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/guide.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
-	"bramleystand.org/platform"
 )
 
-var errNotCoordinator = eris.New("cluster: this process is not the coordinator")
+var (
+	errNotCoordinator = eris.New("cluster: this process is not the coordinator")
+	errNoBase         = eris.New("cluster: a difference to a table that was not sent")
+)
 
 // followLoop follows the coordinator. Tables come from it; while there is none, they are read
 // from the store.
@@ -24,6 +28,7 @@
 		n.mu.Unlock()
 		if known && !holding && holder.Name != n.self.Name {
 			n.clock.begin(holder.Name)
+			clear(n.received)
 			if err := n.peers.Follow(ctx, holder.Address, guideTime, n.take); err != nil && ctx.Err() == nil {
 				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
 			}
@@ -69,7 +74,7 @@
 }
 
 // take uses an update of the coordinator.
-func (n *Node) take(u report.Update) {
+func (n *Node) take(u report.Update) error {
 	now := time.Now()
 	n.compareClocks(now, u)
 	if u.Sure {
@@ -80,7 +85,9 @@
 	}
 	n.crashes.Condemn(now, u.Condemned)
 	for _, o := range u.Objects {
-		n.replica.Store(now, o.Kind, platform.Object{Name: o.Name, Revision: o.Revision, Data: o.Data})
+		if err := n.takeTable(o); err != nil {
+			return err
+		}
 	}
 	for _, m := range u.Marks {
 		if c := n.checks[m.Kind]; c != nil && n.replica.Mark(m.Kind).Behind(m) {
@@ -92,14 +99,40 @@
 			})
 		}
 	}
+	return nil
+}
+
+// takeTable uses a table of the coordinator, or the difference to the one that it sent before.
+func (n *Node) takeTable(o report.Object) error {
+	var t *ownership.Table
+	var err error
+	switch base := n.received[o.Name]; {
+	case o.Base == 0:
+		t, err = ownership.Decode(o.Name, o.Revision, o.Data)
+	case base == nil || base.Revision != o.Base:
+		err = errNoBase
+	default:
+		t, err = ownership.Apply(base, o.Revision, o.Data)
+	}
+	if err != nil {
+		return fmt.Errorf("cluster: table of %q: %w", o.Name, err)
+	}
+	data, err := ownership.Encode(t)
+	if err != nil {
+		return fmt.Errorf("cluster: table of %q: %w", o.Name, err)
+	}
+	n.received[o.Name] = t
+	n.replica.StoreTable(t, data)
+	return nil
 }
 
 // missedDelay is how long a change that the coordinator has seen may still come by the own watch.
 const missedDelay = 150 * time.Millisecond
 
-// Follow implements report.Handler.
+// Follow implements report.Handler. It sends the tables whole at first and then what changes: a
+// table of 400 servers has 40 KB, and some hundred processes get each change.
 func (n *Node) Follow(ctx context.Context, send func(report.Update) error) error {
-	sent := make(map[string]uint64)
+	sent := make(map[string]*ownership.Table)
 	marks := make(map[string]report.Mark)
 	ticker := time.NewTicker(aliveInterval)
 	defer ticker.Stop()
@@ -113,11 +146,16 @@
 		}
 		changed := n.view.Changed()
 		u := report.Update{Term: term, Sent: time.Now(), Sure: sure, Condemned: n.crashes.Verdicts(time.Now())}
-		for _, o := range n.replica.Tables() {
-			if o.Revision > sent[o.Name] {
-				sent[o.Name] = o.Revision
-				u.Objects = append(u.Objects, report.Object{Kind: replica.KindTables, Name: o.Name, Revision: o.Revision, Data: o.Data})
+		for name, t := range n.view.Tables() {
+			if last := sent[name]; last != nil && last.Revision >= t.Revision {
+				continue
+			}
+			o, err := n.differences.object(sent[name], t)
+			if err != nil {
+				return err
 			}
+			sent[name] = t
+			u.Objects = append(u.Objects, o)
 		}
 		for kind := range n.checks {
 			if m := n.replica.Mark(kind); m != marks[kind] {
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	n := cluster.New(self, store, grants, peers, view, replica, demands, crashes, dialer, logger)
+//	n := cluster.New(self, cores, store, grants, peers, view, replica, demands, crashes, dialer, logger)
 //	go n.Run(ctx)
 //	defer n.Resign(ctx)
 package cluster
@@ -23,6 +23,7 @@
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/follow"
+	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/view"
@@ -62,6 +63,7 @@
 // view and replica.
 type Node struct {
 	self    election.Member
+	cores   float64
 	store   Store
 	grants  Grants
 	peers   Peers
@@ -85,6 +87,10 @@
 
 	checks map[string]Checker
 	clock  clocks
+	// received are the tables that the coordinator sent on the present stream; only the loop
+	// that follows uses them.
+	received    map[string]*ownership.Table
+	differences differences
 	// orders counts the orders to servers by kind and end.
 	orders map[string]int
 }
@@ -100,16 +106,20 @@
 // reporter is a process that has reported.
 type reporter struct {
 	member election.Member
+	cores  float64
 	at     time.Time
 }
 
-// New returns a node that does nothing until Run.
-func New(self election.Member, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, d *Demands, l *crashes.Ledger, dialer Dialer, logger log.Interface) *Node {
+// New returns a node that does nothing until Run; cores is the processor time of the VM in
+// cores.
+func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, d *Demands, l *crashes.Ledger, dialer Dialer, logger log.Interface) *Node {
 	now := time.Now()
+	e := election.New(self, now, rand.N(mostJitter))
+	e.SetHandicap(handicap(cores, 0))
 	return &Node{
-		self: self, store: store, grants: grants, peers: peers, view: v, replica: r, demands: d, crashes: l, dialer: dialer, logger: logger,
-		election: election.New(self, now, rand.N(mostJitter)), reported: make(map[string]reporter),
-		members: []election.Member{self}, checks: make(map[string]Checker), orders: make(map[string]int),
+		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, demands: d, crashes: l, dialer: dialer, logger: logger,
+		election: e, reported: make(map[string]reporter),
+		members: []election.Member{self}, checks: make(map[string]Checker), received: make(map[string]*ownership.Table), orders: make(map[string]int),
 	}
 }
 
@@ -312,7 +322,7 @@
 		return
 	}
 	demands, samples := n.demands.Take()
-	r := report.Report{From: n.self, Demands: demands, Samples: samples, Crashes: n.crashes.Take()}
+	r := report.Report{From: n.self, Cores: n.cores, Demands: demands, Samples: samples, Crashes: n.crashes.Take()}
 	if holding {
 		n.Report(time.Now(), r)
 		return
@@ -324,6 +334,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members = answer.Members
+	n.election.SetHandicap(handicap(n.cores, answer.Cores))
 	if answer.Confirmed {
 		n.election.Hear(time.Now(), answer.Term)
 	}
@@ -337,19 +348,21 @@
 	if !holding || n.steward == nil {
 		return report.Answer{}
 	}
-	n.reported[r.From.Name] = reporter{member: r.From, at: now}
+	n.reported[r.From.Name] = reporter{member: r.From, cores: r.Cores, at: now}
 	n.steward.take(now, r)
 	n.crashes.Note(now, r.Crashes)
 	n.members = n.members[:0:0]
+	largest := 0.0
 	for name, p := range n.reported {
 		if now.Sub(p.at) > memberLifetime {
 			delete(n.reported, name)
 			continue
 		}
 		n.members = append(n.members, p.member)
+		largest = max(largest, p.cores)
 	}
 	return report.Answer{
-		Coordinator: true, Term: term, Members: n.members,
+		Coordinator: true, Term: term, Members: n.members, Cores: largest,
 		Confirmed: now.Sub(n.election.Confirmed()) < confirmTime,
 	}
 }
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -207,3 +207,19 @@
 	_, err = election.Decode([]byte(`{"addr":"nowhere"}`))
 	must.Error(t, err)
 }
+
+// Guards against a small VM that becomes the coordinator although a larger one is there, and
+// against a lock that nobody takes because only small VMs are left.
+func TestHandicap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &store{}
+	small, large := newCandidate("small", now), newCandidate("large", now)
+	small.SetHandicap(300 * time.Millisecond)
+	now = play(now, 3*time.Second, s, true, small, large)
+	_, holding := large.Holding()
+	must.True(t, holding)
+	play(now, 3*time.Second, s, true, small)
+	_, holding = small.Holding()
+	must.True(t, holding)
+	must.Eq(t, 2, s.lock.Term)
+}
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -119,7 +119,7 @@
 	p.peers = report.NewClient(d)
 	demands := cluster.NewDemands()
 	ledger := crashes.NewLedger()
-	p.node = cluster.New(p.self, p.store, platform.NewGrants(newClient(&dialer.Abortive{Dialer: d})), p.peers, p.view, p.replica, demands, ledger, d, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, platform.NewGrants(newClient(&dialer.Abortive{Dialer: d})), p.peers, p.view, p.replica, demands, ledger, d, logger)
 	p.keeper = slots.NewKeeper()
 	p.gate = slots.New(p.background, p.self, p.keeper, p.peers, p.node)
 	p.retries.Store(&s.Retries)
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -62,7 +62,7 @@
 	p := &entryProcess{logs: &messages{}, done: make(chan error, 1), file: filepath.Join(t.TempDir(), "settings.json")}
 	p.settings = gatewaysettings.Settings{
 		Name: name, DataCentre: "x", Client: listenOnce(t), Ready: listenOnce(t), Peer: listenOnce(t), Admin: listenOnce(t), Store: s.address,
-		Seeds: seeds, Stop: 5 * time.Second, Memory: 200 << 20, Retries: gatewaysettings.Retries{Share: 0.2, Slack: 50, Processes: 4},
+		Seeds: seeds, Stop: 5 * time.Second, Cores: 1, Memory: 200 << 20, Retries: gatewaysettings.Retries{Share: 0.2, Slack: 50, Processes: 4},
 	}
 	must.NoError(t, os.WriteFile(p.file, []byte("not read at the start"), 0o600))
 	process, err := gatewayprocess.New(p.settings, p.file, time.Now(), new(expvar.Map), &log.Logger{Handler: p.logs, Level: log.InfoLevel})
@@ -214,7 +214,7 @@
 	eventually(t, 5*time.Second, "it has started", has("started"))
 	must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	eventually(t, 5*time.Second, "bad settings are refused", has("settings refused; the previous ones stay in force"))
-	good := fmt.Sprintf(`{"name":"first","centre":"x","client":"%s","ready":"%s","peer":"%s","admin":"%s","store":"%s","seeds":[],"stop":"5s","retries":{"share":0.1,"slack":9,"processes":3},"memory":100,"logs":{"lines":200,"bytes":65536}}`,
+	good := fmt.Sprintf(`{"name":"first","centre":"x","client":"%s","ready":"%s","peer":"%s","admin":"%s","store":"%s","seeds":[],"stop":"5s","retries":{"share":0.1,"slack":9,"processes":3},"cores":{"share":1,"speed":1},"memory":100,"logs":{"lines":200,"bytes":65536}}`,
 		p.settings.Client, p.settings.Ready, p.settings.Peer, p.settings.Admin, p.settings.Store)
 	must.NoError(t, os.WriteFile(p.file, []byte(good), 0o600))
 	eventually(t, 5*time.Second, "good settings are read without a signal", has("settings read"))
--- a/entry/internal/ownership/assignment.go
+++ b/entry/internal/ownership/assignment.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"slices"
+
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
 )
@@ -24,6 +26,12 @@
 	return a.Holders[0], true
 }
 
+// equal reports whether two assignments say the same.
+func (a *Assignment) equal(b *Assignment) bool {
+	return a.Range == b.Range && a.Doubtful == b.Doubtful && slices.Equal(a.Holders, b.Holders) &&
+		(a.Target == nil) == (b.Target == nil) && (a.Target == nil || *a.Target == *b.Target)
+}
+
 // Server is a backend server with its address, which is needed to take keys back from a
 // server that is no longer registered.
 type Server struct {
--- a/entry/internal/ownership/codec.go
+++ b/entry/internal/ownership/codec.go
@@ -31,8 +31,25 @@
 }
 
 // Encode returns the table in the format of Decode.
-func Encode(t *Table) ([]byte, error) {
-	w := wireTable{Term: t.Term}
+func Encode(t *Table) ([]byte, error) { return encode(t.Service, t.Term, t.Assignments) }
+
+// Diff returns what is different in a later table of the same service, in the format of Apply.
+func Diff(earlier, t *Table) ([]byte, error) {
+	var changed []Assignment
+	i := 0
+	for _, a := range t.Assignments {
+		for i < len(earlier.Assignments) && earlier.Assignments[i].First < a.First {
+			i++
+		}
+		if i == len(earlier.Assignments) || !earlier.Assignments[i].equal(&a) {
+			changed = append(changed, a)
+		}
+	}
+	return encode(t.Service, t.Term, changed)
+}
+
+func encode(service string, term uint64, assignments []Assignment) ([]byte, error) {
+	w := wireTable{Term: term}
 	places := make(map[Server]int)
 	place := func(s Server) int {
 		i, ok := places[s]
@@ -43,8 +60,8 @@
 		}
 		return i
 	}
-	for i := range t.Assignments {
-		a := &t.Assignments[i]
+	for i := range assignments {
+		a := &assignments[i]
 		r := wireRange{First: a.First, Last: a.Last, Doubt: a.Doubtful}
 		for _, h := range a.Holders {
 			r.Holders = append(r.Holders, place(h))
@@ -57,13 +74,66 @@
 	}
 	data, err := json.Marshal(w)
 	if err != nil {
-		return nil, fmt.Errorf("ownership: encode table of %q: %w", t.Service, err)
+		return nil, fmt.Errorf("ownership: encode table of %q: %w", service, err)
 	}
 	return data, nil
 }
 
 // Decode reads a table and checks that it covers all keys once.
 func Decode(service string, revision uint64, data []byte) (*Table, error) {
+	t, err := decode(service, revision, data)
+	if err != nil {
+		return nil, err
+	}
+	if err := t.check(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Apply returns the table that a difference to an earlier one leads to.
+func Apply(earlier *Table, revision uint64, data []byte) (*Table, error) {
+	t, err := decode(earlier.Service, revision, data)
+	if err != nil {
+		return nil, err
+	}
+	changed := t.Assignments
+	t.Assignments = make([]Assignment, 0, len(earlier.Assignments)+len(changed))
+	for _, a := range earlier.Assignments {
+		for len(changed) > 0 && changed[0].First <= a.First {
+			t.Assignments = append(t.Assignments, changed[0])
+			changed = changed[1:]
+		}
+		if n := len(t.Assignments); n > 0 && t.Assignments[n-1].Last >= a.First {
+			continue
+		}
+		t.Assignments = append(t.Assignments, a)
+	}
+	t.Assignments = append(t.Assignments, changed...)
+	if err := t.check(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// check returns an error unless the table covers all keys once.
+func (t *Table) check() error {
+	next := 0
+	for i := range t.Assignments {
+		a := &t.Assignments[i]
+		if int(a.First) != next || a.Last < a.First {
+			return fmt.Errorf("ownership: table of %q: range %d to %d follows key %d", t.Service, a.First, a.Last, next-1)
+		}
+		next = int(a.Last) + 1
+	}
+	if next != keyspace.Count {
+		return fmt.Errorf("ownership: table of %q: keys from %d on are missing", t.Service, next)
+	}
+	return nil
+}
+
+// decode reads assignments without a look at what they cover.
+func decode(service string, revision uint64, data []byte) (*Table, error) {
 	var w wireTable
 	if err := json.Unmarshal(data, &w); err != nil {
 		return nil, fmt.Errorf("ownership: decode table of %q: %w", service, err)
@@ -76,12 +146,7 @@
 		s := w.Servers[i]
 		return Server{Life: registry.Life{ID: s.ID, Incarnation: s.Life}, Address: s.Address}, nil
 	}
-	next := 0
 	for _, r := range w.Ranges {
-		if int(r.First) != next || r.Last < r.First {
-			return nil, fmt.Errorf("ownership: decode table of %q: range %d to %d follows key %d", service, r.First, r.Last, next-1)
-		}
-		next = int(r.Last) + 1
 		a := Assignment{Range: keyspace.Range{First: r.First, Last: r.Last}, Doubtful: r.Doubt}
 		for _, i := range r.Holders {
 			s, err := server(i)
@@ -99,8 +164,5 @@
 		}
 		t.Assignments = append(t.Assignments, a)
 	}
-	if next != keyspace.Count {
-		return nil, fmt.Errorf("ownership: decode table of %q: keys from %d on are missing", service, next)
-	}
 	return t, nil
 }
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -44,7 +44,10 @@
 	// at which they count as gone.
 	missing map[string]time.Time
 	lost    time.Time
-	listed  map[string]bool
+	// marks are the marks of the kinds that have not changed since they were asked for; each
+	// process that follows the coordinator has it look at them four times a second.
+	marks  map[string]report.Mark
+	listed map[string]bool
 }
 
 // New returns an empty replica that fills a view.
@@ -54,6 +57,7 @@
 		objects: make(map[string]map[string]platform.Object),
 		servers: make(map[string]registry.Server),
 		missing: make(map[string]time.Time),
+		marks:   make(map[string]report.Mark),
 		listed:  make(map[string]bool),
 	}
 }
@@ -106,21 +110,32 @@
 	r.apply(now, kind, []platform.Event{{Object: o}})
 }
 
-// Tables returns the objects of all tables.
-func (r *Replica) Tables() []platform.Object {
+// StoreTable takes a table that is newer than the copy, with its encoded form.
+func (r *Replica) StoreTable(t *ownership.Table, data []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Values(r.objects[KindTables]))
+	if have, ok := r.objects[KindTables][t.Service]; ok && have.Revision >= t.Revision {
+		return
+	}
+	if r.objects[KindTables] == nil {
+		r.objects[KindTables] = make(map[string]platform.Object)
+	}
+	r.objects[KindTables][t.Service] = platform.Object{Name: t.Service, Revision: t.Revision, Data: data}
+	r.view.SetTable(t)
 }
 
 // Mark tells how far the copy of a kind goes.
 func (r *Replica) Mark(kind string) report.Mark {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if m, ok := r.marks[kind]; ok {
+		return m
+	}
 	m := report.Mark{Kind: kind, Count: len(r.objects[kind])}
 	for _, o := range r.objects[kind] {
 		m.Revision = max(m.Revision, o.Revision)
 	}
+	r.marks[kind] = m
 	return m
 }
 
@@ -148,6 +163,7 @@
 		next[o.Name] = o
 	}
 	old := r.objects[kind]
+	delete(r.marks, kind)
 	r.objects[kind] = next
 	for name := range old {
 		if _, ok := next[name]; !ok {
@@ -164,6 +180,7 @@
 
 // apply takes changes of a kind. The lock is held.
 func (r *Replica) apply(now time.Time, kind string, events []platform.Event) {
+	delete(r.marks, kind)
 	if r.objects[kind] == nil {
 		r.objects[kind] = make(map[string]platform.Object)
 	}
--- a/entry/internal/report/client.go
+++ b/entry/internal/report/client.go
@@ -98,8 +98,9 @@
 	return fmt.Errorf("report: call %s at %s: %w", name, to, err)
 }
 
-// Follow passes the updates of the coordinator on until one is overdue or the stream ends.
-func (c *Client) Follow(ctx context.Context, to netip.AddrPort, silence time.Duration, take func(Update)) error {
+// Follow passes the updates of the coordinator on until one is overdue or can't be used, or the
+// stream ends.
+func (c *Client) Follow(ctx context.Context, to netip.AddrPort, silence time.Duration, take func(Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	overdue := time.AfterFunc(silence, cancel)
@@ -122,6 +123,8 @@
 			return fmt.Errorf("report: follow %s: %w", to, err)
 		}
 		overdue.Reset(silence)
-		take(decodeUpdate(&w))
+		if err := take(decodeUpdate(&w)); err != nil {
+			return fmt.Errorf("report: follow %s: %w", to, err)
+		}
 	}
 }
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -12,7 +12,9 @@
 
 // Report is what an entry process tells the coordinator.
 type Report struct {
-	From    election.Member
+	From election.Member
+	// Cores is the processor time that the process gets in a second, in seconds.
+	Cores   float64
 	Demands []Demand
 	Samples []Sample
 	Crashes []crashes.Crash
@@ -43,6 +45,8 @@
 	// Confirmed is false if the coordinator has not been able to renew the lock of late.
 	Confirmed bool
 	Members   []election.Member
+	// Cores is the largest processor time of a member.
+	Cores float64
 }
 
 // Object is an object of the store as a process knows it.
@@ -51,6 +55,8 @@
 	Name     string
 	Revision uint64
 	Data     []byte
+	// Base is the revision that the data is a difference to; zero if it is the whole object.
+	Base uint64
 }
 
 // Mark tells how far a copy of the objects of one kind goes.
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -38,6 +38,7 @@
 type wireReport struct {
 	_       struct{} `cbor:",toarray"`
 	From    wireMember
+	Cores   float64
 	Demands []wireDemand
 	Samples []wireSample
 	Crashes []wireCrash
@@ -57,6 +58,7 @@
 	Term        uint64
 	Confirmed   bool
 	Members     []wireMember
+	Cores       float64
 }
 
 type wireObject struct {
@@ -65,6 +67,7 @@
 	Name     string
 	Revision uint64
 	Data     []byte
+	Base     uint64
 }
 
 type wireMark struct {
@@ -102,7 +105,7 @@
 }
 
 func encodeReport(r Report) *wireReport {
-	w := &wireReport{From: encodeMember(r.From)}
+	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{Service: d.Service, Keys: d.Keys, Work: d.Work})
 	}
@@ -116,7 +119,7 @@
 }
 
 func decodeReport(w *wireReport) Report {
-	r := Report{From: decodeMember(w.From)}
+	r := Report{From: decodeMember(w.From), Cores: w.Cores}
 	for _, d := range w.Demands {
 		r.Demands = append(r.Demands, Demand{Service: d.Service, Keys: d.Keys, Work: d.Work})
 	}
@@ -132,7 +135,7 @@
 }
 
 func encodeAnswer(a Answer) *wireAnswer {
-	w := &wireAnswer{Coordinator: a.Coordinator, Term: a.Term, Confirmed: a.Confirmed}
+	w := &wireAnswer{Coordinator: a.Coordinator, Term: a.Term, Confirmed: a.Confirmed, Cores: a.Cores}
 	for _, m := range a.Members {
 		w.Members = append(w.Members, encodeMember(m))
 	}
@@ -140,7 +143,7 @@
 }
 
 func decodeAnswer(w *wireAnswer) Answer {
-	a := Answer{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed}
+	a := Answer{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores}
 	for _, m := range w.Members {
 		a.Members = append(a.Members, decodeMember(m))
 	}
@@ -152,7 +155,7 @@
 func encodeObjects(objects []Object) *wireObjects {
 	w := &wireObjects{}
 	for _, o := range objects {
-		w.Objects = append(w.Objects, wireObject{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data})
+		w.Objects = append(w.Objects, wireObject{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data, Base: o.Base})
 	}
 	return w
 }
@@ -160,7 +163,7 @@
 func decodeObjects(w *wireObjects) []Object {
 	out := make([]Object, 0, len(w.Objects))
 	for _, o := range w.Objects {
-		out = append(out, Object{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data})
+		out = append(out, Object{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data, Base: o.Base})
 	}
 	return out
 }
