Let keys of lost servers lapse after a change of the coordinator

A new coordinator kept no record of contacts with a holder that was no longer registered, so the holder never counted as silent, and each unanswered grant, which was to raise its fence, put off the time at which its keys are free.

Ruled out: the outage of the store (over at 23.9 s), a missing coordinator (edge-alp-3 from 19.2 s on).

Test: TestLostHolderOfFormer, which fails without the change.

--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -85,8 +85,11 @@
 		s := &share{keys: a.Range, generation: c.generation}
 		for _, h := range a.Holders {
 			s.holders = append(s.holders, &holder{server: h, heldUntil: earlier, next: now, inherited: true, proved: !a.Doubtful})
+			// A holder that is no longer registered can be silent too.
+			c.contacts[h.Life] = &contact{answered: now}
 		}
 		if a.Target != nil {
+			c.contacts[a.Target.Life] = &contact{answered: now}
 			// Any of the servers may hold the keys: the earlier coordinator was in the middle of the move.
 			for _, h := range s.holders {
 				h.unsure, h.proved = true, !a.Doubtful
@@ -384,7 +387,7 @@
 	k.failures++
 }
 
-// mayGrant reports whether a server may get a grant: one that is registered and not silent.
+// mayGrant reports whether a server may get a grant: one that has not ended and is not silent.
 // A silent server gets none, because each grant without an answer puts off the time at which
 // its keys are free.
 func (c *Coordinator) mayGrant(now time.Time, s ownership.Server) bool {
--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -420,3 +421,44 @@
 	}
 	t.Fatal("the keys are not given to the other server")
 }
+
+// Guards against keys without an owner for as long as a holder that a former coordinator has left
+// neither is registered nor answers: each grant that asks it to accept a fence puts off the
+// time at which it has certainly lost the keys.
+func TestLostHolderOfFormer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &world{now: now, load: func(int) float64 { return 8.0 / keyspace.Count }}
+	gone, other := newServer(0, 1), newServer(1, 1)
+	for _, moving := range []bool{false, true} {
+		a := ownership.Assignment{
+			Range:   keyspace.Range{Last: keyspace.Last},
+			Holders: []ownership.Server{{Life: gone.Life, Address: gone.Address.String()}},
+		}
+		if moving {
+			a.Target = &ownership.Server{Life: other.Life, Address: other.Address.String()}
+		}
+		now := now
+		earlier := now.Add(coordinator.Lapse())
+		c := coordinator.New("svc", 2, &ownership.Table{Service: "svc", Revision: 1, Assignments: []ownership.Assignment{a}}, now, earlier)
+		granted := false
+		// Two calls may go unanswered before the server counts as silent.
+		for now.Before(earlier.Add(2 * coordinator.Lapse())) {
+			now = now.Add(step)
+			c.SetServers(now, []registry.Server{other.Server})
+			orders := c.Step(now, w, true)
+			if table, generation, ok := c.Table(); ok {
+				c.Stored(now, generation, table.Revision+1)
+			}
+			for _, o := range orders {
+				r := coordinator.Result{Number: o.Number}
+				if o.Server.Life == gone.Life {
+					r.Err = errors.New("no answer")
+				} else if !o.Release {
+					granted = true
+				}
+				c.Finish(now.Add(step), r)
+			}
+		}
+		must.True(t, granted, must.Sprint("moving: ", moving))
+	}
+}
