--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -1,6 +1,8 @@
 package report
 
 import (
+	"time"
+
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/crashes"
@@ -10,7 +12,9 @@
 
 // Report is what an entry process tells the coordinator.
 type Report struct {
-	From    election.Member
+	From election.Member
+	// Cores is the processor time that the process gets in a second, in seconds.
+	Cores   float64
 	Demands []Demand
 	Samples []Sample
 	Crashes []crashes.Crash
@@ -41,6 +45,8 @@
 	// Confirmed is false if the coordinator has not been able to renew the lock of late.
 	Confirmed bool
 	Members   []election.Member
+	// Cores is the largest processor time of a member.
+	Cores float64
 }
 
 // Object is an object of the store as a process knows it.
@@ -49,6 +55,8 @@
 	Name     string
 	Revision uint64
 	Data     []byte
+	// Base is the revision that the data is a difference to; zero if it is the whole object.
+	Base uint64
 }
 
 // Mark tells how far a copy of the objects of one kind goes.
@@ -68,6 +76,8 @@
 // sign of life.
 type Update struct {
 	Term uint64
+	// Sent is when the coordinator sent the update by its own clock.
+	Sent time.Time
 	// Sure is false if the coordinator has not reached the store of late.
 	Sure    bool
 	Objects []Object
