Let the coordinator watch the store for all processes

The coordinator now sends changes on its stream, compressed when large, and the others watch only while they do not hear from it, or its copies are old. What is missed shows in the marks and is read from the store. Outages that only the coordinator sees are told, so that lapsed entries are not taken for removed. Ruled out: pushing a configuration above 32 KB, which would fill a 10 Mbit/s link for seconds; those are read from the store.

--- a/entry/internal/cluster/differences.go
+++ b/entry/internal/cluster/differences.go
@@ -12,11 +12,12 @@
 // theirs made again.
 const mostDifferences = 8
 
-// differences keeps the encoded forms of tables, so that they are made once for all followers. It
-// is safe for concurrent use; no other lock is taken under its own.
+// differences keeps the encoded forms of tables and of large objects, so that they are made once
+// for all followers. It is safe for concurrent use; no other lock is taken under its own.
 type differences struct {
-	mu  sync.Mutex
-	all []report.Object
+	mu     sync.Mutex
+	all    []report.Object
+	packed []report.Object
 }
 
 // object returns a table as it is sent to a follower that has an earlier one, or none.
--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/guide.go
@@ -29,7 +29,7 @@
 		if known && !holding && holder.Name != n.self.Name {
 			n.clock.begin(holder.Name)
 			clear(n.received)
-			if err := n.peers.Follow(ctx, holder.Address, guideTime, n.take); err != nil && ctx.Err() == nil {
+			if err := n.peers.Follow(ctx, holder.Address, n.marks(), guideTime, n.take); err != nil && ctx.Err() == nil {
 				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
 			}
 		}
@@ -61,6 +61,16 @@
 	}
 }
 
+// current reports whether the copies of the followed kinds are those of the store of late.
+func (n *Node) current(now time.Time) bool {
+	for _, c := range n.checks {
+		if now.Sub(c.Heard()) > heardTime {
+			return false
+		}
+	}
+	return true
+}
+
 // listTables reads the tables from the store.
 func (n *Node) listTables(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -84,8 +94,11 @@
 		n.mu.Unlock()
 	}
 	n.crashes.Condemn(now, u.Condemned)
+	if u.Loss >= 0 {
+		n.replica.NoteLoss(now.Add(-u.Loss))
+	}
 	for _, o := range u.Objects {
-		if err := n.takeTable(o); err != nil {
+		if err := n.takeObject(now, o); err != nil {
 			return err
 		}
 	}
@@ -102,6 +115,28 @@
 	return nil
 }
 
+// takeObject uses an object of the coordinator.
+func (n *Node) takeObject(now time.Time, o report.Object) error {
+	if o.Kind == replica.KindTables {
+		return n.takeTable(o)
+	}
+	o, err := unpack(o)
+	if err != nil {
+		return err
+	}
+	n.replica.Take(now, o)
+	return nil
+}
+
+// marks returns how far the copies of the followed kinds go.
+func (n *Node) marks() []report.Mark {
+	var out []report.Mark
+	for kind := range n.checks {
+		out = append(out, n.replica.Mark(kind))
+	}
+	return out
+}
+
 // takeTable uses a table of the coordinator, or the difference to the one that it sent before.
 func (n *Node) takeTable(o report.Object) error {
 	var t *ownership.Table
@@ -130,10 +165,16 @@
 const missedDelay = 150 * time.Millisecond
 
 // Follow implements report.Handler. It sends the tables whole at first and then what changes: a
-// table of 400 servers has 40 KB, and some hundred processes get each change.
-func (n *Node) Follow(ctx context.Context, send func(report.Update) error) error {
+// table of 400 servers has 40 KB, and some hundred processes get each change. Configuration and
+// servers are sent as they change, so that one process watches the store for all.
+func (n *Node) Follow(ctx context.Context, known []report.Mark, send func(report.Update) error) error {
 	sent := make(map[string]*ownership.Table)
 	marks := make(map[string]report.Mark)
+	position := n.replica.Position()
+	var objects []report.Object
+	for _, m := range known {
+		objects = append(objects, n.replica.Newer(m)...)
+	}
 	ticker := time.NewTicker(aliveInterval)
 	defer ticker.Stop()
 	for {
@@ -145,7 +186,23 @@
 			return errNotCoordinator
 		}
 		changed := n.view.Changed()
-		u := report.Update{Term: term, Sent: time.Now(), Sure: sure, Condemned: n.crashes.Verdicts(time.Now())}
+		now := time.Now()
+		u := report.Update{Term: term, Sent: now, Sure: sure && n.current(now), Loss: -1, Condemned: n.crashes.Verdicts(now)}
+		if loss := n.replica.Loss(); !loss.IsZero() {
+			u.Loss = now.Sub(loss)
+		}
+		changes, next := n.replica.Since(position)
+		objects, position = append(objects, changes...), next
+		for _, o := range objects {
+			packed, err := n.differences.pack(o)
+			if err != nil {
+				return err
+			}
+			if len(packed.Data) <= largestPush {
+				u.Objects = append(u.Objects, packed)
+			}
+		}
+		objects = nil
 		for name, t := range n.view.Tables() {
 			if last := sent[name]; last != nil && last.Revision >= t.Revision {
 				continue
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -52,6 +52,12 @@
 	aliveInterval = 250 * time.Millisecond
 	// guideTime is the time without an update after which a process relies on the store alone.
 	guideTime = 800 * time.Millisecond
+	// heardTime is how old the store's last answer to the coordinator's watches may be before others
+	// watch themselves: two watches and the time after which one counts as lost.
+	heardTime = 2500 * time.Millisecond
+	// largestPush is the largest compressed object in bytes that the coordinator sends to the others;
+	// they read a larger one from the store. A hundred of them take 3 s on a link of 10 Mbit/s.
+	largestPush = 32 << 10
 	// tablesInterval is the time between two reads of the tables from the store by a process
 	// that hears no coordinator.
 	tablesInterval = 1500 * time.Millisecond
@@ -95,8 +101,13 @@
 	orders map[string]int
 }
 
-// Checker reads the list of a kind again.
-type Checker interface{ Check() }
+// Checker follows a kind in the store.
+type Checker interface {
+	// Check reads the list again.
+	Check()
+	// Heard returns when the store last answered.
+	Heard() time.Time
+}
 
 // Dialer opens connections; *net.Dialer is one.
 type Dialer interface {
@@ -146,12 +157,12 @@
 }
 
 // Patience returns how long a watch on the store may wait: the coordinator looks often, and the
-// others trust it while they hear from it.
+// others get the changes from it while they hear from it.
 func (n *Node) Patience() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, holding := n.election.Holding(); !holding && time.Since(n.guided) < guideTime {
-		return follow.Relaxed
+		return follow.Idle
 	}
 	return follow.Alert
 }
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -24,10 +24,11 @@
 )
 
 const (
-	// Relaxed is how long a watch waits for a change if another process would tell of one that it
-	// misses; the platform allows 30 s, and each call has a price. Dead connections are found
-	// by keep-alive probes, not by this time.
-	Relaxed = 25 * time.Second
+	// Idle means that the store is not watched, because another process tells of all changes. Each
+	// call has a price, and a change would be one call for every process.
+	Idle = time.Duration(0)
+	// idleInterval is the time between two looks at whether that is still so; Check ends it at once.
+	idleInterval = 2 * time.Second
 	// Alert is how long a watch waits otherwise. A watch may hear nothing for a second, and a
 	// change must be in force within two.
 	Alert = 600 * time.Millisecond
@@ -67,7 +68,7 @@
 	kind   string
 	sink   Sink
 	logger log.Interface
-	// patience returns how long the next watch waits.
+	// patience returns how long the next watch waits, or Idle.
 	patience func() time.Duration
 
 	mu    sync.Mutex
@@ -154,6 +155,10 @@
 func (f *Follower) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		wait := f.patience()
+		if wait == Idle {
+			f.rest(ctx)
+			return
+		}
 		bounded, cancel := f.begin(ctx, wait)
 		events, next, err := f.store.Watch(bounded, f.kind, revision, wait)
 		checked := bounded.Err() != nil
@@ -173,6 +178,19 @@
 	}
 }
 
+// rest waits while another process tells of changes. After it, the list must be read again,
+// because a change may have been missed.
+func (f *Follower) rest(ctx context.Context) {
+	for f.patience() == Idle {
+		bounded, cancel := f.begin(ctx, idleInterval-watchSlack)
+		<-bounded.Done()
+		cancel()
+		if !errors.Is(bounded.Err(), context.DeadlineExceeded) {
+			return
+		}
+	}
+}
+
 // sleep waits for a time or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/entry/internal/follow/follow_test.go
+++ b/entry/internal/follow/follow_test.go
@@ -119,13 +119,13 @@
 }
 
 // Guards against a change that a deaf watch misses: an alert process must have it within two
-// seconds, a relaxed one when it is told.
+// seconds, an idle one when it is told.
 func TestDeafWatch(t *testing.T) {
 	for _, alert := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &deafStore{revision: 1, changed: make(chan struct{})}
 			l := &last{}
-			patience := follow.Relaxed
+			patience := follow.Idle
 			if alert {
 				patience = follow.Alert
 			}
@@ -155,7 +155,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &deafStore{revision: 1, down: true, changed: make(chan struct{})}
 		l := &last{}
-		start(t, s, l, follow.Relaxed)
+		start(t, s, l, follow.Idle)
 		time.Sleep(10 * time.Second)
 		s.mu.Lock()
 		must.Between(t, 8, s.calls, 30)
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"expvar"
 	"fmt"
 	"io"
@@ -113,6 +114,22 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// version returns the version of the configuration in force.
+func (p *entryProcess) version() int {
+	response, err := http.Get("http://" + p.settings.Admin.String() + "/dump")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var dump struct {
+		Configuration struct{ Version int } `json:"configuration"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&dump); err != nil {
+		return 0
+	}
+	return dump.Configuration.Version
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, longest time.Duration, what string, f func() bool) {
 	t.Helper()
@@ -243,3 +260,35 @@
 	s.setDown(false)
 	eventually(t, 5*time.Second, "second serves on", func() bool { return second.served(fmt.Sprint("up-", time.Since(stopped))) })
 }
+
+// Guards against store calls that grow with the number of processes times that of the changes,
+// and against a process that does not get the changes which the coordinator has seen.
+func TestChangesPassedOn(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	a := newBackend(t, "a")
+	s.put("config", "main", fmt.Sprintf(configuration, 3))
+	s.put("servers", "a", a.entry("ready"))
+	var processes []*entryProcess
+	for _, name := range []string{"first", "second", "third", "fourth"} {
+		p := start(t, s, name)
+		processes = append(processes, p)
+		eventually(t, 10*time.Second, name+" serves", func() bool { return p.served("start") })
+	}
+	before := s.count()
+	const changes = 20
+	pace := time.NewTicker(200 * time.Millisecond)
+	defer pace.Stop()
+	for i := range changes {
+		<-pace.C
+		s.put("config", "main", fmt.Sprintf(configuration, 4+i))
+		s.put("servers", "b", a.entry("draining"))
+	}
+	s.remove("servers", "b")
+	for _, p := range processes {
+		eventually(t, 2*time.Second, "the last configuration is in force", func() bool { return p.version() == 3+changes })
+	}
+	// The coordinator's watches and lock take some 60 calls in the 4 s. Each change would be two more for
+	// each of the other processes.
+	must.Less(t, 100, s.count()-before)
+}
--- a/entry/internal/gatewayprocess/standin_test.go
+++ b/entry/internal/gatewayprocess/standin_test.go
@@ -43,6 +43,14 @@
 	history  []event
 	changed  chan struct{}
 	down     bool
+	// calls is the number of calls so far.
+	calls int
+}
+
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
 }
 
 func newStore(t *testing.T) *store {
@@ -101,6 +109,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	if watch := r.URL.Query().Get("watch"); watch != "" {
 		s.watch(w, r, kind, watch)
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -44,6 +44,9 @@
 	// at which they count as gone.
 	missing map[string]time.Time
 	lost    time.Time
+	// changes are the latest changes of the followed kinds; the first has the number dropped.
+	changes []report.Object
+	dropped uint64
 	// marks are the marks of the kinds that have not changed since they were asked for; each
 	// process that follows the coordinator has it look at them four times a second.
 	marks  map[string]report.Mark
@@ -165,12 +168,16 @@
 	old := r.objects[kind]
 	delete(r.marks, kind)
 	r.objects[kind] = next
-	for name := range old {
+	for name, o := range old {
 		if _, ok := next[name]; !ok {
+			r.keep(kind, o, true)
 			r.removed(now, kind, name)
 		}
 	}
-	for _, o := range next {
+	for name, o := range next {
+		if had, ok := old[name]; !ok || had.Revision != o.Revision {
+			r.keep(kind, o, false)
+		}
 		r.changed(now, kind, o)
 	}
 	if kind == platform.KindServers {
@@ -186,11 +193,15 @@
 	}
 	for _, e := range events {
 		if e.Deleted {
+			if o, ok := r.objects[kind][e.Name]; ok {
+				r.keep(kind, o, true)
+			}
 			delete(r.objects[kind], e.Name)
 			r.removed(now, kind, e.Name)
 			continue
 		}
 		r.objects[kind][e.Name] = e.Object
+		r.keep(kind, e.Object, false)
 		r.changed(now, kind, e.Object)
 	}
 	if kind == platform.KindServers {
@@ -279,8 +290,4 @@
 }
 
 // Lost implements follow.Sink.
-func (s *Sink) Lost(now time.Time) {
-	s.replica.mu.Lock()
-	defer s.replica.mu.Unlock()
-	s.replica.lost = now
-}
+func (s *Sink) Lost(now time.Time) { s.replica.NoteLoss(now) }
--- a/entry/internal/report/client.go
+++ b/entry/internal/report/client.go
@@ -99,8 +99,8 @@
 }
 
 // Follow passes the updates of the coordinator on until one is overdue or can't be used, or the
-// stream ends.
-func (c *Client) Follow(ctx context.Context, to netip.AddrPort, silence time.Duration, take func(Update) error) error {
+// stream ends. The marks tell what the process has already.
+func (c *Client) Follow(ctx context.Context, to netip.AddrPort, marks []Mark, silence time.Duration, take func(Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	overdue := time.AfterFunc(silence, cancel)
@@ -114,7 +114,7 @@
 	if err != nil {
 		return fmt.Errorf("report: follow %s: %w", to, err)
 	}
-	if err := stream.MsgSend(&wireQuery{}, rpc.Encoding{}); err != nil {
+	if err := stream.MsgSend(&wireFollow{Marks: encodeMarks(marks)}, rpc.Encoding{}); err != nil {
 		return fmt.Errorf("report: follow %s: %w", to, err)
 	}
 	for {
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -55,6 +55,10 @@
 	Name     string
 	Revision uint64
 	Data     []byte
+	// Deleted is true if the object is no longer in the store; Revision is then its last one.
+	Deleted bool
+	// Packed is true if the data is compressed.
+	Packed bool
 	// Base is the revision that the data is a difference to; zero if it is the whole object.
 	Base uint64
 }
@@ -79,7 +83,9 @@
 	// Sent is when the coordinator sent the update by its own clock.
 	Sent time.Time
 	// Sure is false if the coordinator has not reached the store of late.
-	Sure    bool
+	Sure bool
+	// Loss is the time since the coordinator last failed to reach the store; negative if it never did.
+	Loss    time.Duration
 	Objects []Object
 	Marks   []Mark
 	// Condemned are the requests that are refused because they crash servers.
--- a/entry/internal/report/server.go
+++ b/entry/internal/report/server.go
@@ -37,8 +37,9 @@
 	Report(now time.Time, r Report) Answer
 	Snapshot(now time.Time, _ struct{}) []Object
 	Yield(now time.Time, y Yield) Yielded
-	// Follow sends updates until the context ends or the process is not the coordinator.
-	Follow(ctx context.Context, send func(Update) error) error
+	// Follow sends updates, beginning with what a process with the marks lacks, until the context
+	// ends or the process is not the coordinator.
+	Follow(ctx context.Context, marks []Mark, send func(Update) error) error
 }
 
 // Streams handles the calls of other protocols on the same listener.
@@ -85,11 +86,11 @@
 
 // follow sends updates to another process.
 func (s *Server) follow(stream drpc.Stream) error {
-	var query wireQuery
+	var query wireFollow
 	if err := stream.MsgRecv(&query, rpc.Encoding{}); err != nil {
 		return fmt.Errorf("report: receive: %w", err)
 	}
-	return s.handler.Follow(stream.Context(), func(u Update) error {
+	return s.handler.Follow(stream.Context(), decodeMarks(query.Marks), func(u Update) error {
 		if err := stream.MsgSend(encodeUpdate(u), rpc.Encoding{}); err != nil {
 			return fmt.Errorf("report: send update: %w", err)
 		}
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -68,6 +68,8 @@
 	Revision uint64
 	Data     []byte
 	Base     uint64
+	Deleted  bool
+	Packed   bool
 }
 
 type wireMark struct {
@@ -82,11 +84,17 @@
 	Term      uint64
 	Sent      int64
 	Sure      bool
+	Loss      time.Duration
 	Objects   []wireObject
 	Marks     []wireMark
 	Condemned []suspect.Fingerprint
 }
 
+type wireFollow struct {
+	_     struct{} `cbor:",toarray"`
+	Marks []wireMark
+}
+
 type wireQuery struct {
 	_ struct{} `cbor:",toarray"`
 }
@@ -155,7 +163,7 @@
 func encodeObjects(objects []Object) *wireObjects {
 	w := &wireObjects{}
 	for _, o := range objects {
-		w.Objects = append(w.Objects, wireObject{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data, Base: o.Base})
+		w.Objects = append(w.Objects, wireObject{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data, Base: o.Base, Deleted: o.Deleted, Packed: o.Packed})
 	}
 	return w
 }
@@ -163,24 +171,36 @@
 func decodeObjects(w *wireObjects) []Object {
 	out := make([]Object, 0, len(w.Objects))
 	for _, o := range w.Objects {
-		out = append(out, Object{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data, Base: o.Base})
+		out = append(out, Object{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data, Base: o.Base, Deleted: o.Deleted, Packed: o.Packed})
 	}
 	return out
 }
 
 func encodeUpdate(u Update) *wireUpdate {
-	w := &wireUpdate{Term: u.Term, Sent: u.Sent.UnixNano(), Sure: u.Sure, Condemned: u.Condemned, Objects: encodeObjects(u.Objects).Objects}
-	for _, m := range u.Marks {
-		w.Marks = append(w.Marks, wireMark{Kind: m.Kind, Revision: m.Revision, Count: m.Count})
-	}
+	w := &wireUpdate{Term: u.Term, Sent: u.Sent.UnixNano(), Sure: u.Sure, Loss: u.Loss, Condemned: u.Condemned, Objects: encodeObjects(u.Objects).Objects}
+	w.Marks = encodeMarks(u.Marks)
 	return w
 }
 
-func decodeUpdate(w *wireUpdate) Update {
-	u := Update{Term: w.Term, Sent: time.Unix(0, w.Sent), Sure: w.Sure, Condemned: w.Condemned, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
-	for _, m := range w.Marks {
-		u.Marks = append(u.Marks, Mark{Kind: m.Kind, Revision: m.Revision, Count: m.Count})
+func encodeMarks(marks []Mark) []wireMark {
+	var out []wireMark
+	for _, m := range marks {
+		out = append(out, wireMark{Kind: m.Kind, Revision: m.Revision, Count: m.Count})
+	}
+	return out
+}
+
+func decodeMarks(w []wireMark) []Mark {
+	var out []Mark
+	for _, m := range w {
+		out = append(out, Mark{Kind: m.Kind, Revision: m.Revision, Count: m.Count})
 	}
+	return out
+}
+
+func decodeUpdate(w *wireUpdate) Update {
+	u := Update{Term: w.Term, Sent: time.Unix(0, w.Sent), Sure: w.Sure, Loss: w.Loss, Condemned: w.Condemned, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
+	u.Marks = decodeMarks(w.Marks)
 	return u
 }
 
--- a/entry/internal/slots/gate_test.go
+++ b/entry/internal/slots/gate_test.go
@@ -33,10 +33,11 @@
 // noHandler answers nothing but slots.
 type noHandler struct{}
 
-func (noHandler) Report(time.Time, report.Report) report.Answer           { return report.Answer{} }
-func (noHandler) Snapshot(time.Time, struct{}) []report.Object            { return nil }
-func (noHandler) Yield(time.Time, report.Yield) report.Yielded            { return report.Yielded{} }
-func (noHandler) Follow(context.Context, func(report.Update) error) error { return nil }
+func (noHandler) Report(time.Time, report.Report) report.Answer { return report.Answer{} }
+func (noHandler) Snapshot(time.Time, struct{}) []report.Object  { return nil }
+func (noHandler) Yield(time.Time, report.Yield) report.Yielded { return report.Yielded{} }
+
+func (noHandler) Follow(context.Context, []report.Mark, func(report.Update) error) error { return nil }
 
 // member is a process with a keeper and a gate.
 type member struct {
