Watch the store at once when the coordinator's copies may be old

Ruled out: a late watch of the others; they had none.

The coordinator tells apart whether it holds the role and whether its copies are current: the latest list must not have failed, the latest answer be under 1.1 s old.

Test: gatewayprocess.TestCoordinatorTurnedAway, which fails without the change.

--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/guide.go
@@ -87,12 +87,7 @@
 func (n *Node) take(u report.Update) error {
 	now := time.Now()
 	n.compareClocks(now, u)
-	if u.Sure {
-		n.mu.Lock()
-		n.guided = now
-		n.election.Hear(now, u.Term)
-		n.mu.Unlock()
-	}
+	n.hear(now, u)
 	n.crashes.Condemn(now, u.Condemned)
 	if u.Loss >= 0 {
 		n.replica.NoteLoss(now.Add(-u.Loss))
@@ -115,6 +110,19 @@
 	return nil
 }
 
+// hear notes a sign of life of the coordinator.
+func (n *Node) hear(now time.Time, u report.Update) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if u.Sure {
+		n.election.Hear(now, u.Term)
+	}
+	n.guided = time.Time{}
+	if u.Current {
+		n.guided = now
+	}
+}
+
 // takeObject uses an object of the coordinator.
 func (n *Node) takeObject(now time.Time, o report.Object) error {
 	if o.Kind == replica.KindTables {
@@ -187,7 +195,7 @@
 		}
 		changed := n.view.Changed()
 		now := time.Now()
-		u := report.Update{Term: term, Sent: now, Sure: sure && n.current(now), Loss: -1, Condemned: n.crashes.Verdicts(now)}
+		u := report.Update{Term: term, Sent: now, Sure: sure, Current: sure && n.current(now), Loss: -1, Condemned: n.crashes.Verdicts(now)}
 		if loss := n.replica.Loss(); !loss.IsZero() {
 			u.Loss = now.Sub(loss)
 		}
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -53,8 +53,10 @@
 	// guideTime is the time without an update after which a process relies on the store alone.
 	guideTime = 800 * time.Millisecond
 	// heardTime is how old the store's last answer to the coordinator's watches may be before others
-	// watch themselves: two watches and the time after which one counts as lost.
-	heardTime = 2500 * time.Millisecond
+	// watch themselves: an alert watch, the pause after a change and a slow answer of the store.
+	// With the time until they have read the list it stays below the 2 s in which a change must
+	// be in force.
+	heardTime = 1100 * time.Millisecond
 	// largestPush is the largest compressed object in bytes that the coordinator sends to the others;
 	// they read a larger one from the store. A hundred of them take 3 s on a link of 10 Mbit/s.
 	largestPush = 32 << 10
@@ -86,7 +88,7 @@
 	steward  *steward
 	members  []election.Member
 	reported map[string]reporter
-	// guided is when the coordinator was last heard on the stream of updates.
+	// guided is when the coordinator last said that it has all changes; zero if it says that it may not.
 	guided time.Time
 	// relying is true while the process trusts the coordinator to tell of missed changes.
 	relying bool
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// Heard returns when the store last answered a list or a watch, or zero.
+// Heard returns when the store last answered a list or a watch; zero if the latest list failed.
 func (f *Follower) Heard() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -106,6 +106,13 @@
 	f.heard = time.Now()
 }
 
+// forget notes that the copy may be out of date.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = time.Time{}
+}
+
 // begin returns the context of a watch that Check can end.
 func (f *Follower) begin(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
 	bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
@@ -122,6 +129,7 @@
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx)
 		if err != nil {
+			f.forget()
 			f.sink.Lost(time.Now())
 			if !lost {
 				f.logger.WithError(err).Warn("store can't be read")
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -60,9 +60,14 @@
 
 // start runs a process on loopback.
 func start(t *testing.T, s *store, name string, seeds ...netip.AddrPort) *entryProcess {
+	return startAt(t, s.address, name, seeds...)
+}
+
+// startAt runs a process that knows the store by an address.
+func startAt(t *testing.T, store netip.AddrPort, name string, seeds ...netip.AddrPort) *entryProcess {
 	p := &entryProcess{logs: &messages{}, done: make(chan error, 1), file: filepath.Join(t.TempDir(), "settings.json")}
 	p.settings = gatewaysettings.Settings{
-		Name: name, DataCentre: "x", Client: listenOnce(t), Ready: listenOnce(t), Peer: listenOnce(t), Admin: listenOnce(t), Store: s.address,
+		Name: name, DataCentre: "x", Client: listenOnce(t), Ready: listenOnce(t), Peer: listenOnce(t), Admin: listenOnce(t), Store: store,
 		Seeds: seeds, Stop: 5 * time.Second, Cores: 1, Memory: 200 << 20, Retries: gatewaysettings.Retries{Share: 0.2, Slack: 50, Processes: 4},
 	}
 	must.NoError(t, os.WriteFile(p.file, []byte("not read at the start"), 0o600))
@@ -292,3 +297,24 @@
 	// each of the other processes.
 	must.Less(t, 100, s.count()-before)
 }
+
+// Guards against changes that come too late because the coordinator, which passes them on, is
+// turned away by the store while others are served.
+func TestCoordinatorTurnedAway(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	d := s.newDoor(t)
+	a := newBackend(t, "a")
+	s.put("config", "main", fmt.Sprintf(configuration, 3))
+	s.put("servers", "a", a.entry("ready"))
+	first := startAt(t, d.address, "first")
+	eventually(t, 10*time.Second, "first serves", func() bool { return first.served("start") })
+	second := start(t, s, "second")
+	eventually(t, 10*time.Second, "second serves", func() bool { return second.served("start") })
+	s.put("config", "main", fmt.Sprintf(configuration, 4))
+	eventually(t, time.Second, "second gets changes", func() bool { return second.version() == 4 })
+	d.closed.Store(true)
+	s.put("config", "main", fmt.Sprintf(configuration, 5))
+	// The platform allows 2 s.
+	eventually(t, 2*time.Second, "second gets the change", func() bool { return second.version() == 5 })
+}
--- a/entry/internal/gatewayprocess/standin_test.go
+++ b/entry/internal/gatewayprocess/standin_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -291,3 +292,25 @@
 	defer l.Close()
 	return netip.MustParseAddrPort(l.Addr().String())
 }
+
+// door is an address of the store that can turn its callers away while others are served.
+type door struct {
+	store   *store
+	address netip.AddrPort
+	closed  atomic.Bool
+}
+
+func (s *store) newDoor(t *testing.T) *door {
+	d := &door{store: s}
+	d.address = listen(t, d)
+	return d
+}
+
+// ServeHTTP implements http.Handler.
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.closed.Load() {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	d.store.ServeHTTP(w, r)
+}
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -84,6 +84,8 @@
 	Sent time.Time
 	// Sure is false if the coordinator has not reached the store of late.
 	Sure bool
+	// Current is false if the coordinator's copies of configuration and servers may lack changes.
+	Current bool
 	// Loss is the time since the coordinator last failed to reach the store; negative if it never did.
 	Loss    time.Duration
 	Objects []Object
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -84,6 +84,7 @@
 	Term      uint64
 	Sent      int64
 	Sure      bool
+	Current   bool
 	Loss      time.Duration
 	Objects   []wireObject
 	Marks     []wireMark
@@ -177,7 +178,7 @@
 }
 
 func encodeUpdate(u Update) *wireUpdate {
-	w := &wireUpdate{Term: u.Term, Sent: u.Sent.UnixNano(), Sure: u.Sure, Loss: u.Loss, Condemned: u.Condemned, Objects: encodeObjects(u.Objects).Objects}
+	w := &wireUpdate{Term: u.Term, Sent: u.Sent.UnixNano(), Sure: u.Sure, Current: u.Current, Loss: u.Loss, Condemned: u.Condemned, Objects: encodeObjects(u.Objects).Objects}
 	w.Marks = encodeMarks(u.Marks)
 	return w
 }
@@ -199,7 +200,7 @@
 }
 
 func decodeUpdate(w *wireUpdate) Update {
-	u := Update{Term: w.Term, Sent: time.Unix(0, w.Sent), Sure: w.Sure, Loss: w.Loss, Condemned: w.Condemned, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
+	u := Update{Term: w.Term, Sent: time.Unix(0, w.Sent), Sure: w.Sure, Current: w.Current, Loss: w.Loss, Condemned: w.Condemned, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
 	u.Marks = decodeMarks(w.Marks)
 	return u
 }
--- a/entry/internal/slots/gate_test.go
+++ b/entry/internal/slots/gate_test.go
@@ -35,7 +35,7 @@
 
 func (noHandler) Report(time.Time, report.Report) report.Answer { return report.Answer{} }
 func (noHandler) Snapshot(time.Time, struct{}) []report.Object  { return nil }
-func (noHandler) Yield(time.Time, report.Yield) report.Yielded { return report.Yielded{} }
+func (noHandler) Yield(time.Time, report.Yield) report.Yielded  { return report.Yielded{} }
 
 func (noHandler) Follow(context.Context, []report.Mark, func(report.Update) error) error { return nil }
 
