Let four processes of a data centre keep its slots

Four keepers in each data centre: a process has 16 links in steady use. Smaller deployments keep what they had. Ruled out: keeping unused links for longer, 150 links a process in memory that is dear there.

--- a/entry/internal/slots/gate.go
+++ b/entry/internal/slots/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	mu      sync.Mutex
 	links   map[string]*opening
 	shunned map[string]time.Time
+	// keepers are the processes that keep slots, by data centre, for the members of the fleet.
+	keepers map[string][]election.Member
+	fleet   []election.Member
 	hints   map[registry.Life]hint
 	waiting map[uint64]chan reply
 	numbers uint64
@@ -106,29 +110,30 @@
 // no keeper. Two or three processes of the ten of a deployment send to one server at a time.
 const aloneShare = 2
 
-// keeperOf returns the process that keeps the slots of a server: the one of the server's data
-// centre that rendezvous hashing picks.
+// keeperOf returns the process that keeps the slots of a server: the one of the keepers of the
+// server's data centre that rendezvous hashing picks.
 func (g *Gate) keeperOf(now time.Time, s registry.Server) (string, election.Member) {
 	members := g.members.Members()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for name, until := range g.shunned {
+		if !now.Before(until) {
+			delete(g.shunned, name)
+			g.keepers = nil
+		}
+	}
+	if g.keepers == nil || !slices.Equal(members, g.fleet) {
+		g.fleet, g.keepers = members, keepers(members, g.shunned)
+	}
+	candidates, ok := g.keepers[s.DataCentre]
+	if !ok {
+		candidates = g.keepers[anywhere]
+	}
 	var best election.Member
 	var most uint64
-	near := false
-	for _, m := range members {
-		if until, ok := g.shunned[m.Name]; ok {
-			if now.Before(until) {
-				continue
-			}
-			delete(g.shunned, m.Name)
-		}
-		isNear := m.DataCentre == s.DataCentre
-		if near && !isNear {
-			continue
-		}
-		score := xxhash.Sum64String(m.Name + "\x00" + s.ID)
-		if isNear && !near || best.Name == "" || score > most {
-			best, most, near = m, score, isNear
+	for _, m := range candidates {
+		if score := xxhash.Sum64String(m.Name + "\x00" + s.ID); best.Name == "" || score > most {
+			best, most = m, score
 		}
 	}
 	return best.Name, best
@@ -251,6 +256,7 @@
 	}
 	if !opened || o.link != nil && o.link.wasUsed() {
 		g.shunned[name] = time.Now().Add(shunTime)
+		g.keepers = nil
 	}
 }
 
