Make a change of a server or table cheap for the processes that follow

Changes of one update are taken together, entries that did not change are kept, the servers keep their order, and a table is encoded only when a peer asks.

--- /dev/null
+++ b/entry/internal/cluster/growth_internal_test.go
@@ -0,0 +1,103 @@
+package cluster
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/keyspace"
+	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/ownership"
+	"bramleystand.org/entry/internal/replica"
+	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/rpc"
+	"bramleystand.org/entry/internal/view"
+	"bramleystand.org/platform"
+)
+
+// grownServers is the number of servers of the largest deployment of the users.
+const grownServers = 405
+
+func grownNode() *Node {
+	v := view.New()
+	logger := &log.Logger{Handler: discard.New()}
+	n := &Node{view: v, replica: replica.New(v, logger), logger: logger, received: make(map[string]*ownership.Table)}
+	var list []platform.Object
+	for i := range grownServers {
+		list = append(list, serverEntry(i, 1))
+	}
+	n.replica.Sink(platform.KindServers).Reset(time.Now(), list)
+	return n
+}
+
+func serverEntry(i int, revision uint64) platform.Object {
+	return platform.Object{Name: fmt.Sprint("s", i), Revision: revision, Data: fmt.Appendf(nil,
+		`{"service":"svc","address":"10.0.%d.%d:80","zone":"z","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1,"born":5}`, i/200, i%200)}
+}
+
+func grownTable(revision uint64) *ownership.Table {
+	t := &ownership.Table{Service: "s", Revision: revision}
+	width := keyspace.Count / grownServers
+	for i := range grownServers {
+		last := keyspace.Key((i+1)*width - 1)
+		if i == grownServers-1 {
+			last = keyspace.Last
+		}
+		t.Assignments = append(t.Assignments, ownership.Assignment{
+			Range:   keyspace.Range{First: keyspace.Key(i * width), Last: last},
+			Holders: []ownership.Server{{Life: registry.Life{ID: fmt.Sprint("i-0123456789", i), Incarnation: 1_780_000_000_000}, Address: "10.1.64.38:8460"}},
+		})
+	}
+	return t
+}
+
+// BenchmarkTableChange is the work of a process for one move of a range.
+func BenchmarkTableChange(b *testing.B) {
+	n := grownNode()
+	first := grownTable(1)
+	whole, err := n.differences.object(nil, first)
+	must.NoError(b, err)
+	must.NoError(b, n.takeTable(whole))
+	revision := uint64(1)
+	next := grownTable(2)
+	next.Assignments[7].Doubtful = true
+	data, err := ownership.Diff(first, next)
+	must.NoError(b, err)
+	for b.Loop() {
+		revision++
+		must.NoError(b, n.takeTable(report.Object{Kind: replica.KindTables, Name: "s", Revision: revision, Base: revision - 1, Data: data}))
+	}
+}
+
+// BenchmarkServerChange is the work of a process for one change of a server's entry.
+func BenchmarkServerChange(b *testing.B) {
+	n := grownNode()
+	revision := uint64(1)
+	for b.Loop() {
+		revision++
+		o := serverEntry(int(revision)%grownServers, revision)
+		n.replica.Take(time.Now(), []report.Object{{Kind: platform.KindServers, Name: o.Name, Revision: o.Revision, Data: o.Data}})
+	}
+}
+
+// BenchmarkAnswer is the work of a process for the members in one answer to a report.
+func BenchmarkAnswer(b *testing.B) {
+	w := struct {
+		_       struct{} `cbor:",toarray"`
+		Members []election.Member
+	}{}
+	for i := range 78 {
+		w.Members = append(w.Members, election.Member{Name: fmt.Sprint("edge-tvm-", i), Incarnation: time.Now().UnixNano(), DataCentre: "tvm", Address: netip.MustParseAddrPort("10.1.0.33:8464")})
+	}
+	data, err := rpc.Encoding{}.Marshal(&w)
+	must.NoError(b, err)
+	for b.Loop() {
+		must.NoError(b, rpc.Encoding{}.Unmarshal(data, &w))
+	}
+}
--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/guide.go
@@ -92,10 +92,8 @@
 	if u.Loss >= 0 {
 		n.replica.NoteLoss(now.Add(-u.Loss))
 	}
-	for _, o := range u.Objects {
-		if err := n.takeObject(now, o); err != nil {
-			return err
-		}
+	if err := n.takeObjects(now, u.Objects); err != nil {
+		return err
 	}
 	for _, m := range u.Marks {
 		if c := n.checks[m.Kind]; c != nil && n.replica.Mark(m.Kind).Behind(m) {
@@ -123,16 +121,25 @@
 	}
 }
 
-// takeObject uses an object of the coordinator.
-func (n *Node) takeObject(now time.Time, o report.Object) error {
-	if o.Kind == replica.KindTables {
-		return n.takeTable(o)
+// takeObjects uses objects of the coordinator.
+func (n *Node) takeObjects(now time.Time, objects []report.Object) error {
+	var changes []report.Object
+	for _, o := range objects {
+		if o.Kind == replica.KindTables {
+			if err := n.takeTable(o); err != nil {
+				return err
+			}
+			continue
+		}
+		unpacked, err := unpack(o)
+		if err != nil {
+			return err
+		}
+		changes = append(changes, unpacked)
 	}
-	o, err := unpack(o)
-	if err != nil {
-		return err
+	if len(changes) > 0 {
+		n.replica.Take(now, changes)
 	}
-	n.replica.Take(now, o)
 	return nil
 }
 
@@ -160,12 +167,8 @@
 	if err != nil {
 		return fmt.Errorf("cluster: table of %q: %w", o.Name, err)
 	}
-	data, err := ownership.Encode(t)
-	if err != nil {
-		return fmt.Errorf("cluster: table of %q: %w", o.Name, err)
-	}
 	n.received[o.Name] = t
-	n.replica.StoreTable(t, data)
+	n.replica.StoreTable(t)
 	return nil
 }
 
--- a/entry/internal/replica/changes.go
+++ b/entry/internal/replica/changes.go
@@ -56,16 +56,27 @@
 	return out
 }
 
-// Take uses a change that another process has seen, unless the copy has a newer one.
-func (r *Replica) Take(now time.Time, o report.Object) {
-	if !o.Deleted {
-		r.Store(now, o.Kind, platform.Object{Name: o.Name, Revision: o.Revision, Data: o.Data})
-		return
-	}
+// Take uses changes that another process has seen, except those to objects of which the copy
+// has newer ones.
+func (r *Replica) Take(now time.Time, changes []report.Object) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if have, ok := r.objects[o.Kind][o.Name]; ok && have.Revision <= o.Revision {
-		r.apply(now, o.Kind, []platform.Event{{Object: platform.Object{Name: o.Name, Revision: o.Revision}, Deleted: true}})
+	events := make(map[string][]platform.Event)
+	revisions := make(map[string]uint64, len(changes))
+	for _, o := range changes {
+		key := o.Kind + "/" + o.Name
+		have, ok := revisions[key]
+		if !ok {
+			have = r.objects[o.Kind][o.Name].Revision
+		}
+		if o.Revision < have || o.Revision == have && !o.Deleted {
+			continue
+		}
+		revisions[key] = o.Revision
+		events[o.Kind] = append(events[o.Kind], platform.Event{Object: platform.Object{Name: o.Name, Revision: o.Revision, Data: o.Data}, Deleted: o.Deleted})
+	}
+	for kind, list := range events {
+		r.apply(now, kind, list)
 	}
 }
 
--- a/entry/internal/replica/changes_test.go
+++ b/entry/internal/replica/changes_test.go
@@ -46,18 +46,14 @@
 			case 3:
 				changes, next := coordinator.Since(position)
 				position = next
-				for _, c := range changes {
-					other.Take(start, c)
-				}
+				other.Take(start, changes)
 			default:
 				objects[name] = entry(name, revision, "ready")
 				sink.Apply(start, []platform.Event{{Object: objects[name]}})
 			}
 		}
 		changes, _ := coordinator.Since(position)
-		for _, c := range changes {
-			other.Take(start, c)
-		}
+		other.Take(start, changes)
 		must.Eq(t, coordinator.Mark(platform.KindServers), other.Mark(platform.KindServers))
 		must.Eq(t, len(objects), len(names(follower)))
 	})
@@ -88,7 +84,7 @@
 	v, r := newReplica()
 	r.Sink(platform.KindServers).Reset(start, []platform.Object{entry("a", 1, "ready")})
 	r.NoteLoss(start.Add(time.Second))
-	r.Take(start.Add(1500*time.Millisecond), report.Object{Kind: platform.KindServers, Name: "a", Revision: 1, Deleted: true})
+	r.Take(start.Add(1500*time.Millisecond), []report.Object{{Kind: platform.KindServers, Name: "a", Revision: 1, Deleted: true}})
 	must.Eq(t, []string{"a"}, names(v))
 	r.Tick(start.Add(4 * time.Second))
 	must.Len(t, 0, names(v))
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -39,7 +39,12 @@
 
 	mu      sync.Mutex
 	objects map[string]map[string]platform.Object
+	// tables are the tables whose objects have no data.
+	tables  map[string]*ownership.Table
 	servers map[string]registry.Server
+	// order has the names of the servers in the order in which the view keeps them, because sorting
+	// some hundred servers at each change takes longer than the rest.
+	order []string
 	// missing has the servers whose entries were found missing after an outage, with the time
 	// at which they count as gone.
 	missing map[string]time.Time
@@ -58,6 +63,7 @@
 	return &Replica{
 		view: v, logger: logger,
 		objects: make(map[string]map[string]platform.Object),
+		tables:  make(map[string]*ownership.Table),
 		servers: make(map[string]registry.Server),
 		missing: make(map[string]time.Time),
 		marks:   make(map[string]report.Mark),
@@ -82,6 +88,14 @@
 	var out []report.Object
 	for kind, objects := range r.objects {
 		for _, o := range objects {
+			if t := r.tables[o.Name]; kind == KindTables && o.Data == nil && t != nil {
+				data, err := ownership.Encode(t)
+				if err != nil {
+					r.logger.WithError(err).Error("table not passed on")
+					continue
+				}
+				o.Data = data
+			}
 			out = append(out, report.Object{Kind: kind, Name: o.Name, Revision: o.Revision, Data: o.Data})
 		}
 	}
@@ -113,8 +127,9 @@
 	r.apply(now, kind, []platform.Event{{Object: o}})
 }
 
-// StoreTable takes a table that is newer than the copy, with its encoded form.
-func (r *Replica) StoreTable(t *ownership.Table, data []byte) {
+// StoreTable takes a table that is newer than the copy. It is encoded when another process asks
+// for the objects, which is rare, while tables change often.
+func (r *Replica) StoreTable(t *ownership.Table) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if have, ok := r.objects[KindTables][t.Service]; ok && have.Revision >= t.Revision {
@@ -123,7 +138,8 @@
 	if r.objects[KindTables] == nil {
 		r.objects[KindTables] = make(map[string]platform.Object)
 	}
-	r.objects[KindTables][t.Service] = platform.Object{Name: t.Service, Revision: t.Revision, Data: data}
+	r.objects[KindTables][t.Service] = platform.Object{Name: t.Service, Revision: t.Revision}
+	r.tables[t.Service] = t
 	r.view.SetTable(t)
 }
 
@@ -265,7 +281,24 @@
 
 // publish gives the list of servers to the view. The lock is held.
 func (r *Replica) publish(now time.Time) {
-	r.view.SetServers(now, slices.Collect(maps.Values(r.servers)))
+	if len(r.order) != len(r.servers) || !r.ordered() {
+		r.order = slices.Sorted(maps.Keys(r.servers))
+	}
+	list := make([]registry.Server, 0, len(r.order))
+	for _, name := range r.order {
+		list = append(list, r.servers[name])
+	}
+	r.view.SetServers(now, list)
+}
+
+// ordered reports whether the order has the names of all servers.
+func (r *Replica) ordered() bool {
+	for _, name := range r.order {
+		if _, ok := r.servers[name]; !ok {
+			return false
+		}
+	}
+	return true
 }
 
 // Sink takes the objects of one kind.
--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -10,7 +10,7 @@
 
 // Servers is an immutable list of servers.
 type Servers struct {
-	byLife    map[registry.Life]Entry
+	byLife    map[registry.Life]*Entry
 	byService map[string][]registry.Server
 }
 
@@ -52,29 +52,30 @@
 
 // replace returns a list with new entries. A server that has left stays known for leaveDelay.
 func (s *Servers) replace(now time.Time, list []registry.Server) *Servers {
-	next := &Servers{byLife: make(map[registry.Life]Entry, len(list)), byService: make(map[string][]registry.Server)}
+	next := &Servers{byLife: make(map[registry.Life]*Entry, len(list)), byService: make(map[string][]registry.Server, len(s.byService))}
 	for _, server := range list {
-		e := Entry{Server: server}
+		e := s.entry(now, server)
+		next.byLife[server.Life] = e
 		if server.Draining {
-			e.LeaveAt = now.Add(leaveDelay)
-			if old, ok := s.byLife[server.Life]; ok && !old.LeaveAt.IsZero() {
-				e.LeaveAt = old.LeaveAt
-			}
-		} else {
-			next.byService[server.Service] = append(next.byService[server.Service], server)
+			continue
 		}
-		next.byLife[server.Life] = e
+		servers, ok := next.byService[server.Service]
+		if !ok {
+			servers = make([]registry.Server, 0, len(s.byService[server.Service])+1)
+		}
+		next.byService[server.Service] = append(servers, server)
 	}
 	for l, old := range s.byLife {
 		if _, ok := next.byLife[l]; ok {
 			continue
 		}
-		if old.LeaveAt.IsZero() {
-			old.LeaveAt = now.Add(leaveDelay)
+		left := *old
+		if left.LeaveAt.IsZero() {
+			left.LeaveAt = now.Add(leaveDelay)
 		}
-		old.Draining = false
-		if now.Before(old.LeaveAt) {
-			next.byLife[l] = old
+		left.Draining = false
+		if now.Before(left.LeaveAt) {
+			next.byLife[l] = &left
 		}
 	}
 	for _, servers := range next.byService {
@@ -82,3 +83,19 @@
 	}
 	return next
 }
+
+// entry returns the entry of a registered server, the present one if nothing has changed.
+func (s *Servers) entry(now time.Time, server registry.Server) *Entry {
+	old := s.byLife[server.Life]
+	if old != nil && old.Server == server && (server.Draining || old.LeaveAt.IsZero()) {
+		return old
+	}
+	e := &Entry{Server: server}
+	if server.Draining {
+		e.LeaveAt = now.Add(leaveDelay)
+		if old != nil && !old.LeaveAt.IsZero() {
+			e.LeaveAt = old.LeaveAt
+		}
+	}
+	return e
+}
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -41,7 +41,7 @@
 // New returns an empty view.
 func New() *View {
 	v := &View{changed: make(chan struct{})}
-	v.servers.Store(&Servers{byLife: map[registry.Life]Entry{}, byService: map[string][]registry.Server{}})
+	v.servers.Store(&Servers{byLife: map[registry.Life]*Entry{}, byService: map[string][]registry.Server{}})
 	v.tables.Store(&map[string]*ownership.Table{})
 	return v
 }
