Spread a hot range over as many servers as its load takes in two plans

A plan had 24 moves at most and is made each 0.4 s; a third of the load at 369 servers takes some 180 moves.

The bound grows with the servers, and a plan counts movable ranges once instead of looking through all for each move. Smaller deployments keep theirs.

Test: place.TestHotRangeOfManyServers, which fails without the change.

--- a/entry/internal/place/plan.go
+++ b/entry/internal/place/plan.go
@@ -33,8 +33,11 @@
 	// leastUnused is the same when the load is uncertain.
 	unused      = 0.6
 	leastUnused = 0.15
-	// largestPlan bounds the moves of one plan, each of which takes two calls to servers.
-	largestPlan = 24
+	// smallestBound bounds the moves of one plan, each of which takes two calls to servers. With
+	// many servers a third of their number is the bound: the load of some neighbouring keys can be a
+	// third of all and then takes a third of the servers to carry.
+	smallestBound  = 24
+	serversPerMove = 3
 	// idleShare is the part of the load that is spread evenly over all keys, so that keys
 	// without recent requests are dealt out evenly too.
 	idleShare = 0.03
@@ -63,11 +66,13 @@
 	total    float64
 	capacity float64
 	loads    []float64
-	moves    []Move
+	// movable is the number of ranges of each server that may be moved.
+	movable []int
+	moves   []Move
 }
 
 func newPlan(servers []Server, ranges []Range, prefix []float64) *plan {
-	p := &plan{servers: servers, ranges: slices.Clone(ranges), prefix: prefix, loads: make([]float64, len(servers))}
+	p := &plan{servers: servers, ranges: slices.Clone(ranges), prefix: prefix, loads: make([]float64, len(servers)), movable: make([]int, len(servers))}
 	measured := prefix[keyspace.Count]
 	p.perKey = max(measured*idleShare, idleLoad) / keyspace.Count
 	p.total = measured + p.perKey*keyspace.Count
@@ -77,6 +82,9 @@
 	for _, r := range p.ranges {
 		if r.Owner >= 0 {
 			p.loads[r.Owner] += p.load(r.Range)
+			if !r.Fixed {
+				p.movable[r.Owner]++
+			}
 		}
 	}
 	return p
@@ -139,7 +147,7 @@
 	mean := p.total / p.capacity
 	limit := max(busy, min(mean*(l.Tolerance+2*l.Noise), max(crowded, mean*(l.Tolerance+l.Noise/2))))
 	empty := max(leastUnused, unused-l.Noise)
-	for len(p.moves) < largestPlan {
+	for len(p.moves) < max(smallestBound, len(p.servers)/serversPerMove) {
 		to := p.least()
 		idle := p.loads[to] < empty*p.target(to)
 		from := p.source(to, limit, idle)
@@ -159,7 +167,7 @@
 func (p *plan) source(to int, limit float64, idle bool) int {
 	from := -1
 	for i := range p.servers {
-		if i != to && p.hasMovable(i) && (from < 0 || p.use(i) > p.use(from)) {
+		if i != to && p.movable[i] > 0 && (from < 0 || p.use(i) > p.use(from)) {
 			from = i
 		}
 	}
@@ -169,10 +177,6 @@
 	return from
 }
 
-func (p *plan) hasMovable(server int) bool {
-	return slices.ContainsFunc(p.ranges, func(r Range) bool { return r.Owner == server && !r.Fixed })
-}
-
 // improves reports whether a move lowers the higher utilisation of the two servers.
 func (p *plan) improves(from, to int, load float64) bool {
 	return load > 0 && (p.loads[to]+load)/p.servers[to].Capacity < p.use(from)
@@ -234,6 +238,7 @@
 	load := p.load(piece)
 	if r.Owner >= 0 {
 		p.loads[r.Owner] -= load
+		p.movable[r.Owner]--
 	}
 	p.loads[to] += load
 	var rest []Range
@@ -257,5 +262,6 @@
 		p.ranges = append(p.ranges, rest[1:]...)
 		return
 	}
+	p.movable[r.Owner] += len(rest)
 	p.ranges = append(p.ranges, rest...)
 }
--- a/entry/internal/place/plan_test.go
+++ b/entry/internal/place/plan_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -143,3 +144,49 @@
 	fixed := []place.Range{{Range: all, Owner: -1, Fixed: true}}
 	must.SliceEmpty(t, place.Plan(fleet(2), fixed, even, limits(0)))
 }
+
+// Guards against a hot range that outlasts its heat: at 369 servers, a third of the load falls on
+// 200 neighbouring keys within a second, and two plans must spread it, because the heat lasts for
+// some seconds and a plan is made each 0.4 s.
+func TestHotRangeOfManyServers(t *testing.T) {
+	servers := fleet(369)
+	const requests, work = 2100.0, 0.4
+	cool := prefixOf(func(int) float64 { return requests * work / keyspace.Count })
+	ranges := apply(t, []place.Range{{Range: all, Owner: -1}}, place.Plan(servers, []place.Range{{Range: all, Owner: -1}}, cool, limits(0)))
+	hot := prefixOf(func(k int) float64 {
+		load := 0.65 * requests * work / keyspace.Count
+		if k >= 30_000 && k < 30_200 {
+			load += 0.35 * requests * work / 200
+		}
+		return load
+	})
+	noise := 1 / math.Sqrt(1.2*requests/float64(len(servers)))
+	for range 2 {
+		ranges = apply(t, ranges, place.Plan(servers, ranges, hot, limits(noise)))
+	}
+	over := 0.0
+	for i, u := range uses(servers, ranges, hot) {
+		over += max(0, u-1) * servers[i].Capacity
+	}
+	// What is beyond the slots of the servers can't be served; 5% of the hot load may be.
+	must.Less(t, 0.05*0.35*requests*work, over)
+}
+
+func BenchmarkHotRangeOfManyServers(b *testing.B) {
+	servers := fleet(369)
+	cool := prefixOf(func(int) float64 { return 840.0 / keyspace.Count })
+	var ranges []place.Range
+	for i := range 369 {
+		ranges = append(ranges, place.Range{Range: keyspace.Range{First: keyspace.Key(i * 177), Last: keyspace.Key(i*177 + 176)}, Owner: i})
+	}
+	ranges[368].Last = keyspace.Last
+	hot := prefixOf(func(k int) float64 {
+		if k >= 30_000 && k < 30_200 {
+			return 294.0 / 200
+		}
+		return cool[1] * 0.65
+	})
+	for b.Loop() {
+		place.Plan(servers, ranges, hot, limits(0.38))
+	}
+}
