--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -112,7 +112,7 @@
 	case "late":
 		return r.late()
 	case "client left":
-		return fmt.Sprintf("the client closed its connection after %d ms; %s", r.number("ms"), r.progress()), true
+		return r.unanswered(fmt.Sprintf("the client closed its connection after %d ms; %s", r.number("ms"), r.progress()))
 	case "crashes servers":
 		return "the same request has crashed three servers and is refused for ten minutes", true
 	}
@@ -303,7 +303,11 @@
 
 // late explains a request that was not answered before its deadline.
 func (r *request) late() (string, bool) {
-	text := fmt.Sprintf("no answer before the deadline, %d ms after it came; %s", r.number("limit"), r.progress())
+	return r.unanswered(fmt.Sprintf("no answer before the deadline, %d ms after it came; %s", r.number("limit"), r.progress()))
+}
+
+// unanswered explains a request that nobody waits for any more: it ran, or something held it up.
+func (r *request) unanswered(text string) (string, bool) {
 	if r.number("attempts") > 0 {
 		return text + "; it may have run", true
 	}
--- a/entry/internal/dispatch/choose.go
+++ b/entry/internal/dispatch/choose.go
@@ -10,7 +10,10 @@
 	"bramleystand.org/entry/internal/view"
 )
 
-var errUnproved = eris.New("dispatch: the answer does not prove that the server made it")
+var (
+	errUnproved = eris.New("dispatch: the answer does not prove that the server made it")
+	errAvoided  = eris.New("dispatch: the server was unreachable a moment ago")
+)
 
 // sharded reports whether the servers of the call's service own their keys.
 func (d *Dispatcher) sharded(c *Call) bool {
@@ -81,7 +84,8 @@
 			if !avoided {
 				return t, nil
 			}
-			return nil, refused(Unreachable, until, nil)
+			p.steps = append(p.steps, Step{Server: s.ID, Reason: Unreachable})
+			return nil, refused(Unreachable, until, errAvoided)
 		}
 		left := limit.Sub(now)
 		if left <= 0 || d.lost(now, servers, p.call) {
