--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -161,14 +161,19 @@
 // slow explains a request that was served.
 func (r *request) slow() (string, bool) {
 	took, wait := r.number("ms"), r.number("wait")
-	text := fmt.Sprintf("served by %s with status %d after %d ms, of which %d ms were spent waiting for a slot", r.Text("server"), r.number("status"), took, wait)
+	text := fmt.Sprintf("served by %s with status %d after %d ms, of which %d ms were spent waiting for a slot and %d ms waiting for an owner of the key",
+		r.Text("server"), r.number("status"), took, wait, r.number("held"))
 	if steps := r.Text("steps"); steps != "" {
 		text += "; servers tried: " + steps
 	}
 	if rest := took - wait; wait > rest {
 		text += "; " + r.crowd()
 	}
-	r.relate(r.keyEvents()...)
+	events := r.keyEvents()
+	r.relate(events...)
+	if len(events) > 0 && r.number("held") > 0 {
+		text += "; " + describe(events[len(events)-1])
+	}
 	return text, true
 }
 
--- a/bramleyctl/internal/evidence/explanation_test.go
+++ b/bramleyctl/internal/evidence/explanation_test.go
@@ -56,6 +56,7 @@
 		{"late in the queue", []string{failed("late", `"attempts":0,"limit":500,"wait":480,"chosen":"a"`), full}, "it waited 480 ms for a slot and was given to no server", true},
 		{"refused", []string{line(10_000, "e1", "request refused", `"id":"x","reason":"no route","status":404`)}, "refused by e1 before it was given to a server: no route", true},
 		{"slow", []string{line(10_000, "e1", "request served", `"id":"x","service":"desk","server":"a","status":200,"ms":900,"wait":800`)}, "of which 800 ms were spent waiting for a slot", true},
+		{"slow, key moved", []string{line(10_000, "e1", "request served", `"id":"x","service":"desk","key":50,"server":"b","status":200,"ms":900,"wait":0,"held":600`), moving}, "600 ms waiting for an owner of the key; at ", true},
 		{"left out", []string{line(10_000, "e1", "log lines left out", `"lines":7`)}, "no line has this identifier; 7 lines were left out", false},
 		{"no line", []string{reached}, "did not reach a process whose log was given", false},
 	} {
--- a/entry/internal/dispatch/choose.go
+++ b/entry/internal/dispatch/choose.go
@@ -69,7 +69,9 @@
 	if !p.call.HasKey {
 		return d.anyOwner(p)
 	}
-	limit := time.Now().Add(ownerWait)
+	begin := time.Now()
+	defer func() { p.held += time.Since(begin) }()
+	limit := begin.Add(ownerWait)
 	for {
 		changed := d.view.Changed()
 		now := time.Now()
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -103,6 +103,7 @@
 	steps       []Step
 	// table is the revision of the table that the owner was last looked up in.
 	table uint64
+	held  time.Duration
 }
 
 // Do returns the final answer to a call.
@@ -114,7 +115,7 @@
 	d.budgets.Earn(c.Arrived, c.Service)
 	p := &progress{call: c, tried: make(map[registry.Life]bool), fingerprint: f}
 	r := d.run(ctx, p)
-	r.Attempts, r.Server, r.Steps, r.Table = p.sent, p.server, p.steps, p.table
+	r.Attempts, r.Server, r.Steps, r.Table, r.Held = p.sent, p.server, p.steps, p.table, p.held
 	return r
 }
 
--- a/entry/internal/dispatch/result.go
+++ b/entry/internal/dispatch/result.go
@@ -24,6 +24,8 @@
 	Steps []Step
 	// Table is the revision of the table of key owners that the last choice was made by, or zero.
 	Table uint64
+	// Held is the time that the call has waited for its key to get an owner.
+	Held time.Duration
 }
 
 // Step is one server that was tried.
