--- a/entry/internal/gateway/log.go
+++ b/entry/internal/gateway/log.go
@@ -18,7 +18,7 @@
 	fields := log.Fields{
 		"id": c.ID, "route": c.Route.Name, "service": c.Service, "rank": c.Route.Rank, "status": r.Status, "reason": string(r.Reason),
 		"attempts": r.Attempts, "server": r.Server, "ms": time.Since(c.Arrived).Milliseconds(), "wait": r.Waited().Milliseconds(),
-		"held": r.Held.Milliseconds(),
+		"held":  r.Held.Milliseconds(),
 		"limit": c.Deadline.Sub(c.Arrived).Milliseconds(), "configuration": configuration.Version,
 	}
 	if c.HasKey {
