--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -112,7 +112,7 @@
 	case "late":
 		return r.late()
 	case "client left":
-		return fmt.Sprintf("the client closed its connection after %d ms; %s", r.number("ms"), r.progress()), true
+		return r.unanswered(fmt.Sprintf("the client closed its connection after %d ms; %s", r.number("ms"), r.progress()))
 	case "crashes servers":
 		return "the same request has crashed three servers and is refused for ten minutes", true
 	}
@@ -161,14 +161,19 @@
 // slow explains a request that was served.
 func (r *request) slow() (string, bool) {
 	took, wait := r.number("ms"), r.number("wait")
-	text := fmt.Sprintf("served by %s with status %d after %d ms, of which %d ms were spent waiting for a slot", r.Text("server"), r.number("status"), took, wait)
+	text := fmt.Sprintf("served by %s with status %d after %d ms, of which %d ms were spent waiting for a slot and %d ms waiting for an owner of the key",
+		r.Text("server"), r.number("status"), took, wait, r.number("held"))
 	if steps := r.Text("steps"); steps != "" {
 		text += "; servers tried: " + steps
 	}
 	if rest := took - wait; wait > rest {
 		text += "; " + r.crowd()
 	}
-	r.relate(r.keyEvents()...)
+	events := r.keyEvents()
+	r.relate(events...)
+	if len(events) > 0 && r.number("held") > 0 {
+		text += "; " + describe(events[len(events)-1])
+	}
 	return text, true
 }
 
@@ -303,7 +308,11 @@
 
 // late explains a request that was not answered before its deadline.
 func (r *request) late() (string, bool) {
-	text := fmt.Sprintf("no answer before the deadline, %d ms after it came; %s", r.number("limit"), r.progress())
+	return r.unanswered(fmt.Sprintf("no answer before the deadline, %d ms after it came; %s", r.number("limit"), r.progress()))
+}
+
+// unanswered explains a request that nobody waits for any more: it ran, or something held it up.
+func (r *request) unanswered(text string) (string, bool) {
 	if r.number("attempts") > 0 {
 		return text + "; it may have run", true
 	}
