Count the hold of a grant from its arrival at the latest

An order is not sent after the 150 ms, and an answer or a failure puts the end of the hold off. An order that was not sent for that reason says nothing of the server.

Test: TestSlowGrant, which fails without the change.

--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/guide.go
@@ -14,6 +14,7 @@
 
 var (
 	errNotCoordinator = eris.New("cluster: this process is not the coordinator")
+	errStale          = eris.New("cluster: the order was not sent in time")
 	errNoBase         = eris.New("cluster: a difference to a table that was not sent")
 )
 
--- a/entry/internal/cluster/steward.go
+++ b/entry/internal/cluster/steward.go
@@ -258,6 +258,9 @@
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		r.Handover, r.Err = s.node.grants.Release(bounded, address, o.Keys, uint64(o.Fence))
+	case time.Now().After(o.SendBy) || !s.active():
+		// The process was short of processor time, or has been replaced.
+		r.Err, r.Stale = errStale, true
 	default:
 		hold := coordinator.Hold
 		if o.Brief {
@@ -285,6 +288,13 @@
 	s.signal()
 }
 
+// active reports whether the steward still works for the present term.
+func (s *steward) active() bool {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.node.steward == s
+}
+
 // kindOf returns the kind of an order for logs and metrics.
 func kindOf(o coordinator.Order) string {
 	if o.Release {
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -195,7 +195,7 @@
 			continue
 		}
 		if ended == succeeded {
-			orders = c.reclaim(s, h, orders)
+			orders = c.reclaim(now, s, h, orders)
 			continue
 		}
 		orders = c.vacate(now, s, h, orders)
@@ -210,13 +210,13 @@
 // another server of the service has. Grants that were meant for the former may have gone to
 // the latter. If one is unanswered, it must lapse. The latter has seen no fence and must learn one
 // before it can refuse the grants of earlier coordinators.
-func (c *Coordinator) reclaim(s *share, h *holder, orders []Order) []Order {
+func (c *Coordinator) reclaim(now time.Time, s *share, h *holder, orders []Order) []Order {
 	if !h.adopted || h.asked && !s.vacated(h) {
 		return orders
 	}
 	h.unsure, h.proved = true, false
 	o := Order{Release: !h.asked, Brief: h.asked, Server: h.server, Keys: s.keys, Fence: c.nextFence()}
-	return append(orders, c.order(s, h, o))
+	return append(orders, c.order(now, s, h, o))
 }
 
 // vacate orders the next call by which a holder gives up the keys. The server must have
@@ -243,7 +243,7 @@
 	default:
 		o.Release = true
 	}
-	return append(orders, c.order(s, h, o))
+	return append(orders, c.order(now, s, h, o))
 }
 
 // grant returns an order that gives the keys of a share to a server.
@@ -255,7 +255,7 @@
 	h.heldUntil = later(before, now.Add(Lapse()))
 	h.inherited = false
 	h.next = now.Add(renewInterval)
-	o := c.order(s, h, Order{Server: h.server, Keys: s.keys, Fence: h.fence, Handover: handover})
+	o := c.order(now, s, h, Order{Server: h.server, Keys: s.keys, Fence: h.fence, Handover: handover})
 	p := c.pending[o.Number]
 	p.heldBefore = before
 	c.pending[o.Number] = p
@@ -270,9 +270,9 @@
 	return b
 }
 
-func (c *Coordinator) order(s *share, h *holder, o Order) Order {
+func (c *Coordinator) order(now time.Time, s *share, h *holder, o Order) Order {
 	c.orders++
-	o.Number = c.orders
+	o.Number, o.SendBy = c.orders, now.Add(margin)
 	h.busy = true
 	c.pending[o.Number] = pending{share: s, holder: h, order: o, heldBefore: h.heldUntil}
 	return o
@@ -292,6 +292,14 @@
 	delete(c.pending, r.Number)
 	s, h := p.share, p.holder
 	h.busy = false
+	if r.Stale {
+		h.heldUntil, h.next = p.heldBefore, now
+		return
+	}
+	if !p.order.Release && !p.order.Brief && !r.Unsent && !r.Fenced {
+		// The grant runs from its arrival, which may have been as late as its answer.
+		h.heldUntil = later(h.heldUntil, now.Add(Lapse()))
+	}
 	if !p.order.Release || r.Err == nil || r.Unsent {
 		c.note(now, h.server.Life, r.Err == nil || r.Fenced)
 	}
--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -462,3 +462,44 @@
 		must.True(t, granted, must.Sprint("moving: ", moving))
 	}
 }
+
+// Guards against two owners when a grant reaches its server later than it was decided, because
+// the VM was short of processor time or the connection took long.
+func TestSlowGrant(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &world{now: now, load: func(int) float64 { return 8.0 / keyspace.Count }}
+	slow, other := newServer(0, 1), newServer(1, 1)
+	table := &ownership.Table{Service: "svc", Revision: 1, Assignments: []ownership.Assignment{{
+		Range:   keyspace.Range{Last: keyspace.Last},
+		Holders: []ownership.Server{{Life: slow.Life, Address: slow.Address.String()}},
+	}}}
+	c := coordinator.New("svc", 2, table, now, now)
+	const delay = 600 * time.Millisecond
+	due := make(map[uint64]time.Time)
+	var arrived time.Time
+	for range 400 {
+		now = now.Add(step)
+		for n, at := range due {
+			if !now.Before(at) {
+				arrived = now
+				delete(due, n)
+				c.Finish(now, coordinator.Result{Number: n, Err: errors.New("no answer")})
+			}
+		}
+		c.SetServers(now, []registry.Server{slow.Server, other.Server})
+		orders := c.Step(now, w, true)
+		if table, generation, ok := c.Table(); ok {
+			c.Stored(now, generation, table.Revision+1)
+		}
+		for _, o := range orders {
+			must.True(t, o.SendBy.After(now) && o.SendBy.Before(now.Add(coordinator.Lapse()-coordinator.Hold)))
+			if o.Server.Life == slow.Life {
+				due[o.Number] = now.Add(delay)
+				continue
+			}
+			must.True(t, len(due) == 0 && !now.Before(arrived.Add(coordinator.Hold)), must.Sprintf("granted %s after the last grant to the former owner arrived", now.Sub(arrived)))
+			return
+		}
+	}
+	t.Fatal("the keys are not given to the other server")
+}
--- a/entry/internal/coordinator/order.go
+++ b/entry/internal/coordinator/order.go
@@ -20,6 +20,9 @@
 	Fence  fence.Fence
 	// Handover is what the last holder left for the next one.
 	Handover string
+	// SendBy is when the order may be sent at the latest; a grant that is sent later would run
+	// for longer than its coordinator counts on.
+	SendBy time.Time
 }
 
 // Result is what became of an order.
@@ -30,7 +33,9 @@
 	Fenced bool
 	// Unsent is true if the server can't have got the order.
 	Unsent bool
-	Err    error
+	// Stale is true if the order was not sent because its time was over; it says nothing of the server.
+	Stale bool
+	Err   error
 }
 
 // pending is an order that is under way.
