Gather log lines for a twentieth of a second before they are written

A line takes 6.9 us by the benchmark, 1%; the rest is a wake-up and a write for nearly each line. Not measured yet after the change.

--- a/common/linewriter/writer.go
+++ b/common/linewriter/writer.go
@@ -21,12 +21,18 @@
 
 var errSlow = eris.New("linewriter: the reader did not take all lines in time")
 
+// gatherTime is how long lines are gathered before they are written: each write wakes a thread and
+// its reader, and a reader does not miss a twentieth of a second.
+const gatherTime = 50 * time.Millisecond
+
 // Writer writes lines in their order. It is safe for concurrent use.
 type Writer struct {
 	out  io.Writer
 	most int
 	wake chan struct{}
-	done chan struct{}
+	// closing is closed by Close, done when all lines are written.
+	closing chan struct{}
+	done    chan struct{}
 
 	mu      sync.Mutex
 	pending []byte
@@ -38,7 +44,7 @@
 
 // New returns a writer that keeps up to a number of bytes waiting.
 func New(out io.Writer, most int) *Writer {
-	w := &Writer{out: out, most: most, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &Writer{out: out, most: most, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -68,6 +74,7 @@
 func (w *Writer) Close(until time.Time) error {
 	w.mu.Lock()
 	w.closed = true
+	close(w.closing)
 	w.signal()
 	w.mu.Unlock()
 	select {
@@ -92,6 +99,10 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for range w.wake {
+		select {
+		case <-w.closing:
+		case <-time.After(gatherTime):
+		}
 		lines, closed := w.take()
 		if len(lines) > 0 {
 			_, err := w.out.Write(lines)
