Don't send a waiting request to a server that has begun to leave

After the wait only the owner of a key was looked up again; servers without keys were not. Ruled out: a late change of the entry; other requests to the server ended in time.

The server is looked up again for every service, and another one chosen.

Test: dispatch.TestServerLeavesMeanwhile, which fails without the change.

--- a/entry/internal/dispatch/choose.go
+++ b/entry/internal/dispatch/choose.go
@@ -149,10 +149,11 @@
 	return false
 }
 
-// stillOwns reports whether the server that a call has waited for still owns its key.
-func (d *Dispatcher) stillOwns(c *Call, t *target) bool {
+// isUsable reports whether the server that a call has waited for still owns its key or, without
+// keys, still takes new work; servers leave while requests wait for their slots.
+func (d *Dispatcher) isUsable(c *Call, t *target) bool {
 	if !d.sharded(c) {
-		return true
+		return d.view.Servers().InUse(t.server.Life)
 	}
 	s, ok := d.lookup(time.Now(), d.view.Servers(), c)
 	return ok && s.Life == t.server.Life
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return d.notAdmitted(ctx, p, t, err)
 	}
-	if !d.stillOwns(c, t) {
+	if !d.isUsable(c, t) {
 		slot.Leave(0)
 		return refused(NoOwner, time.Now().Add(refusedRetry), nil), true
 	}
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -364,3 +364,37 @@
 		}
 	}
 }
+
+// departingGate has a slot only after the server has begun to leave.
+type departingGate struct {
+	openGate
+	depart func()
+}
+
+func (g departingGate) Enter(_ context.Context, a dispatch.Admission) (dispatch.Slot, error) {
+	if a.Server.ID == "a" {
+		g.depart()
+	}
+	return openSlot{}, nil
+}
+
+// Guards against requests that wait for a slot of a server and are sent to it after it has said
+// that it leaves, or whose entry is gone.
+func TestServerLeavesMeanwhile(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		a, b := newServer(t, "a", served), newServer(t, "b", served)
+		var w *world
+		w = newWorld(t, false, departingGate{depart: func() {
+			left := []registry.Server{b.Server}
+			if draining {
+				gone := a.Server
+				gone.Draining = true
+				left = append(left, gone)
+			}
+			w.view.SetServers(time.Now(), left)
+		}}, plenty, a, b)
+		must.Eq(t, http.StatusOK, w.call(traffic.Upload).Status)
+		must.Eq(t, 0, a.requests())
+		must.Eq(t, 1, b.requests())
+	}
+}
--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -33,6 +33,12 @@
 	return e.Server, true
 }
 
+// InUse reports whether a server is registered and takes new work.
+func (s *Servers) InUse(l registry.Life) bool {
+	e, ok := s.byLife[l]
+	return ok && e.LeaveAt.IsZero()
+}
+
 // Registered returns all registered servers, draining ones included.
 func (s *Servers) Registered() []registry.Server {
 	out := make([]registry.Server, 0, len(s.byLife))
