Use the field's names in what was built, and remove what is not used

Read as a newcomer: steward, duty, handicap, patience, crowd, matter, door and deaf are private or figurative; they are executor, serviceState, takeover delay, watch timeout, contention, topic, frontend and silent now.

--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -135,8 +135,8 @@
 	return "it was given to no server"
 }
 
-// relate keeps a line as evidence.
-func (r *request) relate(lines ...logline.Line) {
+// addRelated keeps a line as evidence.
+func (r *request) addRelated(lines ...logline.Line) {
 	r.e.Related = append(r.e.Related, lines...)
 }
 
@@ -167,10 +167,10 @@
 		text += "; servers tried: " + steps
 	}
 	if rest := took - wait; wait > rest {
-		text += "; " + r.crowd()
+		text += "; " + r.contention()
 	}
 	events := r.keyEvents()
-	r.relate(events...)
+	r.addRelated(events...)
 	if len(events) > 0 && r.number("held") > 0 {
 		text += "; " + describe(events[len(events)-1])
 	}
@@ -180,12 +180,12 @@
 // full explains a request for which a server had no slot.
 func (r *request) full() (string, bool) {
 	server := stepServer(r.Line)
-	r.relate(r.keyEvents()...)
-	return fmt.Sprintf("no slot of %s in time, after %d ms; %s", server, r.number("ms"), r.crowd()), server != ""
+	r.addRelated(r.keyEvents()...)
+	return fmt.Sprintf("no slot of %s in time, after %d ms; %s", server, r.number("ms"), r.contention()), server != ""
 }
 
-// crowd says whether one server or all were full around the request.
-func (r *request) crowd() string {
+// contention says whether one server or all were full around the request.
+func (r *request) contention() string {
 	server := stepServer(r.Line)
 	same, all, answered := 0, 0, 0
 	for _, l := range r.others(func(l logline.Line) bool { return l.Text("service") == r.Text("service") }) {
@@ -217,7 +217,7 @@
 		return "the request names no key, and every server of the service owns some keys only", true
 	}
 	if events := r.keyEvents(); len(events) > 0 {
-		r.relate(events...)
+		r.addRelated(events...)
 		last := events[len(events)-1]
 		if i := slices.IndexFunc(events, func(l logline.Line) bool { return l.Message == moving }); i >= 0 {
 			last = events[i]
@@ -225,7 +225,7 @@
 		return fmt.Sprintf("key %d had no owner at the time: %s", key, describe(last)), true
 	}
 	if failed := r.during(before, func(l logline.Line) bool { return l.Message == orderFailed && coversKey(l, key) }); len(failed) > 0 {
-		r.relate(failed...)
+		r.addRelated(failed...)
 		return fmt.Sprintf("key %d had no owner at the time: %s", key, describe(failed[len(failed)-1])), true
 	}
 	return r.leaderless(fmt.Sprintf("key %d had no owner at the time", key))
@@ -234,7 +234,7 @@
 // leaderless looks for a time without a coordinator or without the store.
 func (r *request) leaderless(text string) (string, bool) {
 	events := r.during(before, func(l logline.Line) bool { return isControl(l.Message) })
-	r.relate(events...)
+	r.addRelated(events...)
 	if len(events) == 0 {
 		return text + "; no line says why", false
 	}
@@ -247,7 +247,7 @@
 		return "no server of " + r.Text("service") + " could be used: " + steps, true
 	}
 	if server := r.Text("server"); server != "" {
-		return fmt.Sprintf("no other server of %s than %s could be used; %s", r.Text("service"), server, r.crowd()), true
+		return fmt.Sprintf("no other server of %s than %s could be used; %s", r.Text("service"), server, r.contention()), true
 	}
 	return r.leaderless("no server of " + r.Text("service") + " was in use")
 }
@@ -261,7 +261,7 @@
 	}
 	failed := r.during(before, func(l logline.Line) bool { return l.Message == orderFailed && l.Text("server") == server })
 	reached := r.others(func(l logline.Line) bool { return l.Message == served && l.Text("server") == server })
-	r.relate(failed...)
+	r.addRelated(failed...)
 	switch {
 	case len(failed) > 0 && len(reached) > 0:
 		return text + "; the coordinator does not reach it either, but " + reached[0].Name + " does: a partition", true
@@ -271,7 +271,7 @@
 		return text + "; " + reached[0].Name + " reaches it: a partition between " + r.Name + " and the server", true
 	}
 	events := r.keyEvents()
-	r.relate(events...)
+	r.addRelated(events...)
 	if len(events) > 0 {
 		return text + "; " + describe(events[len(events)-1]), true
 	}
@@ -285,11 +285,11 @@
 		text += "; servers tried: " + steps
 	}
 	events := r.keyEvents()
-	r.relate(events...)
+	r.addRelated(events...)
 	if len(events) > 0 {
 		return text + "; its key was on the move: " + describe(events[len(events)-1]), true
 	}
-	return text + "; " + r.crowd(), true
+	return text + "; " + r.contention(), true
 }
 
 // broken explains a request whose answer can't be used; it may have run.
@@ -298,7 +298,7 @@
 	gone := r.during(before, func(l logline.Line) bool {
 		return l.Message == orderFailed && l.Text("server") == server || l.Message == "keys ended" && l.Text("server") == server
 	})
-	r.relate(gone...)
+	r.addRelated(gone...)
 	text := fmt.Sprintf("%s had the request and gave no usable answer (%s); it may have run", server, r.Text("error"))
 	if len(gone) > 0 {
 		text += "; " + describe(gone[len(gone)-1])
@@ -317,8 +317,8 @@
 		return text + "; it may have run", true
 	}
 	if events := r.keyEvents(); len(events) > 0 {
-		r.relate(events...)
+		r.addRelated(events...)
 		return text + "; " + describe(events[len(events)-1]), true
 	}
-	return text + "; " + r.crowd(), true
+	return text + "; " + r.contention(), true
 }
--- a/common/linebudget/budget.go
+++ b/common/linebudget/budget.go
@@ -51,7 +51,7 @@
 	Ordinary bool
 }
 
-// Omission is the number of lines on one matter that were left out since Since.
+// Omission is the number of lines on one topic that were left out since Since.
 type Omission struct {
 	Message string
 	Reason  string
@@ -64,18 +64,18 @@
 	limit Limit
 	begin time.Time
 	used  Limit
-	// written is the number of written lines by matter, omitted that of the others.
-	written map[matter]int
-	omitted map[matter]int
+	// written is the number of written lines by topic, omitted that of the others.
+	written map[topic]int
+	omitted map[topic]int
 	since   time.Time
 }
 
-// matter is what a line is about.
-type matter struct{ message, reason string }
+// topic is what a line is about.
+type topic struct{ message, reason string }
 
 // New returns a budget of which nothing is used.
 func New(l Limit) *Budget {
-	return &Budget{limit: l, written: make(map[matter]int), omitted: make(map[matter]int)}
+	return &Budget{limit: l, written: make(map[topic]int), omitted: make(map[topic]int)}
 }
 
 // Allow reports whether a line is written.
@@ -84,7 +84,7 @@
 		b.begin, b.used = now, Limit{}
 		clear(b.written)
 	}
-	m := b.matter(l)
+	m := b.topic(l)
 	if !b.fits(l, m) {
 		if len(b.omitted) == 0 {
 			b.since = now
@@ -99,7 +99,7 @@
 }
 
 // fits reports whether the budget has room for a line.
-func (b *Budget) fits(l Line, m matter) bool {
+func (b *Budget) fits(l Line, m topic) bool {
 	limit := b.limit
 	if l.Ordinary {
 		limit = Limit{Lines: limit.Lines / ordinaryPart, Bytes: limit.Bytes / ordinaryPart}
@@ -109,13 +109,13 @@
 	return b.used.Lines < limit.Lines && b.used.Bytes+l.Bytes <= limit.Bytes
 }
 
-// matter returns what a line is about, or the empty one when too many are known.
-func (b *Budget) matter(l Line) matter {
-	m := matter{message: l.Message, reason: l.Reason}
+// topic returns what a line is about, or the empty one when too many are known.
+func (b *Budget) topic(l Line) topic {
+	m := topic{message: l.Message, reason: l.Reason}
 	if b.written[m] > 0 || b.omitted[m] > 0 || len(b.written) < mostReasons && len(b.omitted) < mostReasons {
 		return m
 	}
-	return matter{}
+	return topic{}
 }
 
 // Omitted returns what was left out since the last call.
--- a/entry/gateway.go
+++ b/entry/gateway.go
@@ -44,6 +44,7 @@
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	lines := boundedlog.New(os.Stdout, s.Logs, log.Fields{"program": "entry", "name": s.Name})
+	// There is no log any more to write an error to.
 	defer func() { _ = lines.Close(time.Now().Add(closeTime)) }()
 	logger := &log.Logger{Handler: lines, Level: log.DebugLevel}
 	klog.SetLogger(kratoslog.New(logger))
--- a/entry/internal/cluster/demands.go
+++ b/entry/internal/cluster/demands.go
@@ -20,12 +20,11 @@
 
 // Demands collects what the process tells the coordinator. It is safe for concurrent use.
 type Demands struct {
-	mu       sync.Mutex
-	keys     map[string][]keyspace.Key
-	work     map[string]time.Duration
-	means    map[kind]time.Duration
-	samples  map[registry.Life]*report.Sample
-	overflow int
+	mu      sync.Mutex
+	keys    map[string][]keyspace.Key
+	work    map[string]time.Duration
+	means   map[kind]time.Duration
+	samples map[registry.Life]*report.Sample
 }
 
 // kind is a kind of request at a service.
@@ -48,7 +47,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.keys[service]) >= mostKeys {
-		d.overflow++
 		return
 	}
 	d.keys[service] = append(d.keys[service], k)
--- a/entry/internal/cluster/differences.go
+++ b/entry/internal/cluster/encoded.go
@@ -8,20 +8,20 @@
 	"bramleystand.org/entry/internal/report"
 )
 
-// mostDifferences bounds the differences that are kept; followers that lag behind by more get
+// mostEncoded bounds the encoded tables that are kept; followers that lag behind by more get
 // theirs made again.
-const mostDifferences = 8
+const mostEncoded = 8
 
-// differences keeps the encoded forms of tables and of large objects, so that they are made once
+// encodedUpdates keeps the encoded forms of tables and of large objects, so that they are made once
 // for all followers. It is safe for concurrent use; no other lock is taken under its own.
-type differences struct {
+type encodedUpdates struct {
 	mu     sync.Mutex
 	all    []report.Object
 	packed []report.Object
 }
 
 // object returns a table as it is sent to a follower that has an earlier one, or none.
-func (d *differences) object(earlier, t *ownership.Table) (report.Object, error) {
+func (d *encodedUpdates) object(earlier, t *ownership.Table) (report.Object, error) {
 	base := uint64(0)
 	if earlier != nil {
 		base = earlier.Revision
@@ -43,7 +43,7 @@
 	if err != nil {
 		return report.Object{}, err
 	}
-	if len(d.all) == mostDifferences {
+	if len(d.all) == mostEncoded {
 		d.all = d.all[1:]
 	}
 	d.all = append(d.all, o)
--- a/entry/internal/cluster/differences_internal_test.go
+++ b/entry/internal/cluster/encoded_internal_test.go
@@ -23,11 +23,11 @@
 
 // Guards against a follower that uses a difference to another table than its own, and against
 // one that goes on with a stream on which a table is missing.
-func TestDifferences(t *testing.T) {
+func TestEncodedUpdates(t *testing.T) {
 	v := view.New()
 	logger := &log.Logger{Handler: discard.New()}
 	n := &Node{view: v, replica: replica.New(v, logger), logger: logger, received: make(map[string]*ownership.Table)}
-	d := &differences{}
+	d := &encodedUpdates{}
 	first, second, third := table(3, "a"), table(5, "b"), table(8, "c")
 	whole, err := d.object(nil, first)
 	must.NoError(t, err)
--- a/entry/internal/cluster/steward.go
+++ b/entry/internal/cluster/executor.go
@@ -35,9 +35,9 @@
 	probeTimeout = 250 * time.Millisecond
 )
 
-// steward carries out the decisions of the coordinators of all services for one term. Its
+// executor carries out the decisions of the coordinators of all services for one term. Its
 // fields belong to the lock of the node.
-type steward struct {
+type executor struct {
 	node    *Node
 	term    uint64
 	earlier time.Time
@@ -47,11 +47,11 @@
 	nextAsk time.Time
 	wake    chan struct{}
 
-	services map[string]*duty
+	services map[string]*serviceState
 }
 
-// duty is the coordination of one service.
-type duty struct {
+// serviceState is the coordination of one service.
+type serviceState struct {
 	coordinator *coordinator.Coordinator
 	demand      *demand.Service
 	loading     bool
@@ -60,9 +60,9 @@
 	probing     map[registry.Life]bool
 }
 
-// newSteward returns a steward of a term that began now. The grants of the former coordinator
+// newExecutor returns an executor of a term that began now. The grants of the former coordinator
 // lapse by themselves; if it is known to have stopped, earlier.
-func newSteward(n *Node, term uint64, now time.Time, former election.Member) *steward {
+func newExecutor(n *Node, term uint64, now time.Time, former election.Member) *executor {
 	earlier := now.Add(coordinator.Lapse())
 	if former.Name == n.self.Name {
 		// An earlier life of this process has ended.
@@ -71,11 +71,11 @@
 	if former.Name != "" {
 		earlier = earlier.Add(coordinator.Authority)
 	}
-	return &steward{node: n, term: term, former: former, earlier: earlier, wake: make(chan struct{}, 1), services: make(map[string]*duty)}
+	return &executor{node: n, term: term, former: former, earlier: earlier, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
 }
 
 // step does what is due for all services.
-func (s *steward) step(ctx context.Context, group *sync.WaitGroup, now, confirmed time.Time) {
+func (s *executor) step(ctx context.Context, group *sync.WaitGroup, now, confirmed time.Time) {
 	configuration := s.node.view.Configuration()
 	if configuration == nil {
 		return
@@ -88,7 +88,7 @@
 		}
 		d := s.services[name]
 		if d == nil {
-			d = &duty{demand: demand.NewService(now), probing: make(map[registry.Life]bool)}
+			d = &serviceState{demand: demand.NewService(now), probing: make(map[registry.Life]bool)}
 			s.services[name] = d
 		}
 		if d.coordinator == nil {
@@ -110,7 +110,7 @@
 }
 
 // logDecisions writes what has happened to the keys of a service.
-func (s *steward) logDecisions(name string, d *duty) {
+func (s *executor) logDecisions(name string, d *serviceState) {
 	for _, m := range d.coordinator.Decisions() {
 		fields := log.Fields{
 			"service": name, "first": uint64(m.Keys.First), "last": uint64(m.Keys.Last), "server": m.Server.ID,
@@ -125,7 +125,7 @@
 
 // askFormer asks the former coordinator to stop until it answers. Without an answer its grants
 // count as renewed for the time of its authority.
-func (s *steward) askFormer(ctx context.Context, group *sync.WaitGroup, now time.Time) {
+func (s *executor) askFormer(ctx context.Context, group *sync.WaitGroup, now time.Time) {
 	if s.former.Name == "" || s.asking || now.Before(s.nextAsk) {
 		return
 	}
@@ -151,7 +151,7 @@
 }
 
 // load reads the table of a service and starts its coordinator.
-func (s *steward) load(ctx context.Context, group *sync.WaitGroup, name string, d *duty) {
+func (s *executor) load(ctx context.Context, group *sync.WaitGroup, name string, d *serviceState) {
 	now := time.Now()
 	if d.loading || now.Before(d.nextWrite) {
 		return
@@ -182,7 +182,7 @@
 }
 
 // write stores the table of a service if it has changed.
-func (s *steward) write(ctx context.Context, group *sync.WaitGroup, now time.Time, name string, d *duty) {
+func (s *executor) write(ctx context.Context, group *sync.WaitGroup, now time.Time, name string, d *serviceState) {
 	if d.writing || now.Before(d.nextWrite) {
 		return
 	}
@@ -205,7 +205,8 @@
 		d.writing = false
 		switch {
 		case err == nil:
-			s.node.replica.Store(time.Now(), replica.KindTables, platform.Object{Name: name, Revision: o.Revision, Data: data})
+			table.Revision = o.Revision
+			s.node.replica.StoreTable(table)
 			d.coordinator.Stored(time.Now(), generation, o.Revision)
 			s.signal()
 		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrMissing):
@@ -218,7 +219,7 @@
 }
 
 // resolve finds out who wrote a table that has an unexpected revision. The node's lock is held.
-func (s *steward) resolve(ctx context.Context, group *sync.WaitGroup, name string, d *duty) {
+func (s *executor) resolve(ctx context.Context, group *sync.WaitGroup, name string, d *serviceState) {
 	d.writing = true
 	group.Go(func() {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -248,7 +249,7 @@
 }
 
 // carryOut makes the call of an order.
-func (s *steward) carryOut(ctx context.Context, d *duty, o coordinator.Order) {
+func (s *executor) carryOut(ctx context.Context, d *serviceState, o coordinator.Order) {
 	r := coordinator.Result{Number: o.Number}
 	address, err := netip.ParseAddrPort(o.Server.Address)
 	switch {
@@ -288,11 +289,11 @@
 	s.signal()
 }
 
-// active reports whether the steward still works for the present term.
-func (s *steward) active() bool {
+// active reports whether the executor still works for the present term.
+func (s *executor) active() bool {
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	return s.node.steward == s
+	return s.node.executor == s
 }
 
 // kindOf returns the kind of an order for logs and metrics.
@@ -304,7 +305,7 @@
 }
 
 // probe connects to silent servers, so that they get grants again once they can be reached.
-func (s *steward) probe(ctx context.Context, group *sync.WaitGroup, now time.Time, d *duty) {
+func (s *executor) probe(ctx context.Context, group *sync.WaitGroup, now time.Time, d *serviceState) {
 	for _, server := range d.coordinator.Silent(now) {
 		if d.probing[server.Life] {
 			continue
@@ -332,7 +333,7 @@
 }
 
 // take adds a report to the demand.
-func (s *steward) take(now time.Time, r report.Report) {
+func (s *executor) take(now time.Time, r report.Report) {
 	for _, m := range r.Demands {
 		if d := s.services[m.Service]; d != nil {
 			d.demand.Ask(now, m.Keys, m.Work)
@@ -346,7 +347,7 @@
 }
 
 // signal wakes the node's loop.
-func (s *steward) signal() {
+func (s *executor) signal() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/entry/internal/cluster/growth_internal_test.go
+++ b/entry/internal/cluster/growth_internal_test.go
@@ -61,7 +61,7 @@
 func BenchmarkTableChange(b *testing.B) {
 	n := grownNode()
 	first := grownTable(1)
-	whole, err := n.differences.object(nil, first)
+	whole, err := n.encoded.object(nil, first)
 	must.NoError(b, err)
 	must.NoError(b, n.takeTable(whole))
 	revision := uint64(1)
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -50,8 +50,8 @@
 	confirmTime = 1500 * time.Millisecond
 	// aliveInterval is the time between two updates to the processes that follow the coordinator.
 	aliveInterval = 250 * time.Millisecond
-	// guideTime is the time without an update after which a process relies on the store alone.
-	guideTime = 800 * time.Millisecond
+	// updateTimeout is the time without an update after which a process relies on the store alone.
+	updateTimeout = 800 * time.Millisecond
 	// heardTime is how old the store's last answer to the coordinator's watches may be before others
 	// watch themselves: an alert watch, the pause after a change and a slow answer of the store.
 	// With the time until they have read the list it stays below the 2 s in which a change must
@@ -85,20 +85,20 @@
 	mu       sync.Mutex
 	election *election.Election
 	writing  bool
-	steward  *steward
+	executor *executor
 	members  []election.Member
 	reported map[string]reporter
-	// guided is when the coordinator last said that it has all changes; zero if it says that it may not.
-	guided time.Time
-	// relying is true while the process trusts the coordinator to tell of missed changes.
-	relying bool
+	// lastUpdate is when the coordinator last said that it has all changes; zero if it says that it may not.
+	lastUpdate time.Time
+	// usesUpdates is true while the process takes changes from the coordinator and does not watch the store.
+	usesUpdates bool
 
 	checks map[string]Checker
 	clock  clocks
 	// received are the tables that the coordinator sent on the present stream; only the loop
 	// that follows uses them.
-	received    map[string]*ownership.Table
-	differences differences
+	received map[string]*ownership.Table
+	encoded  encodedUpdates
 	// orders counts the orders to servers by kind and end.
 	orders map[string]int
 }
@@ -128,7 +128,7 @@
 func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, d *Demands, l *crashes.Ledger, dialer Dialer, logger log.Interface) *Node {
 	now := time.Now()
 	e := election.New(self, now, rand.N(mostJitter))
-	e.SetHandicap(handicap(cores, 0))
+	e.SetTakeoverDelay(takeoverDelay(cores, 0))
 	return &Node{
 		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, demands: d, crashes: l, dialer: dialer, logger: logger,
 		election: e, reported: make(map[string]reporter),
@@ -158,15 +158,15 @@
 	return term
 }
 
-// Patience returns how long a watch on the store may wait: the coordinator looks often, and the
+// WatchTimeout returns how long a watch on the store may wait: the coordinator looks often, and the
 // others get the changes from it while they hear from it.
-func (n *Node) Patience() time.Duration {
+func (n *Node) WatchTimeout() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, holding := n.election.Holding(); !holding && time.Since(n.guided) < guideTime {
+	if _, holding := n.election.Holding(); !holding && time.Since(n.lastUpdate) < updateTimeout {
 		return follow.Idle
 	}
-	return follow.Alert
+	return follow.ShortWait
 }
 
 // Run plays the part until the context ends.
@@ -177,14 +177,14 @@
 	group.Go(func() { n.followLoop(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	asleep, err := newSuspension(time.Now())
+	suspended, err := newSuspension(time.Now())
 	if err != nil {
 		n.logger.WithError(err).Error("suspensions are not noticed")
 	}
 	for {
-		n.noticeSleep(asleep)
+		n.detectSuspension(suspended)
 		n.replica.Tick(time.Now())
-		n.supervise(time.Now())
+		n.checkUpdates(time.Now())
 		n.elect(ctx, &group)
 		n.coordinate(ctx, &group)
 		select {
@@ -196,8 +196,8 @@
 	}
 }
 
-// noticeSleep makes a coordinator whose VM was suspended find out first whether it still is one.
-func (n *Node) noticeSleep(s *suspension) {
+// detectSuspension makes a coordinator whose VM was suspended find out first whether it still is one.
+func (n *Node) detectSuspension(s *suspension) {
 	if s == nil {
 		return
 	}
@@ -209,19 +209,19 @@
 	if slept {
 		n.logger.Warn("the VM was suspended")
 		n.mu.Lock()
-		n.election.Doubt(time.Now())
+		n.election.Invalidate(time.Now())
 		n.mu.Unlock()
 	}
 }
 
-// woken returns the channel of the steward's results, or nil.
+// woken returns the channel of the executor's results, or nil.
 func (n *Node) woken() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.steward == nil {
+	if n.executor == nil {
 		return nil
 	}
-	return n.steward.wake
+	return n.executor.wake
 }
 
 // elect does what the election asks for.
@@ -285,7 +285,7 @@
 		n.election.Stored(now, l, stored.Revision)
 		if !held {
 			n.logger.WithFields(log.Fields{"term": l.Term, "former": former.Name}).Info("coordinator")
-			n.steward = newSteward(n, l.Term, now, former)
+			n.executor = newExecutor(n, l.Term, now, former)
 		}
 	}
 }
@@ -300,19 +300,19 @@
 	return n.store.Put(ctx, kindLocks, platform.Object{Name: lockName, Revision: revision, Data: data})
 }
 
-// coordinate lets the steward work while the process is the coordinator.
+// coordinate lets the executor work while the process is the coordinator.
 func (n *Node) coordinate(ctx context.Context, group *sync.WaitGroup) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.steward == nil {
+	if n.executor == nil {
 		return
 	}
-	if term, holding := n.election.Holding(); !holding || term != n.steward.term {
-		n.logger.WithField("term", n.steward.term).Warn("no longer coordinator")
-		n.steward = nil
+	if term, holding := n.election.Holding(); !holding || term != n.executor.term {
+		n.logger.WithField("term", n.executor.term).Warn("no longer coordinator")
+		n.executor = nil
 		return
 	}
-	n.steward.step(ctx, group, time.Now(), n.election.Confirmed())
+	n.executor.step(ctx, group, time.Now(), n.election.Confirmed())
 }
 
 // reportLoop sends the load to the coordinator.
@@ -347,7 +347,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members = answer.Members
-	n.election.SetHandicap(handicap(n.cores, answer.Cores))
+	n.election.SetTakeoverDelay(takeoverDelay(n.cores, answer.Cores))
 	if answer.Confirmed {
 		n.election.Hear(time.Now(), answer.Term)
 	}
@@ -358,11 +358,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	term, holding := n.election.Holding()
-	if !holding || n.steward == nil {
+	if !holding || n.executor == nil {
 		return report.Answer{}
 	}
 	n.reported[r.From.Name] = reporter{member: r.From, cores: r.Cores, at: now}
-	n.steward.take(now, r)
+	n.executor.take(now, r)
 	n.crashes.Note(now, r.Crashes)
 	n.members = n.members[:0:0]
 	largest := 0.0
@@ -385,9 +385,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	stopped := n.election.Yield(now, y.Term)
-	if stopped && n.steward != nil {
-		n.logger.WithField("term", n.steward.term).WithField("successor", y.Term).Warn("no longer coordinator")
-		n.steward = nil
+	if stopped && n.executor != nil {
+		n.logger.WithField("term", n.executor.term).WithField("successor", y.Term).Warn("no longer coordinator")
+		n.executor = nil
 	}
 	return report.Yielded{Incarnation: n.self.Incarnation, Stopped: stopped}
 }
@@ -419,7 +419,7 @@
 	n.election.Resigned(err == nil)
 	switch {
 	case err == nil:
-		n.steward = nil
+		n.executor = nil
 	case errors.Is(err, platform.ErrConflict):
 		n.election.Conflict(time.Now())
 	default:
--- a/entry/internal/cluster/packing.go
+++ b/entry/internal/cluster/packing.go
@@ -19,7 +19,7 @@
 )
 
 // pack returns an object as it is sent; large ones are compressed once for all followers.
-func (d *differences) pack(o report.Object) (report.Object, error) {
+func (d *encodedUpdates) pack(o report.Object) (report.Object, error) {
 	if len(o.Data) < smallestPacked || o.Deleted {
 		return o, nil
 	}
--- a/entry/internal/cluster/packing_internal_test.go
+++ b/entry/internal/cluster/packing_internal_test.go
@@ -12,7 +12,7 @@
 // Guards against an object that reaches other processes damaged, and against a small message that
 // takes all memory when it is decompressed.
 func TestPacking(t *testing.T) {
-	d := &differences{}
+	d := &encodedUpdates{}
 	for _, size := range []int{0, 10, smallestPacked, 300_000} {
 		o := report.Object{Kind: "k", Name: "n", Revision: uint64(size), Data: bytes.Repeat([]byte("route "), size/6)}
 		p, err := d.pack(o)
--- a/entry/internal/cluster/guide.go
+++ b/entry/internal/cluster/updates.go
@@ -30,7 +30,7 @@
 		if known && !holding && holder.Name != n.self.Name {
 			n.clock.begin(holder.Name)
 			clear(n.received)
-			if err := n.peers.Follow(ctx, holder.Address, n.marks(), guideTime, n.take); err != nil && ctx.Err() == nil {
+			if err := n.peers.Follow(ctx, holder.Address, n.marks(), updateTimeout, n.take); err != nil && ctx.Err() == nil {
 				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
 			}
 		}
@@ -45,14 +45,14 @@
 	}
 }
 
-// supervise makes the watches look again when the process can no longer rely on the coordinator,
+// checkUpdates makes the watches look again when the process can no longer rely on the coordinator,
 // because it is silent, has lost the store, or is this process.
-func (n *Node) supervise(now time.Time) {
+func (n *Node) checkUpdates(now time.Time) {
 	n.mu.Lock()
 	_, holding := n.election.Holding()
-	relying := !holding && now.Sub(n.guided) < guideTime
-	lost := n.relying && !relying
-	n.relying = relying
+	usesUpdates := !holding && now.Sub(n.lastUpdate) < updateTimeout
+	lost := n.usesUpdates && !usesUpdates
+	n.usesUpdates = usesUpdates
 	n.mu.Unlock()
 	if !lost {
 		return
@@ -116,9 +116,9 @@
 	if u.Sure {
 		n.election.Hear(now, u.Term)
 	}
-	n.guided = time.Time{}
+	n.lastUpdate = time.Time{}
 	if u.Current {
-		n.guided = now
+		n.lastUpdate = now
 	}
 }
 
@@ -206,7 +206,7 @@
 		changes, next := n.replica.Since(position)
 		objects, position = append(objects, changes...), next
 		for _, o := range objects {
-			packed, err := n.differences.pack(o)
+			packed, err := n.encoded.pack(o)
 			if err != nil {
 				return err
 			}
@@ -219,7 +219,7 @@
 			if last := sent[name]; last != nil && last.Revision >= t.Revision {
 				continue
 			}
-			o, err := n.differences.object(sent[name], t)
+			o, err := n.encoded.object(sent[name], t)
 			if err != nil {
 				return err
 			}
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -61,7 +61,6 @@
 	since     time.Time
 	nextPlan  time.Time
 	nextEven  time.Time
-	moves     int
 	decisions []Decision
 }
 
@@ -460,9 +459,6 @@
 	return ok && !s.Draining
 }
 
-// Shares returns the number of ranges and of moves so far, for the metrics.
-func (c *Coordinator) Shares() (ranges, moves int) { return len(c.shares), c.moves }
-
 // Table returns the table if it has changes that the store does not have yet.
 func (c *Coordinator) Table() (*ownership.Table, uint64, bool) {
 	if c.generation == c.stored || len(c.shares) == 0 {
--- a/entry/internal/coordinator/deal.go
+++ b/entry/internal/coordinator/deal.go
@@ -172,6 +172,5 @@
 	s.target = &holder{server: to, next: now}
 	c.generation++
 	s.generation = c.generation
-	c.moves++
 	c.decide(Decision{What: Moving, Keys: s.keys, Server: to, From: from, Cause: cause})
 }
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -349,9 +349,18 @@
 		must.Eq(t, 0, a.requests())
 
 		client, leave = context.WithCancel(t.Context())
-		b := newServer(t, "b", func(_ int, w http.ResponseWriter, _ *http.Request) {
+		b := newServer(t, "b", func(_ int, w http.ResponseWriter, r *http.Request) {
 			leave()
-			time.Sleep(50 * time.Millisecond)
+			if kind.Repeatable() {
+				<-r.Context().Done()
+				return
+			}
+			// A dispatcher that breaks the action off closes the connection within this time.
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
 			w.Header().Set("Proof", "s")
 			_, _ = io.WriteString(w, "served")
 		})
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -42,8 +42,8 @@
 type Election struct {
 	self   Member
 	jitter time.Duration
-	// handicap is how much later than others the process takes a free lock.
-	handicap time.Duration
+	// takeoverDelay is how much later than others the process takes a free lock.
+	takeoverDelay time.Duration
 
 	known    bool
 	lock     Lock
@@ -70,9 +70,9 @@
 	return &Election{self: self, jitter: jitter, nextRead: now}
 }
 
-// SetHandicap sets how much later than others the process takes a lock that is free or whose
+// SetTakeoverDelay sets how much later than others the process takes a lock that is free or whose
 // holder is lost, so that a VM with more room gets it first.
-func (e *Election) SetHandicap(d time.Duration) { e.handicap = d }
+func (e *Election) SetTakeoverDelay(d time.Duration) { e.takeoverDelay = d }
 
 // Next returns what is due.
 func (e *Election) Next(now time.Time) Action {
@@ -98,13 +98,13 @@
 	}
 	holder := e.lock.Holder
 	if holder.Name == "" || holder.Name == e.self.Name {
-		return now.Sub(e.seen) >= e.jitter+e.handicap || holder.Name == e.self.Name
+		return now.Sub(e.seen) >= e.jitter+e.takeoverDelay || holder.Name == e.self.Name
 	}
 	if now.Sub(e.heard) < silence {
 		return false
 	}
 	// The latest read must have been recent: without it the store may be unreachable.
-	return now.Sub(e.seen) >= stale+e.jitter+e.handicap && now.Sub(e.read) < readInterval+stale/2
+	return now.Sub(e.seen) >= stale+e.jitter+e.takeoverDelay && now.Sub(e.read) < readInterval+stale/2
 }
 
 // Observe takes a lock that was read.
@@ -156,8 +156,8 @@
 	e.nextRead = now
 }
 
-// Doubt notes that time has passed unnoticed: the process may no longer be the coordinator.
-func (e *Election) Doubt(now time.Time) {
+// Invalidate notes that time has passed unnoticed: the process may no longer be the coordinator.
+func (e *Election) Invalidate(now time.Time) {
 	if !e.holding {
 		return
 	}
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -160,7 +160,7 @@
 	now = play(now, 4*time.Second, s, true, b)
 	_, taken := b.Holding()
 	must.True(t, taken)
-	a.Doubt(now)
+	a.Invalidate(now)
 	must.True(t, a.Confirmed().IsZero())
 	play(now, time.Second, s, true, a, b)
 	n, term := holders(a, b)
@@ -210,11 +210,11 @@
 
 // Guards against a small VM that becomes the coordinator although a larger one is there, and
 // against a lock that nobody takes because only small VMs are left.
-func TestHandicap(t *testing.T) {
+func TestTakeoverDelay(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := &store{}
 	small, large := newCandidate("small", now), newCandidate("large", now)
-	small.SetHandicap(300 * time.Millisecond)
+	small.SetTakeoverDelay(300 * time.Millisecond)
 	now = play(now, 3*time.Second, s, true, small, large)
 	_, holding := large.Holding()
 	must.True(t, holding)
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	f := follow.New(store, kind, sink, patience, logger)
+//	f := follow.New(store, kind, sink, watchTimeout, logger)
 //	go f.Run(ctx)
 //	f.Check()
 package follow
@@ -29,9 +29,9 @@
 	Idle = time.Duration(0)
 	// idleInterval is the time between two looks at whether that is still so; Check ends it at once.
 	idleInterval = 2 * time.Second
-	// Alert is how long a watch waits otherwise. A watch may hear nothing for a second, and a
+	// ShortWait is how long a watch waits otherwise. A watch may hear nothing for a second, and a
 	// change must be in force within two.
-	Alert = 600 * time.Millisecond
+	ShortWait = 600 * time.Millisecond
 	// gather is the time after a change in which further ones are left to come in, so that one
 	// call brings them all.
 	gather = 80 * time.Millisecond
@@ -68,8 +68,8 @@
 	kind   string
 	sink   Sink
 	logger log.Interface
-	// patience returns how long the next watch waits, or Idle.
-	patience func() time.Duration
+	// watchTimeout returns how long the next watch waits, or Idle.
+	watchTimeout func() time.Duration
 
 	mu    sync.Mutex
 	abort context.CancelFunc
@@ -78,8 +78,8 @@
 }
 
 // New returns a follower that does nothing until Run.
-func New(store Store, kind string, sink Sink, patience func() time.Duration, logger log.Interface) *Follower {
-	return &Follower{store: store, kind: kind, sink: sink, patience: patience, logger: logger.WithField("kind", kind)}
+func New(store Store, kind string, sink Sink, watchTimeout func() time.Duration, logger log.Interface) *Follower {
+	return &Follower{store: store, kind: kind, sink: sink, watchTimeout: watchTimeout, logger: logger.WithField("kind", kind)}
 }
 
 // Check ends a watch that has missed a change, so that the list is read again.
@@ -99,15 +99,15 @@
 	return f.heard
 }
 
-// hear notes that the store has answered.
-func (f *Follower) hear() {
+// markCurrent notes that the store has answered.
+func (f *Follower) markCurrent() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard = time.Now()
 }
 
-// forget notes that the copy may be out of date.
-func (f *Follower) forget() {
+// markStale notes that the copy may be out of date.
+func (f *Follower) markStale() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard = time.Time{}
@@ -129,7 +129,7 @@
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx)
 		if err != nil {
-			f.forget()
+			f.markStale()
 			f.sink.Lost(time.Now())
 			if !lost {
 				f.logger.WithError(err).Warn("store can't be read")
@@ -154,7 +154,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.hear()
+	f.markCurrent()
 	f.sink.Reset(time.Now(), objects)
 	return revision, nil
 }
@@ -162,9 +162,9 @@
 // watch waits for changes until a call fails.
 func (f *Follower) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
-		wait := f.patience()
+		wait := f.watchTimeout()
 		if wait == Idle {
-			f.rest(ctx)
+			f.waitIdle(ctx)
 			return
 		}
 		bounded, cancel := f.begin(ctx, wait)
@@ -177,7 +177,7 @@
 			}
 			return
 		}
-		f.hear()
+		f.markCurrent()
 		if len(events) > 0 {
 			f.sink.Apply(time.Now(), events)
 			sleep(ctx, gather)
@@ -186,10 +186,10 @@
 	}
 }
 
-// rest waits while another process tells of changes. After it, the list must be read again,
+// waitIdle waits while another process tells of changes. After it, the list must be read again,
 // because a change may have been missed.
-func (f *Follower) rest(ctx context.Context) {
-	for f.patience() == Idle {
+func (f *Follower) waitIdle(ctx context.Context) {
+	for f.watchTimeout() == Idle {
 		bounded, cancel := f.begin(ctx, idleInterval-watchSlack)
 		<-bounded.Done()
 		cancel()
--- a/entry/internal/follow/follow_test.go
+++ b/entry/internal/follow/follow_test.go
@@ -16,27 +16,27 @@
 	"bramleystand.org/platform"
 )
 
-// deafStore has one object; its watches hear nothing while deaf is set.
-type deafStore struct {
+// silentStore has one object; its watches hear nothing while silent is set.
+type silentStore struct {
 	mu       sync.Mutex
 	revision uint64
-	deaf     bool
+	silent   bool
 	down     bool
 	changed  chan struct{}
 	calls    int
 }
 
-func (s *deafStore) set(revision uint64) {
+func (s *silentStore) set(revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision = revision
-	if !s.deaf {
+	if !s.silent {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
 }
 
-func (s *deafStore) List(context.Context, string) ([]platform.Object, uint64, error) {
+func (s *silentStore) List(context.Context, string) ([]platform.Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -46,12 +46,12 @@
 	return []platform.Object{{Name: "main", Revision: s.revision}}, s.revision, nil
 }
 
-func (s *deafStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *silentStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
 	s.mu.Lock()
 	s.calls++
-	changed, revision, deaf := s.changed, s.revision, s.deaf
+	changed, revision, silent := s.changed, s.revision, s.silent
 	s.mu.Unlock()
-	if revision > after && !deaf {
+	if revision > after && !silent {
 		return []platform.Event{{Object: platform.Object{Name: "main", Revision: revision}}}, revision, nil
 	}
 	select {
@@ -106,8 +106,8 @@
 func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
 
 // start runs a follower until the test ends.
-func start(t *testing.T, s *deafStore, l *last, patience time.Duration) *follow.Follower {
-	f := follow.New(s, "config", l, func() time.Duration { return patience }, quiet())
+func start(t *testing.T, s *silentStore, l *last, watchTimeout time.Duration) *follow.Follower {
+	f := follow.New(s, "config", l, func() time.Duration { return watchTimeout }, quiet())
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	group.Go(func() { f.Run(ctx) })
@@ -118,26 +118,26 @@
 	return f
 }
 
-// Guards against a change that a deaf watch misses: an alert process must have it within two
+// Guards against a change that a silent watch misses: an alert process must have it within two
 // seconds, an idle one when it is told.
-func TestDeafWatch(t *testing.T) {
+func TestSilentWatch(t *testing.T) {
 	for _, alert := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			s := &deafStore{revision: 1, changed: make(chan struct{})}
+			s := &silentStore{revision: 1, changed: make(chan struct{})}
 			l := &last{}
-			patience := follow.Idle
+			watchTimeout := follow.Idle
 			if alert {
-				patience = follow.Alert
+				watchTimeout = follow.ShortWait
 			}
-			f := start(t, s, l, patience)
+			f := start(t, s, l, watchTimeout)
 			time.Sleep(time.Second)
 			s.mu.Lock()
-			s.deaf = true
+			s.silent = true
 			s.mu.Unlock()
 			s.set(2)
 			time.Sleep(time.Second)
 			s.mu.Lock()
-			s.deaf = false
+			s.silent = false
 			s.mu.Unlock()
 			if !alert {
 				must.Eq(t, 1, l.get())
@@ -153,7 +153,7 @@
 // store with calls during it.
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &deafStore{revision: 1, down: true, changed: make(chan struct{})}
+		s := &silentStore{revision: 1, down: true, changed: make(chan struct{})}
 		l := &last{}
 		start(t, s, l, follow.Idle)
 		time.Sleep(10 * time.Second)
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -128,7 +128,7 @@
 	p.handler = gateway.New(p.view, dispatcher, platform.Fields{}, demands, gateway.NewCounters(metrics), logger)
 	p.server = report.NewServer(p.node, p.keeper)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
-		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.Patience, p.logger)
+		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.Watch(kind, f)
 		p.followers[name] = f
 	}
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -303,7 +303,7 @@
 func TestCoordinatorTurnedAway(t *testing.T) {
 	t.Parallel()
 	s := newStore(t)
-	d := s.newDoor(t)
+	d := s.newFrontend(t)
 	a := newBackend(t, "a")
 	s.put("config", "main", fmt.Sprintf(configuration, 3))
 	s.put("servers", "a", a.entry("ready"))
--- a/entry/internal/gatewayprocess/standin_test.go
+++ b/entry/internal/gatewayprocess/standin_test.go
@@ -293,21 +293,21 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// door is an address of the store that can turn its callers away while others are served.
-type door struct {
+// frontend is an address of the store that can turn its callers away while others are served.
+type frontend struct {
 	store   *store
 	address netip.AddrPort
 	closed  atomic.Bool
 }
 
-func (s *store) newDoor(t *testing.T) *door {
-	d := &door{store: s}
+func (s *store) newFrontend(t *testing.T) *frontend {
+	d := &frontend{store: s}
 	d.address = listen(t, d)
 	return d
 }
 
 // ServeHTTP implements http.Handler.
-func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if d.closed.Load() {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
--- a/entry/internal/replica/changes_test.go
+++ b/entry/internal/replica/changes_test.go
@@ -17,8 +17,7 @@
 func TestChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		_, coordinator := newReplica()
-		follower, other := newReplica()
-		_ = follower
+		v, follower := newReplica()
 		sink := coordinator.Sink(platform.KindServers)
 		revision := uint64(1)
 		objects := map[string]platform.Object{}
@@ -42,20 +41,20 @@
 			case 1:
 				sink.Reset(start, list())
 			case 2:
-				other.Sink(platform.KindServers).Reset(start, list())
+				follower.Sink(platform.KindServers).Reset(start, list())
 			case 3:
 				changes, next := coordinator.Since(position)
 				position = next
-				other.Take(start, changes)
+				follower.Take(start, changes)
 			default:
 				objects[name] = entry(name, revision, "ready")
 				sink.Apply(start, []platform.Event{{Object: objects[name]}})
 			}
 		}
 		changes, _ := coordinator.Since(position)
-		other.Take(start, changes)
-		must.Eq(t, coordinator.Mark(platform.KindServers), other.Mark(platform.KindServers))
-		must.Eq(t, len(objects), len(names(follower)))
+		follower.Take(start, changes)
+		must.Eq(t, coordinator.Mark(platform.KindServers), follower.Mark(platform.KindServers))
+		must.Eq(t, len(objects), len(names(v)))
 	})
 }
 
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -117,16 +117,6 @@
 	}
 }
 
-// Store takes one object that is newer than the copy.
-func (r *Replica) Store(now time.Time, kind string, o platform.Object) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if have, ok := r.objects[kind][o.Name]; ok && have.Revision >= o.Revision {
-		return
-	}
-	r.apply(now, kind, []platform.Event{{Object: o}})
-}
-
 // StoreTable takes a table that is newer than the copy. It is encoded when another process asks
 // for the objects, which is rare, while tables change often.
 func (r *Replica) StoreTable(t *ownership.Table) {
