Read the list again when a change was missed between two waits

Check ends the running wait, and one that came in the gap between two waits ended nothing and was lost. An idle process, which does not watch the store, then kept its old copy until the next change.

Check is remembered until the list is read.

--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -73,6 +73,8 @@
 
 	mu    sync.Mutex
 	abort context.CancelFunc
+	// missed is true from Check until the list is read; there may be no watch to end.
+	missed bool
 	// heard is when the store last answered.
 	heard time.Time
 }
@@ -86,6 +88,7 @@
 func (f *Follower) Check() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.missed = true
 	if f.abort != nil {
 		f.abort()
 		f.abort = nil
@@ -119,6 +122,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.abort = cancel
+	if f.missed {
+		cancel()
+	}
 	return bounded, cancel
 }
 
@@ -148,6 +154,9 @@
 }
 
 func (f *Follower) list(ctx context.Context) (uint64, error) {
+	f.mu.Lock()
+	f.missed = false
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	objects, revision, err := f.store.List(ctx, f.kind)
--- a/entry/internal/follow/follow_test.go
+++ b/entry/internal/follow/follow_test.go
@@ -149,6 +149,32 @@
 	}
 }
 
+// Guards against a missed change that is never read because the follower is told of it between two
+// waits, in which nothing can be ended.
+func TestCheckBetweenWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentStore{revision: 1, silent: true, changed: make(chan struct{})}
+		l := &last{}
+		var f *follow.Follower
+		waits := 0
+		f = follow.New(s, "config", l, func() time.Duration {
+			waits++
+			if waits == 3 {
+				s.set(2)
+				f.Check()
+			}
+			return follow.Idle
+		}, quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { f.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 2, l.get())
+		cancel()
+		group.Wait()
+	})
+}
+
 // Guards against a process that does not notice the end of an outage, and one that floods the
 // store with calls during it.
 func TestOutage(t *testing.T) {
