entry: log the requests in progress while a process stops

A stopping process now logs, when its listeners close and each second after that, the requests in progress with what they wait for, and the closing of a connection to an allocator with the number of requests that waited there. The metric active counts the requests in progress.

--- a/entry/internal/dispatch/call.go
+++ b/entry/internal/dispatch/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bramleystand.org/common/keyspace"
@@ -28,6 +29,8 @@
 	Arrived time.Time
 	// Deadline is the latest time for the final response to the client.
 	Deadline time.Time
+
+	progress atomic.Pointer[Progress]
 }
 
 // objective returns the time by which the client must have the response to meet the latency
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -131,6 +131,7 @@
 // tryServers makes attempts until one gives a final result or no further attempt is allowed.
 func (d *Dispatcher) tryServers(ctx context.Context, p *progress) *Result {
 	for {
+		p.call.SetPhase(AwaitsOwner, "")
 		b, refusal := d.selectBackend(ctx, p)
 		if refusal != nil {
 			return p.finalResult(refusal)
@@ -165,6 +166,7 @@
 // attempt sends the request to a server; retry tells whether another attempt may succeed.
 func (d *Dispatcher) attempt(ctx context.Context, p *progress, b *backend) (r *Result, retry bool) {
 	c := p.call
+	c.SetPhase(AwaitsSlot, b.server.ID)
 	requested := time.Now()
 	slot, err := d.limiter.Acquire(ctx, c.slotRequest(b.server))
 	p.steps[len(p.steps)-1].Waited = time.Since(requested)
@@ -182,6 +184,7 @@
 	begin := time.Now()
 	b.requestStarted()
 	p.server = b.server.ID
+	c.SetPhase(AwaitsResponse, b.server.ID)
 	if !c.Route.Kind.Retryable() {
 		// A request that must not run twice is not aborted when its client disconnects.
 		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -57,13 +57,14 @@
 	roundRobin    *roundRobin
 	counters      *Counters
 	logger        log.Interface
+	active        *activeCalls
 	stopping      atomic.Bool
 	bufferedBytes atomic.Int64
 }
 
 // New returns a handler that answers 503 until the view has a configuration.
 func New(v *view.View, d Dispatcher, f HeaderFields, loadRecorder LoadRecorder, c *Counters, logger log.Interface) *Handler {
-	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger}
+	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, active: newActiveCalls()}
 }
 
 // Stop makes every response close its connection, so that clients connect to another process.
@@ -90,6 +91,9 @@
 		h.refuseUnread(w, r, status, time.Time{}, reason)
 		return
 	}
+	c.SetPhase(dispatch.AwaitsBody, "")
+	h.active.add(c)
+	defer h.active.remove(c)
 	body, status, reason := h.readBody(w, r, configuration.Limits.BodyBytes, c.Deadline)
 	defer h.bufferedBytes.Add(-int64(cap(body)))
 	if status != 0 {
--- a/entry/internal/gateway/handler_test.go
+++ b/entry/internal/gateway/handler_test.go
@@ -16,8 +16,9 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/traffic"
@@ -66,6 +67,12 @@
 
 // startHandler serves a handler with the routes; without routes it has no configuration.
 func startHandler(t *testing.T, d *fakeDispatcher, routes ...traffic.Route) (*httptest.Server, *gateway.Handler) {
+	s, h, _ := startLoggedHandler(t, d, routes...)
+	return s, h
+}
+
+// startLoggedHandler is startHandler with the log entries of the handler.
+func startLoggedHandler(t *testing.T, d *fakeDispatcher, routes ...traffic.Route) (*httptest.Server, *gateway.Handler, *memory.Handler) {
 	v := view.New()
 	if len(routes) > 0 {
 		c, err := traffic.New(1, routes, map[string]traffic.Service{"a": {Name: "a"}, "b": {Name: "b"}},
@@ -73,10 +80,11 @@
 		must.NoError(t, err)
 		v.SetConfiguration(c)
 	}
-	h := gateway.New(v, d, testHeaderFields{}, d, gateway.NewCounters(new(expvar.Map)), &log.Logger{Handler: discard.New()})
+	logs := memory.New()
+	h := gateway.New(v, d, testHeaderFields{}, d, gateway.NewCounters(new(expvar.Map)), &log.Logger{Handler: logs})
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
-	return s, h
+	return s, h, logs
 }
 
 func newRoute(kind traffic.Kind, services ...traffic.WeightedService) traffic.Route {
@@ -256,3 +264,29 @@
 	must.Eq(t, 200, r[0].StatusCode)
 	must.True(t, r[0].Close)
 }
+
+// Guards against a request in progress that no line of a stopping process mentions.
+func TestActiveRequestsLogged(t *testing.T) {
+	release := make(chan struct{})
+	d := &fakeDispatcher{result: func(_ context.Context, c *dispatch.Call) *dispatch.Result {
+		c.SetPhase(dispatch.AwaitsSlot, "server")
+		<-release
+		return &dispatch.Result{Status: http.StatusServiceUnavailable}
+	}}
+	s, h, logs := startLoggedHandler(t, d, newRoute(traffic.Idempotent))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		sendRaw(t, s, getRequest("/p/x", "Id: stuck\r\n"))
+	}()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return h.ActiveCounts()["slot"] == 1 }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+	h.LogActive(time.Now())
+	e := logs.Entries[0]
+	must.Eq(t, "request in progress", e.Message)
+	must.Eq(t, "stuck", e.Fields["id"])
+	must.Eq(t, "slot", e.Fields["reason"])
+	must.Eq(t, "server", e.Fields["server"])
+	close(release)
+	<-done
+	must.MapEmpty(t, h.ActiveCounts())
+}
--- a/entry/internal/gateway/log.go
+++ b/entry/internal/gateway/log.go
@@ -43,6 +43,32 @@
 	h.logger.WithFields(fields).Info("request not served")
 }
 
+// maxActiveLines bounds the lines of one call of LogActive.
+const maxActiveLines = 20
+
+// LogActive logs the requests in progress, oldest first, with what each of them waits for.
+func (h *Handler) LogActive(now time.Time) {
+	for i, c := range h.active.list() {
+		if i == maxActiveLines {
+			return
+		}
+		p := c.Progress()
+		h.logger.WithFields(log.Fields{
+			"id": c.ID, "route": c.Route.Name, "service": c.Service, "rank": c.Route.Rank, "reason": string(p.Phase), "server": p.Server,
+			"ms": now.Sub(c.Arrived).Milliseconds(), "since": now.Sub(p.Since).Milliseconds(), "left": c.Deadline.Sub(now).Milliseconds(),
+		}).Info("request in progress")
+	}
+}
+
+// ActiveCounts returns the number of requests in progress by what they wait for.
+func (h *Handler) ActiveCounts() map[string]int {
+	out := make(map[string]int)
+	for _, c := range h.active.list() {
+		out[string(c.Progress().Phase)]++
+	}
+	return out
+}
+
 // formatSteps lists the servers that were tried, each with the time it waited for a slot and the
 // time until its response, both in ms, and the reason why the attempt ended.
 func formatSteps(steps []dispatch.Step) string {
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -9,6 +9,7 @@
 func (p *Process) publishMetrics(m *expvar.Map) {
 	for name, value := range map[string]func(now time.Time) any{
 		"slots":         func(time.Time) any { return p.allocator.Counts() },
+		"active":        func(time.Time) any { return p.handler.ActiveCounts() },
 		"retries":       func(now time.Time) any { return p.retryBudgets.Balances(now) },
 		"store":         func(time.Time) any { return p.store.Counts() },
 		"orders":        func(time.Time) any { return p.node.Orders() },
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -125,7 +125,7 @@
 	tracker := crashes.NewTracker()
 	p.node = cluster.New(p.self, s.Cores, p.store, platform.NewGrantClient(newClient(&dialer.ResetOnClose{Dialer: d})), p.peerClient, p.view, p.replica, loadCollector, tracker, d, logger)
 	p.allocator = slots.NewAllocator()
-	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node)
+	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	dispatcher := dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
@@ -304,9 +304,25 @@
 		resigned = resigned || p.node.Resign(ctx)
 	}
 	p.logger.WithField("ms", time.Since(begin).Milliseconds()).WithField("resigned", resigned).Info("listeners close")
+	p.runInBackground(p.logActiveRequests)
 	return nil
 }
 
+// activeLogInterval is the time between two logs of the requests that a stopping process still works on.
+const activeLogInterval = time.Second
+
+// logActiveRequests logs the requests in progress at intervals until the process has stopped.
+func (p *Process) logActiveRequests(ctx context.Context) {
+	for {
+		p.handler.LogActive(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(activeLogInterval):
+		}
+	}
+}
+
 // close stops all background loops and closes the connections to peers.
 func (p *Process) close() {
 	p.cancelLoops()
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	allocator := slots.NewAllocator()
-//	limiter := slots.New(ctx, self, allocator, peers, members)
+//	limiter := slots.New(ctx, self, allocator, peers, members, logger)
 //	slot, err := limiter.Acquire(ctx, slotRequest)
 //	defer slot.Release(serviceTime)
 package slots
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"bramleystand.org/common/registry"
@@ -37,6 +38,7 @@
 	localRequester *requester
 	peers          Peers
 	members        Members
+	logger         log.Interface
 
 	mu sync.Mutex
 	// links are the links to the allocators of other processes, by process name.
@@ -69,9 +71,9 @@
 }
 
 // New returns a limiter whose links end with the context.
-func New(ctx context.Context, self election.Member, a *Allocator, p Peers, m Members) *Limiter {
+func New(ctx context.Context, self election.Member, a *Allocator, p Peers, m Members, logger log.Interface) *Limiter {
 	lm := &Limiter{
-		ctx: ctx, self: self, allocator: a, peers: p, members: m, links: make(map[string]*linkEntry),
+		ctx: ctx, self: self, allocator: a, peers: p, members: m, logger: logger, links: make(map[string]*linkEntry),
 		excluded: make(map[string]time.Time), waitEstimates: make(map[registry.Instance]waitEstimate),
 		pending: make(map[uint64]chan reply), fallback: NewAllocator(),
 	}
@@ -250,7 +252,10 @@
 
 // openLink opens a link. If that fails, the allocator is excluded for exclusionTime.
 func (lm *Limiter) openLink(name string, to election.Member, e *linkEntry) {
-	l, err := connect(lm.ctx, lm.peers, to.Address, func() { lm.close(name, e, true) })
+	l, err := connect(lm.ctx, lm.peers, to.Address, func(waiting int) {
+		lm.logger.WithFields(log.Fields{"allocator": name, "waiting": waiting}).Info("connection to allocator closed")
+		lm.close(name, e, true)
+	})
 	if err != nil {
 		lm.close(name, e, false)
 	}
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/common/registry"
@@ -58,7 +60,7 @@
 	m := &member{Member: election.Member{Name: name, DataCentre: centre, Address: netip.MustParseAddrPort(l.Addr().String())}, stop: cancel}
 	allocator := slots.NewAllocator()
 	client := report.NewClient(&net.Dialer{})
-	m.limiter = slots.New(ctx, m.Member, allocator, client, members)
+	m.limiter = slots.New(ctx, m.Member, allocator, client, members, &log.Logger{Handler: discard.New()})
 	var group sync.WaitGroup
 	group.Go(func() { allocator.Run(ctx) })
 	group.Go(func() { m.limiter.Run(ctx) })
--- a/entry/internal/slots/link.go
+++ b/entry/internal/slots/link.go
@@ -47,8 +47,9 @@
 	lastUsed time.Time
 }
 
-// connect opens a link and receives replies until the link is lost; then it calls onLost.
-func connect(ctx context.Context, p Peers, to netip.AddrPort, onLost func()) (*link, error) {
+// connect opens a link and receives replies until the link is lost; then it calls onLost with the
+// number of requests that waited for a reply.
+func connect(ctx context.Context, p Peers, to netip.AddrPort, onLost func(waiting int)) (*link, error) {
 	bounded, stop := context.WithTimeout(ctx, connectTimeout)
 	conn, err := p.Dial(bounded, to)
 	stop()
@@ -64,17 +65,17 @@
 	}
 	l := &link{cancel: cancel, stream: stream, pending: make(map[uint64]chan reply), lastUsed: time.Now()}
 	go func() {
-		l.receive()
+		waiting := l.receive()
 		cancel()
 		_ = conn.Close()
-		onLost()
+		onLost(waiting)
 	}()
 	return l, nil
 }
 
 // receive delivers replies until the stream ends or the allocator has been silent for
-// heartbeatTimeout. Then it closes the channels of all pending requests.
-func (l *link) receive() {
+// heartbeatTimeout. Then it closes the channels of all pending requests and returns their number.
+func (l *link) receive() int {
 	overdue := time.AfterFunc(heartbeatTimeout, l.cancel)
 	defer overdue.Stop()
 	for {
@@ -88,10 +89,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lost = true
+	waiting := len(l.pending)
 	for n, c := range l.pending {
 		close(c)
 		delete(l.pending, n)
 	}
+	return waiting
 }
 
 // deliver passes a reply to its request. On a heartbeat, it closes a link that has not been used
