slots: keep the limits of a wait that moves to another allocator

Cause: a request for a slot held the age of the request and the times left until its objective and deadline. When the allocator's connection closed, the request waited for a share of the slots in its own process with these times as of its first wait, so the allocator counted its limits from that moment. The scheduler lets a late request wait for half of its time, 4 s of 8 s; a wait that moved after 3 s lasted up to 7 s.

Change: the message holds points in time; durations exist on the wire only, because the clocks of two VMs differ.

--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -152,7 +152,7 @@
 	s.lastUsed = now
 	s.scheduler.SetSlots(m.slots)
 	r := &admission.Request{
-		Rank: m.rank, Arrived: now.Add(-m.waited), Objective: now.Add(m.objective), Deadline: now.Add(m.deadline),
+		Rank: m.rank, Arrived: m.arrived, Objective: m.objective, Deadline: m.deadline,
 		Tag: requestID{from, m.number},
 	}
 	a.requests[requestID{from, m.number}] = activeRequest{r, m.instance}
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -97,12 +97,11 @@
 
 // Acquire implements dispatch.Limiter.
 func (lm *Limiter) Acquire(ctx context.Context, r dispatch.SlotRequest) (dispatch.Slot, error) {
-	now := time.Now()
 	m := message{
 		instance: r.Server.Instance, slots: r.Server.Slots, rank: r.Rank,
-		waited: now.Sub(r.Arrived), objective: r.Objective.Sub(now), deadline: r.Deadline.Sub(now),
+		arrived: r.Arrived, objective: r.Objective, deadline: r.Deadline,
 	}
-	name, member := lm.allocatorOf(now, r.Server)
+	name, member := lm.allocatorOf(time.Now(), r.Server)
 	switch {
 	case name == lm.self.Name:
 		return lm.acquireLocal(ctx, lm.allocator, m)
--- /dev/null
+++ b/entry/internal/slots/limiter_internal_test.go
@@ -0,0 +1,81 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcpool"
+
+	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/dispatch"
+	"bramleystand.org/entry/internal/election"
+)
+
+// silentPeers opens connections to allocators that never reply.
+type silentPeers struct{}
+
+func (silentPeers) Dial(context.Context, netip.AddrPort) (drpcpool.Conn, error) {
+	return silentConn{}, nil
+}
+
+// silentConn is a connection whose streams receive nothing until their context ends.
+type silentConn struct{ drpcpool.Conn }
+
+func (silentConn) Close() error { return nil }
+func (silentConn) NewStream(ctx context.Context, _ string, _ drpc.Encoding) (drpc.Stream, error) {
+	return silentStream{ctx: ctx}, nil
+}
+
+type silentStream struct {
+	drpc.Stream
+	ctx context.Context
+}
+
+func (s silentStream) MsgSend(drpc.Message, drpc.Encoding) error { return s.ctx.Err() }
+func (s silentStream) MsgRecv(drpc.Message, drpc.Encoding) error {
+	<-s.ctx.Done()
+	return s.ctx.Err()
+}
+
+// fixedMembers implements Members with a list that does not change.
+type fixedMembers []election.Member
+
+func (m fixedMembers) Members() []election.Member { return m }
+
+// Guards against a wait for a slot that begins anew, with the whole time of the request, after the
+// allocator has failed.
+func TestWaitKeepsLimitAfterAllocatorFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, NewAllocator(), silentPeers{},
+			fixedMembers{{Name: "a", DataCentre: "x"}}, &log.Logger{Handler: discard.New()})
+		go lm.Run(ctx)
+		begin := time.Now()
+		r := dispatch.SlotRequest{
+			Server:  registry.Server{Instance: registry.Instance{ID: "server", Incarnation: 1}, Slots: 1, DataCentre: "x"},
+			Arrived: begin, Objective: begin.Add(time.Second), Deadline: begin.Add(4 * time.Second),
+		}
+		errs := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := lm.Acquire(ctx, r)
+				errs <- err
+			}()
+		}
+		must.NoError(t, <-errs)
+		must.Eq(t, heartbeatTimeout, time.Since(begin))
+		_, refused := errors.AsType[*dispatch.RefusalError](<-errs)
+		must.True(t, refused)
+		// The scheduler lets a late request wait for at most half of its time.
+		must.Between(t, 2*time.Second, time.Since(begin), 2*time.Second+2*expireInterval)
+	})
+}
--- a/entry/internal/slots/link.go
+++ b/entry/internal/slots/link.go
@@ -145,7 +145,7 @@
 func (l *link) write(m message) error {
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
-	if err := l.stream.MsgSend(encodeMessage(m), rpc.Encoding{}); err != nil {
+	if err := l.stream.MsgSend(encodeMessage(time.Now(), m), rpc.Encoding{}); err != nil {
 		l.cancel()
 		return fmt.Errorf("slots: send: %w", err)
 	}
--- a/entry/internal/slots/messages.go
+++ b/entry/internal/slots/messages.go
@@ -14,8 +14,8 @@
 	release
 )
 
-// message goes from a process to an allocator. Times are relative, because the clocks of two
-// VMs differ.
+// message goes from a process to an allocator. On the wire its times are relative, because the
+// clocks of two VMs differ.
 type message struct {
 	action action
 	// number identifies the request among those of the process.
@@ -23,10 +23,10 @@
 	instance registry.Instance
 	slots    int
 	rank     int
-	// waited is the age of the request; objective and deadline are the times left until both.
-	waited      time.Duration
-	objective   time.Duration
-	deadline    time.Duration
+	// arrived, objective and deadline are those of the request.
+	arrived     time.Time
+	objective   time.Time
+	deadline    time.Time
 	serviceTime time.Duration
 }
 
@@ -62,17 +62,19 @@
 	Wait    int64
 }
 
-func encodeMessage(m message) *wireMessage {
+// encodeMessage returns a message as it is sent now.
+func encodeMessage(now time.Time, m message) *wireMessage {
 	return &wireMessage{
 		Action: uint8(m.action), Number: m.number, ID: m.instance.ID, Instance: m.instance.Incarnation, Slots: m.slots, Rank: m.rank,
-		Waited: m.waited.Microseconds(), Objective: m.objective.Microseconds(), Deadline: m.deadline.Microseconds(), ServiceTime: m.serviceTime.Microseconds(),
+		Waited: now.Sub(m.arrived).Microseconds(), Objective: m.objective.Sub(now).Microseconds(), Deadline: m.deadline.Sub(now).Microseconds(), ServiceTime: m.serviceTime.Microseconds(),
 	}
 }
 
-func decodeMessage(w *wireMessage) message {
+// decodeMessage returns a message that has been received now.
+func decodeMessage(now time.Time, w *wireMessage) message {
 	return message{
 		action: action(w.Action), number: w.Number, instance: registry.Instance{ID: w.ID, Incarnation: w.Instance}, slots: w.Slots, rank: w.Rank,
-		waited: microseconds(w.Waited), objective: microseconds(w.Objective), deadline: microseconds(w.Deadline), serviceTime: microseconds(w.ServiceTime),
+		arrived: now.Add(-microseconds(w.Waited)), objective: now.Add(microseconds(w.Objective)), deadline: now.Add(microseconds(w.Deadline)), serviceTime: microseconds(w.ServiceTime),
 	}
 }
 
--- a/entry/internal/slots/server.go
+++ b/entry/internal/slots/server.go
@@ -56,6 +56,7 @@
 			}
 			return fmt.Errorf("slots: receive: %w", err)
 		}
-		a.handle(time.Now(), from, decodeMessage(&w))
+		now := time.Now()
+		a.handle(now, from, decodeMessage(now, &w))
 	}
 }
