dispatch: end the waits for owners and slots before a stopping process ends

Cause: the waits of a request ended with limits of the request alone, half of its time in the queue for a slot and its deadline at the latest. Nothing compared them with the end of the process. With 8 s for an upload and 6 s for the stop, requests waited until the kill or were sent so late that the response could not come before it.

Change: a stop has two points in time, 70% and 100% of the stop timeout after the SIGTERM. After the first no request is sent to a server; those that still wait get 503, reason 'stopping', with a Retry-After, which is true because none of them was sent. The second is the latest deadline that an allocator is told, so that a request which would wait too long is refused at once. A request at a server is not affected.

TestWaitingRequestAnsweredBeforeStop failed before: the process ended before the response. TestShutdownEndsWaits, TestShutdownBoundsSlotRequests and TestShutdownKeepsRunningRequests guard the parts.

--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -118,6 +118,8 @@
 		return r.explainUnanswered(fmt.Sprintf("the client closed its connection after %d ms; %s", r.numberOrZero("ms"), r.describeProgress()))
 	case "crashes servers":
 		return "the same request has crashed three servers and is refused for ten minutes", true
+	case "stopping":
+		return fmt.Sprintf("its process stops and had not sent it to a server after %d ms", r.numberOrZero("ms")), true
 	}
 	return "unknown reason " + r.Text("reason"), false
 }
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bramleystand.org/common/registry"
@@ -89,11 +90,20 @@
 	dataCentre   string
 	observer     Observer
 	crashTracker CrashTracker
+	// shutdown is nil while the process does not stop.
+	shutdown atomic.Pointer[Shutdown]
+	// waits ends at the last start of a shutdown.
+	waits    context.Context
+	endWaits context.CancelCauseFunc
 }
 
 // New returns a dispatcher for a process in the given data centre.
 func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker) *Dispatcher {
-	return &Dispatcher{view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c}
+	waits, endWaits := context.WithCancelCause(context.Background())
+	return &Dispatcher{
+		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c,
+		waits: waits, endWaits: endWaits,
+	}
 }
 
 // progress is the state of a call between its attempts.
@@ -123,22 +133,28 @@
 	}
 	d.budgets.Deposit(c.Arrived, c.Service)
 	p := &progress{call: c, tried: make(map[registry.Instance]bool), fingerprint: f}
-	r := d.tryServers(ctx, p)
+	waitCtx, cancel := d.withWaits(ctx)
+	defer cancel()
+	r := d.tryServers(ctx, waitCtx, p)
 	r.Attempts, r.Server, r.Steps, r.TableRevision, r.OwnerWait = p.attempts, p.server, p.steps, p.tableRevision, p.ownerWait
 	return r
 }
 
-// tryServers makes attempts until one gives a final result or no further attempt is allowed.
-func (d *Dispatcher) tryServers(ctx context.Context, p *progress) *Result {
+// tryServers makes attempts until one gives a final result or no further attempt is allowed. The
+// waits for owners and slots end with waitCtx.
+func (d *Dispatcher) tryServers(ctx, waitCtx context.Context, p *progress) *Result {
 	for {
+		if waitCtx.Err() != nil {
+			return d.contextDone(waitCtx, p)
+		}
 		p.call.SetPhase(AwaitsOwner, "")
-		b, refusal := d.selectBackend(ctx, p)
+		b, refusal := d.selectBackend(waitCtx, p)
 		if refusal != nil {
 			return p.finalResult(refusal)
 		}
 		begin := time.Now()
 		p.steps = append(p.steps, Step{Server: b.server.ID})
-		result, retry := d.attempt(ctx, p, b)
+		result, retry := d.attempt(ctx, waitCtx, p, b)
 		step := &p.steps[len(p.steps)-1]
 		step.Reason, step.Took = result.Reason, time.Since(begin)-step.Waited
 		if !retry {
@@ -164,22 +180,22 @@
 }
 
 // attempt sends the request to a server; retry tells whether another attempt may succeed.
-func (d *Dispatcher) attempt(ctx context.Context, p *progress, b *backend) (r *Result, retry bool) {
+func (d *Dispatcher) attempt(ctx, waitCtx context.Context, p *progress, b *backend) (r *Result, retry bool) {
 	c := p.call
 	c.SetPhase(AwaitsSlot, b.server.ID)
 	requested := time.Now()
-	slot, err := d.limiter.Acquire(ctx, c.slotRequest(b.server))
+	slot, err := d.limiter.Acquire(waitCtx, d.slotRequest(c, b))
 	p.steps[len(p.steps)-1].Waited = time.Since(requested)
 	if err != nil {
-		return d.handleNoSlot(ctx, p, b, err)
+		return d.handleNoSlot(waitCtx, p, b, err)
 	}
 	if !d.isUsable(c, b) {
 		slot.Release(0)
 		return refusedResult(NoOwner, time.Now().Add(refusalRetryDelay), nil), true
 	}
-	if ctx.Err() != nil {
+	if waitCtx.Err() != nil {
 		slot.Release(0)
-		return d.contextDone(ctx, p), false
+		return d.contextDone(waitCtx, p), false
 	}
 	begin := time.Now()
 	b.requestStarted()
@@ -211,7 +227,7 @@
 	if err != nil {
 		return d.handleFailure(ctx, p, b, failure)
 	}
-	return d.handleResponse(ctx, p, b, response)
+	return d.handleResponse(waitCtx, p, b, response)
 }
 
 // handleNoSlot returns the result of an attempt that got no slot in time. If the service is not
@@ -228,9 +244,12 @@
 	return refusedResult(NoSlot, retryAt, err), !d.isSharded(p.call)
 }
 
-// contextDone returns the result of a call whose deadline has passed or whose client has
-// disconnected.
+// contextDone returns the result of a call whose deadline has passed, whose client has disconnected or
+// that a shutdown has prevented from being sent to a server.
 func (d *Dispatcher) contextDone(ctx context.Context, p *progress) *Result {
+	if isShutdown(ctx) {
+		return p.finalResult(refusedResult(Stopping, time.Now().Add(refusalRetryDelay), errShutdown))
+	}
 	reason := DeadlineExceeded
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		reason = ClientDisconnected
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -423,3 +423,65 @@
 		must.Eq(t, 1, b.requests())
 	}
 }
+
+// waitingLimiter has no slot until the wait is given up; begun receives a value for each wait.
+type waitingLimiter struct {
+	unlimited
+	begun chan dispatch.SlotRequest
+}
+
+func (l waitingLimiter) Acquire(ctx context.Context, r dispatch.SlotRequest) (dispatch.Slot, error) {
+	l.begun <- r
+	<-ctx.Done()
+	return nil, context.Cause(ctx)
+}
+
+// Guards against a request that waits for a slot or an owner beyond the end of a process that stops.
+func TestShutdownEndsWaits(t *testing.T) {
+	for _, sharded := range []bool{false, true} {
+		a := newServer(t, "a", handleOK)
+		l := waitingLimiter{begun: make(chan dispatch.SlotRequest, 1)}
+		f := newFixture(t, sharded, l, ampleBudget, a)
+		shutdown := dispatch.Shutdown{LastStart: time.Now().Add(20 * time.Millisecond), End: time.Now().Add(time.Minute)}
+		if sharded {
+			f.setOwner(a, true)
+		}
+		f.dispatcher.Stop(shutdown)
+		r := f.call(traffic.Upload)
+		must.Eq(t, http.StatusServiceUnavailable, r.Status)
+		must.Eq(t, dispatch.Stopping, r.Reason)
+		must.False(t, r.RetryAt.IsZero())
+		must.Eq(t, 0, a.requests())
+	}
+}
+
+// Guards against a shutdown that aborts a request which a server is running.
+func TestShutdownKeepsRunningRequests(t *testing.T) {
+	for _, kind := range []traffic.Kind{traffic.Idempotent, traffic.NonIdempotent, traffic.Upload} {
+		var f *fixture
+		a := newServer(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
+			f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), End: time.Now()})
+			// A dispatcher that aborts the request closes the connection within this time.
+			select {
+			case <-r.Context().Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+			handleOK(n, w, r)
+		})
+		f = newFixture(t, false, unlimited{}, ampleBudget, a)
+		must.Eq(t, http.StatusOK, f.call(kind).Status)
+	}
+}
+
+// Guards against a wait for a slot so long that the response would come after the end of the process.
+func TestShutdownBoundsSlotRequests(t *testing.T) {
+	a := newServer(t, "a", handleOK)
+	l := waitingLimiter{begun: make(chan dispatch.SlotRequest, 1)}
+	f := newFixture(t, false, l, ampleBudget, a)
+	now := time.Now()
+	f.dispatcher.Stop(dispatch.Shutdown{LastStart: now.Add(50 * time.Millisecond), End: now.Add(100 * time.Millisecond)})
+	must.Eq(t, dispatch.Stopping, f.call(traffic.Upload).Reason)
+	r := <-l.begun
+	must.Eq(t, now.Add(100*time.Millisecond), r.Objective)
+	must.Eq(t, now.Add(100*time.Millisecond), r.Deadline)
+}
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -25,4 +25,6 @@
 	ClientDisconnected Reason = "client left"
 	// CrashesServers means that the request is blocked because servers crashed while running it.
 	CrashesServers Reason = "crashes servers"
+	// Stopping means that the process stops before the request could be sent to a server.
+	Stopping Reason = "stopping"
 )
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -54,7 +54,7 @@
 // cost returns the expected time until a server's response, the wait for a slot included, plus a
 // penalty if the server is in another data centre.
 func (d *Dispatcher) cost(c *Call, b *backend) time.Duration {
-	cost := b.expectedTime() + d.limiter.ExpectedWait(c.slotRequest(b.server))
+	cost := b.expectedTime() + d.limiter.ExpectedWait(d.slotRequest(c, b))
 	if b.server.DataCentre == d.dataCentre {
 		return cost
 	}
--- /dev/null
+++ b/entry/internal/dispatch/shutdown.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+var errShutdown = eris.New("dispatch: the process stops before the request could be served")
+
+// Shutdown holds the times until which a process that stops works on calls.
+type Shutdown struct {
+	// LastStart is until when requests are sent to servers, and End is when the process ends.
+	LastStart time.Time
+	End       time.Time
+}
+
+// Stop ends the waits of all calls for owners and slots at the last start; calls that have not been
+// sent to a server by then are refused. Requests at a server are not affected.
+func (d *Dispatcher) Stop(s Shutdown) {
+	d.shutdown.Store(&s)
+	time.AfterFunc(time.Until(s.LastStart), func() { d.endWaits(errShutdown) })
+}
+
+// withWaits returns a context for the waits of a call: it ends with the context of the call or at the
+// last start of a shutdown.
+func (d *Dispatcher) withWaits(ctx context.Context) (context.Context, context.CancelFunc) {
+	waitCtx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(d.waits, func() { cancel(errShutdown) })
+	return waitCtx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
+// slotRequest returns the request of a call for a slot. A response after the end of a shutdown has no
+// value.
+func (d *Dispatcher) slotRequest(c *Call, b *backend) SlotRequest {
+	r := c.slotRequest(b.server)
+	if s := d.shutdown.Load(); s != nil {
+		r.Objective, r.Deadline = earlier(r.Objective, s.End), earlier(r.Deadline, s.End)
+	}
+	return r
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// isShutdown reports whether a context for waits has ended because of a shutdown.
+func isShutdown(waitCtx context.Context) bool {
+	return errors.Is(context.Cause(waitCtx), errShutdown)
+}
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -206,6 +206,10 @@
 type fakeBackend struct {
 	id      string
 	address netip.AddrPort
+	// slow is the number of requests run whose identifier begins with "slow-". They end when
+	// finishSlow is closed.
+	slow       atomic.Int32
+	finishSlow chan struct{}
 
 	mu         sync.Mutex
 	fences     [1 << 16]uint64
@@ -214,7 +218,7 @@
 }
 
 func newFakeBackend(t *testing.T, id string) *fakeBackend {
-	b := &fakeBackend{id: id, executions: make(map[string]int)}
+	b := &fakeBackend{id: id, executions: make(map[string]int), finishSlow: make(chan struct{})}
 	b.address = serve(t, b)
 	return b
 }
@@ -241,6 +245,12 @@
 		return
 	}
 	b.executions[r.Header.Get("Bramleystand-Attempt-Id")]++
+	if strings.HasPrefix(r.Header.Get("Bramleystand-Attempt-Id"), "slow-") {
+		b.mu.Unlock()
+		b.slow.Add(1)
+		<-b.finishSlow
+		b.mu.Lock()
+	}
 	w.Header().Set("Bramleystand-Response-Signature", b.id)
 	_, _ = w.Write(body)
 }
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -54,7 +54,8 @@
 	// balancer checks readiness once a second and removes the process after two failed checks.
 	minDrainTime = 2600 * time.Millisecond
 	// maxDrainPercent is the percentage of the stop timeout for which a process that can't resign as
-	// coordinator continues to run. The rest is left for the last requests.
+	// coordinator continues to run and requests are still sent to servers. The rest is left for their
+	// responses.
 	maxDrainPercent = 70
 	// resignInterval is the time between two attempts to resign as coordinator.
 	resignInterval = 100 * time.Millisecond
@@ -86,6 +87,7 @@
 	peerClient *report.Client
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
+	dispatcher *dispatch.Dispatcher
 	handler    *gateway.Handler
 	peerServer *report.Server
 	// followers keep the copies of the store's objects up to date. The keys are the names of the
@@ -128,8 +130,8 @@
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	dispatcher := dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
-	p.handler = gateway.New(p.view, dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
+	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.peerServer = report.NewServer(p.node, p.allocator)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
@@ -293,8 +295,9 @@
 	p.logger.Info("stopping")
 	p.stopping.Store(true)
 	p.handler.Stop()
-	resigned := p.node.Resign(ctx)
 	deadline := begin.Add(p.settings.Stop * maxDrainPercent / 100)
+	p.dispatcher.Stop(dispatch.Shutdown{LastStart: deadline, End: begin.Add(p.settings.Stop)})
+	resigned := p.node.Resign(ctx)
 	for now := begin; now.Before(deadline) && (!resigned || now.Sub(begin) < minDrainTime); now = time.Now() {
 		select {
 		case <-ctx.Done():
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -90,13 +90,18 @@
 // send sends a request for a key and returns the status and body of the response, or zero and the
 // error.
 func (p *testProcess) send(path, id string, key int) (int, string) {
+	return p.sendWithin(3*time.Second, path, id, key)
+}
+
+// sendWithin is send with the time until the deadline of the request.
+func (p *testProcess) sendWithin(left time.Duration, path, id string, key int) (int, string) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+p.settings.ClientAddress.String()+path, strings.NewReader("body of "+id))
 	if err != nil {
 		return 0, err.Error()
 	}
 	r.Host = "h.example"
 	r.Header.Set("Bramleystand-Attempt-Id", id)
-	r.Header.Set("Bramleystand-Deadline-Ms", "3000")
+	r.Header.Set("Bramleystand-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
 	r.Header.Set("Bramleystand-Shard-Key", fmt.Sprint(key))
 	r.Close = true
 	response, err := http.DefaultClient.Do(r)
@@ -228,6 +233,42 @@
 	}
 }
 
+// Guards against a request that waits for a slot until its process is killed at the stop timeout.
+func TestWaitingRequestAnsweredBeforeStop(t *testing.T) {
+	t.Parallel()
+	s := newFakeStore(t)
+	a := newFakeBackend(t, "a")
+	s.put("config", "main", strings.NewReplacer(`"timeoutMs":2000`, `"timeoutMs":60000`, `"sloMs":500`, `"sloMs":30000`).Replace(fmt.Sprintf(configurationFormat, 3)))
+	s.put("servers", "a", a.registryEntry("ready"))
+	p := startProcess(t, s, "first")
+	eventually(t, 10*time.Second, "the process serves", func() bool { return p.servesAllKeys("start") })
+	const slots = 4
+	running := make(chan int, slots)
+	for i := range slots {
+		go func() {
+			status, _ := p.sendWithin(time.Minute, "/final/x", fmt.Sprint("slow-", i), 1)
+			running <- status
+		}()
+	}
+	eventually(t, 5*time.Second, "all slots are used", func() bool { return a.slow.Load() == slots })
+	waiting := make(chan int, 1)
+	go func() {
+		status, _ := p.sendWithin(time.Minute, "/final/x", "waiting", 1)
+		waiting <- status
+	}()
+	p.stop()
+	select {
+	case status := <-waiting:
+		must.Eq(t, http.StatusServiceUnavailable, status)
+	case <-p.done:
+		t.Fatal("the process has stopped before the response")
+	}
+	close(a.finishSlow)
+	for range slots {
+		must.Eq(t, http.StatusOK, <-running)
+	}
+}
+
 // Guards against a process that terminates on SIGHUP or applies a settings file with errors, and
 // against a changed file that is not read without a signal.
 func TestSettingsReload(t *testing.T) {
