origin: limit the head of a response to 64 KiB

A server that sent a status line, header lines or interim responses without end kept a request and its slot until the deadline. The client got 504 after its whole time, and the process held all that had arrived of a head.

Cause: http.ReadResponse has no limit on a head, and interim (1xx) responses were skipped without a limit.

The reader of a connection is now an io.LimitedReader, which allows 64 KiB for a head together with its interim responses, as for the heads of clients. The request then ends like one with any other unusable response, with 502 or on another server, and the connection is reset.

TestEndlessResponse failed before in status_line, header_line, header_lines and interim_responses, on new and reused connections: "endless_test.go:77: expected non-nil error; got nil", as the client had read all 48 MiB that the server sends at most. Endless bodies, chunk extensions and trailers passed before. TestTrickledResponse also passes on the former code: a response that arrives slowly ends with the deadline.

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -21,6 +21,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,6 +40,9 @@
 	probeTimeout = 50 * time.Millisecond
 	// maxInlineBody is the largest body that is copied behind the head and written with it.
 	maxInlineBody = 16 << 10
+	// maxHeadBytes limits the head of a response together with the interim (1xx) responses before it.
+	// The limit for the heads of clients' requests is the same.
+	maxHeadBytes = 64 << 10
 	// maxResponseBody bounds the body of a response, which is held in memory.
 	maxResponseBody = 16 << 20
 	// maxResponses is the number of responses that are read for one request, while those to other
@@ -51,6 +55,7 @@
 var (
 	errClosed           = eris.New("origin: the client is closed")
 	errWrongRequestID   = eris.New("origin: the response does not repeat the identifier of the request")
+	errHeadTooLarge     = eris.New("origin: the response head is larger than 64 KiB")
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
 	errConnectionLimit  = eris.New("origin: all connections to the server are in use")
@@ -194,10 +199,15 @@
 	return nil, false, errWrongRequestID
 }
 
-// readHead reads the head of the final response and skips interim (1xx) responses.
+// readHead reads the head of the final response and skips interim (1xx) responses. It reads at most
+// maxHeadBytes from the server.
 func readHead(k *conn, method string) (*http.Response, error) {
+	k.limited.N = maxHeadBytes
 	for {
 		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		if err != nil && k.limited.N <= 0 {
+			return nil, errHeadTooLarge
+		}
 		if err != nil {
 			return nil, fmt.Errorf("origin: read response: %w", err)
 		}
@@ -205,6 +215,7 @@
 			return nil, errProtocolSwitch
 		}
 		if head.StatusCode >= http.StatusOK {
+			k.limited.N = math.MaxInt64
 			return head, nil
 		}
 	}
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,7 +28,9 @@
 // conn is a connection to a server. It is used for one request at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	// limited is the source of reader. Its limit is set before each part of a response is read.
+	limited *io.LimitedReader
+	reader  *bufio.Reader
 	// idleSince is when the connection became idle, and idleUntil when it must no longer be used.
 	idleSince time.Time
 	idleUntil time.Time
@@ -36,7 +39,8 @@
 }
 
 func newConn(inner net.Conn) *conn {
-	return &conn{Conn: inner, reader: bufio.NewReaderSize(inner, readBufferSize)}
+	limited := &io.LimitedReader{R: inner}
+	return &conn{Conn: inner, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
 }
 
 // isReusable reports whether an idle connection may be used for another request: it has not
--- /dev/null
+++ b/entry/internal/origin/endless_test.go
@@ -0,0 +1,110 @@
+package origin_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nId: 1\r\nProof: yes\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	// maxEndless is after how many bytes sendEndlessly stops, so that a client that reads everything
+	// fails its test and does not exhaust the memory.
+	maxEndless = 48 << 20
+)
+
+// sendEndlessly sends a prefix and then repeats a text until the client has closed the connection. It
+// returns nil if the client has received maxEndless bytes.
+func sendEndlessly(c net.Conn, prefix, text string) error {
+	if _, err := io.WriteString(c, prefix); err != nil {
+		return err
+	}
+	block := strings.Repeat(text, 1+(32<<10)/len(text))
+	for sent := 0; sent < maxEndless; sent += len(block) {
+		if _, err := io.WriteString(c, block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against a client that reads bytes without end which are no response, until its memory is
+// exhausted or the deadline of the request has passed.
+func TestEndlessResponse(t *testing.T) {
+	for _, c := range []struct{ name, prefix, text, cause string }{
+		{"status line", "HTTP/1.1 200 ", "a", "head is larger than 64 KiB"},
+		{"header line", okHead + "X: ", "a", "head is larger than 64 KiB"},
+		{"header lines", okHead, "X: a\r\n", "head is larger than 64 KiB"},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", "head is larger than 64 KiB"},
+		{"chunked body", chunkedHead, "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", "body is larger than 16 MiB"},
+		{"chunk extension", chunkedHead + "5;", "a", ""},
+		{"trailer line", chunkedHead + "0\r\nX: ", "a", ""},
+		{"trailer lines", chunkedHead + "0\r\n", "X: a\r\n", ""},
+		{"body without length", okHead + "\r\n", "a", "body is larger than 16 MiB"},
+		{"body of a declared length", okHead + "Content-Length: 1000000000000\r\n\r\n", "a", "body is larger than 16 MiB"},
+	} {
+		for name, earlier := range map[string]int{"new connection": 0, "reused connection": 1} {
+			t.Run(c.name+"/"+name, func(t *testing.T) {
+				ended := make(chan error, 1)
+				s, client := startServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+					for range earlier {
+						readRequest(r)
+						_, _ = io.WriteString(conn, formatResponse("1", "", "x"))
+					}
+					readRequest(r)
+					ended <- sendEndlessly(conn, c.prefix, c.text)
+				})
+				for range earlier {
+					_, err := client.Do(t.Context(), request("1"))
+					must.NoError(t, err)
+				}
+				_, err := client.Do(t.Context(), request("1"))
+				failure := asFailure(t, err)
+				must.True(t, failure.Sent)
+				must.Eq(t, earlier > 0, failure.Reused)
+				must.Error(t, <-ended, must.Sprint("the connection must be closed while the server sends"))
+				must.ErrorContains(t, err, c.cause)
+				must.Eq(t, 1, s.connections())
+			})
+		}
+	}
+}
+
+// Guards against a response that is never complete, byte by byte, and holds the request beyond its
+// deadline or leaves the connection open.
+func TestTrickledResponse(t *testing.T) {
+	for _, row := range []struct{ name, prefix, text string }{
+		{"header line", okHead + "X: ", "a"},
+		{"header lines", okHead, "X: a\r\n"},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"chunked body", chunkedHead, "1\r\na\r\n"},
+		{"trailer line", chunkedHead + "0\r\nX: ", "a"},
+		{"body without length", okHead + "\r\n", "a"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, err := io.WriteString(c, row.prefix)
+				for err == nil {
+					time.Sleep(time.Millisecond)
+					_, err = io.WriteString(c, row.text)
+				}
+				ended <- err
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, err := client.Do(ctx, request("1"))
+			must.ErrorIs(t, err, context.DeadlineExceeded)
+			must.True(t, asFailure(t, err).Sent)
+			must.Error(t, <-ended)
+		})
+	}
+}
