origin: give up bytes that are not HTTP at the first one

A server that sent bytes without a line end, slowly, kept a request and its slot until the deadline although the first byte showed that no response would follow. The client got 504 after its whole time instead of 502 or the response of another server, and the log line repeated all the bytes.

Cause: http.ReadResponse reads a whole line before it looks at its start.

The first bytes of each head are now compared with "HTTP/1." as they arrive. The error says that the server sent bytes that are not an HTTP response.

TestTrickledBytesWithoutHTTP failed before: "endless_test.go:129: expected error to contain substring; err: origin: no usable response: context deadline exceeded: origin: read response: malformed HTTP response", after the 3 s until the deadline.

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -55,6 +55,7 @@
 var (
 	errClosed           = eris.New("origin: the client is closed")
 	errWrongRequestID   = eris.New("origin: the response does not repeat the identifier of the request")
+	errNotHTTP          = eris.New("origin: the server sent bytes that are not an HTTP response")
 	errHeadTooLarge     = eris.New("origin: the response head is larger than 64 KiB")
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
@@ -204,6 +205,9 @@
 func readHead(k *conn, method string) (*http.Response, error) {
 	k.limited.N = maxHeadBytes
 	for {
+		if !k.receivesHTTP() {
+			return nil, errNotHTTP
+		}
 		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
 		if err != nil && k.limited.N <= 0 {
 			return nil, errHeadTooLarge
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -15,6 +15,8 @@
 const (
 	// readBufferSize is enough for the head of a response; larger reads of a body bypass the buffer.
 	readBufferSize = 2 << 10
+	// responsePrefix is how every HTTP/1 response begins.
+	responsePrefix = "HTTP/1."
 	// maxIdleTime is how long an idle connection is kept, unless the server states a shorter
 	// timeout in a Keep-Alive field. It is four fifths of the shortest idle timeout that servers
 	// commonly have, 5 s.
@@ -71,6 +73,22 @@
 	return err == nil && empty
 }
 
+// receivesHTTP reports whether the next bytes may begin a response. It decides at the first byte that
+// differs, because http.ReadResponse waits for the end of the line. A failed read is left to
+// http.ReadResponse, which returns the error.
+func (c *conn) receivesHTTP() bool {
+	for n := 1; n <= len(responsePrefix); n++ {
+		start, err := c.reader.Peek(n)
+		if err != nil {
+			return true
+		}
+		if start[n-1] != responsePrefix[n-1] {
+			return false
+		}
+	}
+	return true
+}
+
 // markIdle marks the connection as idle and sets its expiry from the timeout in the Keep-Alive
 // field of the last response, if there is one.
 func (c *conn) markIdle(now time.Time, h http.Header) {
--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -43,6 +43,8 @@
 		{"header line", okHead + "X: ", "a", "head is larger than 64 KiB"},
 		{"header lines", okHead, "X: a\r\n", "head is larger than 64 KiB"},
 		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", "head is larger than 64 KiB"},
+		{"no HTTP", "", "\x00\x01", "not an HTTP response"},
+		{"lines without HTTP", "", "hello\r\n", "not an HTTP response"},
 		{"chunked body", chunkedHead, "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", "body is larger than 16 MiB"},
 		{"chunk extension", chunkedHead + "5;", "a", ""},
 		{"trailer line", chunkedHead + "0\r\nX: ", "a", ""},
@@ -108,3 +110,23 @@
 		})
 	}
 }
+
+// Guards against a request that waits until its deadline for the end of bytes that are no response.
+func TestTrickledBytesWithoutHTTP(t *testing.T) {
+	ended := make(chan error, 1)
+	_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, err := io.WriteString(c, "HTTX")
+		for err == nil {
+			time.Sleep(time.Millisecond)
+			_, err = io.WriteString(c, "a")
+		}
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, err := client.Do(ctx, request("1"))
+	must.ErrorContains(t, err, "not an HTTP response")
+	must.True(t, asFailure(t, err).Sent)
+	must.Error(t, <-ended)
+}
