origin: cut off the text of an error after 300 characters

One unusable response could fill a log line with 60 KB, and so use up the log's bytes of a second and displace other lines.

Cause: the errors of http.ReadResponse quote the whole line that they can't parse.

Error now takes at most 300 characters of its cause; the start of the line is what shows the kind of the fault.

TestErrorTextIsShort failed before: "endless_test.go:147: expected 60080 <= 500".

--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -130,3 +130,22 @@
 	must.True(t, asFailure(t, err).Sent)
 	must.Error(t, <-ended)
 }
+
+// Guards against errors, and so log lines, that repeat a response head of up to 64 KiB.
+func TestErrorTextIsShort(t *testing.T) {
+	for name, text := range map[string]string{
+		"status code": "HTTP/1.1 " + strings.Repeat("a", 60000) + "\r\n\r\n",
+		"header line": okHead + strings.Repeat("a", 60000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, text)
+			})
+			_, err := client.Do(t.Context(), request("1"))
+			must.True(t, asFailure(t, err).Sent)
+			must.LessEq(t, 500, len(err.Error()))
+			must.StrContains(t, err.Error(), "malformed")
+		})
+	}
+}
--- a/entry/internal/origin/error.go
+++ b/entry/internal/origin/error.go
@@ -13,12 +13,13 @@
 	Cause  error
 }
 
-// Error implements error. It tells whether the request was sent.
+// Error implements error. It tells whether the request was sent. The text of the cause is cut off after
+// 300 characters, because it may quote a whole line that the server sent.
 func (e *Error) Error() string {
 	if e.Sent {
-		return fmt.Sprintf("origin: no usable response: %v", e.Cause)
+		return fmt.Sprintf("origin: no usable response: %.300s", e.Cause)
 	}
-	return fmt.Sprintf("origin: request not sent: %v", e.Cause)
+	return fmt.Sprintf("origin: request not sent: %.300s", e.Cause)
 }
 
 // Unwrap returns the cause for errors.Is and errors.As.
