origin: limit the transfer of a response body to 32 MiB with its framing

A server that sent a body in tiny chunks without end was read until 16 MiB of data had arrived, six times as many bytes with chunks of one byte.

Cause: the limit counted the decoded body only. net/http limits the framing of chunks only in proportion to their data.

The bytes that are read from the connection for a body are now limited too. A body of 16 MiB in chunks of 6 bytes or more still passes.

TestEndlessResponse/small_chunks failed before: "endless_test.go:75: expected non-nil error; got nil ... the connection must be closed while the server sends".

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -21,7 +21,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,6 +44,9 @@
 	maxHeadBytes = 64 << 10
 	// maxResponseBody bounds the body of a response, which is held in memory.
 	maxResponseBody = 16 << 20
+	// maxBodyTransfer limits the bytes in which a body is transferred, with the framing of its chunks. A
+	// body of maxResponseBody fits in if its chunks have 6 bytes or more.
+	maxBodyTransfer = 2 * maxResponseBody
 	// maxResponses is the number of responses that are read for one request, while those to other
 	// requests are skipped.
 	maxResponses = 3
@@ -58,6 +60,7 @@
 	errNotHTTP          = eris.New("origin: the server sent bytes that are not an HTTP response")
 	errHeadTooLarge     = eris.New("origin: the response head is larger than 64 KiB")
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
+	errTransferTooLarge = eris.New("origin: the response body takes more than 32 MiB with the framing of its chunks")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
 	errConnectionLimit  = eris.New("origin: all connections to the server are in use")
 )
@@ -177,12 +180,9 @@
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBody+1))
+		body, err := readBody(k, head)
 		if err != nil {
-			return nil, false, fmt.Errorf("origin: read response: %w", err)
-		}
-		if len(body) > maxResponseBody {
-			return nil, false, errResponseTooLarge
+			return nil, false, err
 		}
 		framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
 		if id := c.fields.ID(head.Header); id != r.ID {
@@ -219,12 +219,26 @@
 			return nil, errProtocolSwitch
 		}
 		if head.StatusCode >= http.StatusOK {
-			k.limited.N = math.MaxInt64
 			return head, nil
 		}
 	}
 }
 
+// readBody reads the body of a response.
+func readBody(k *conn, head *http.Response) ([]byte, error) {
+	k.limited.N = maxBodyTransfer
+	body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBody+1))
+	switch {
+	case k.limited.N <= 0:
+		return nil, errTransferTooLarge
+	case err != nil:
+		return nil, fmt.Errorf("origin: read response: %w", err)
+	case len(body) > maxResponseBody:
+		return nil, errResponseTooLarge
+	}
+	return body, nil
+}
+
 // getConn returns an idle connection or opens one.
 func (c *Client) getConn(ctx context.Context, fresh bool) (*conn, error) {
 	c.mu.Lock()
--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -46,6 +46,7 @@
 		{"no HTTP", "", "\x00\x01", "not an HTTP response"},
 		{"lines without HTTP", "", "hello\r\n", "not an HTTP response"},
 		{"chunked body", chunkedHead, "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", "body is larger than 16 MiB"},
+		{"small chunks", chunkedHead, "0000000000000008\r\naaaaaaaa\r\n", "takes more than 32 MiB"},
 		{"chunk extension", chunkedHead + "5;", "a", ""},
 		{"trailer line", chunkedHead + "0\r\nX: ", "a", ""},
 		{"trailer lines", chunkedHead + "0\r\n", "X: a\r\n", ""},
