origin: don't read bodies that can't be used

A request waited for the body of a response without its identifier, or of one that declares more than 16 MiB, and failed only then; if the server sent slowly or not at all, the wait lasted until the deadline. Up to 16 MiB of it, and of each response to another request, was held in memory.

Cause: the body was read into memory before the identifier and the length in the head were looked at.

The head now decides first. A response without the identifier or with too large a length ends the request at once, and the body of a response to another request is skipped without being kept.

TestUnusableHead failed before: "endless_test.go:174: expected nil error; error: context deadline exceeded" in both cases, and TestEndlessResponse/response_without_identifier: "err: ... the response body is larger than 16 MiB". TestLargestResponse passed before and shows that 16 MiB are still passed on.

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -180,17 +180,20 @@
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := readBody(k, head)
-		if err != nil {
-			return nil, false, err
-		}
 		framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
 		if id := c.fields.ID(head.Header); id != r.ID {
 			if id == "" || !framed || head.Close {
 				return nil, false, errWrongRequestID
 			}
+			if err := skipBody(k, head); err != nil {
+				return nil, false, err
+			}
 			continue
 		}
+		body, err := readBody(k, head)
+		if err != nil {
+			return nil, false, err
+		}
 		return &Response{
 			Status: head.StatusCode, Header: head.Header, Body: body,
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
@@ -226,17 +229,32 @@
 
 // readBody reads the body of a response.
 func readBody(k *conn, head *http.Response) ([]byte, error) {
+	if head.ContentLength > maxResponseBody && head.Request.Method != http.MethodHead {
+		return nil, errResponseTooLarge
+	}
 	k.limited.N = maxBodyTransfer
 	body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBody+1))
+	return body, bodyError(k, int64(len(body)), err)
+}
+
+// skipBody reads the body of a response to another request without keeping it.
+func skipBody(k *conn, head *http.Response) error {
+	k.limited.N = maxBodyTransfer
+	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxResponseBody+1))
+	return bodyError(k, n, err)
+}
+
+// bodyError returns why a body of n bytes, whose reading ended with err, is not usable, or nil.
+func bodyError(k *conn, n int64, err error) error {
 	switch {
 	case k.limited.N <= 0:
-		return nil, errTransferTooLarge
+		return errTransferTooLarge
 	case err != nil:
-		return nil, fmt.Errorf("origin: read response: %w", err)
-	case len(body) > maxResponseBody:
-		return nil, errResponseTooLarge
+		return fmt.Errorf("origin: read response: %w", err)
+	case n > maxResponseBody:
+		return errResponseTooLarge
 	}
-	return body, nil
+	return nil
 }
 
 // getConn returns an idle connection or opens one.
--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -52,6 +52,9 @@
 		{"trailer lines", chunkedHead + "0\r\n", "X: a\r\n", ""},
 		{"body without length", okHead + "\r\n", "a", "body is larger than 16 MiB"},
 		{"body of a declared length", okHead + "Content-Length: 1000000000000\r\n\r\n", "a", "body is larger than 16 MiB"},
+		{"responses to other requests", "", formatResponse("2", "", "a"), "does not repeat the identifier"},
+		{"response to another request", strings.Replace(chunkedHead, "Id: 1", "Id: 2", 1), "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", "body is larger than 16 MiB"},
+		{"response without identifier", "HTTP/1.1 200 OK\r\n\r\n", "a", "does not repeat the identifier"},
 	} {
 		for name, earlier := range map[string]int{"new connection": 0, "reused connection": 1} {
 			t.Run(c.name+"/"+name, func(t *testing.T) {
@@ -150,3 +153,54 @@
 		})
 	}
 }
+
+// Guards against waiting for a body that can't be used: one without identifier, or declared to be larger
+// than 16 MiB. The server sends only the head.
+func TestUnusableHead(t *testing.T) {
+	for name, head := range map[string]string{
+		"without identifier": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+		"too large":          okHead + "Content-Length: 16777217\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, head)
+				_, _ = r.ReadByte()
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, err := client.Do(ctx, request("1"))
+			must.True(t, asFailure(t, err).Sent)
+			must.NoError(t, ctx.Err())
+		})
+	}
+}
+
+// Guards against refusing a response of the largest size, and one to a HEAD request, which declares the
+// length of a body that it does not have.
+func TestLargestResponse(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 1<<20)
+	for name, text := range map[string]string{
+		"length":         formatResponse("1", "", body),
+		"without length": okHead + "\r\n" + body,
+		"chunked":        chunkedHead + strings.Repeat("1000\r\n"+body[:4096]+"\r\n", 4096) + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, text)
+			})
+			response, err := client.Do(t.Context(), request("1"))
+			must.NoError(t, err)
+			must.True(t, body == string(response.Body))
+		})
+	}
+	_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, okHead+"Content-Length: 16777217\r\n\r\n")
+	})
+	r := request("1")
+	r.Method = "HEAD"
+	_, err := client.Do(t.Context(), r)
+	must.NoError(t, err)
+}
