origin: check idle connections once a second

A server that sent bytes on an idle connection had them kept in the process's receive buffer, which counts as its memory, until the next request to that server; up to 8 connections a server. Connections past their idle time stayed open as long, with a file descriptor each.

Cause: idle connections were looked at only when a request took one.

A timer of the client now checks its idle connections each second while there are any, and resets those that have expired, were closed or have received data.

TestEndlessBytesOnIdleConnection failed before: "the idle connection is still open", and TestExpiredIdleConnection: "the expired connection is still open", each after 10 s.

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +53,8 @@
 	maxResponses = 3
 	// maxIdleConnections bounds the idle connections that are kept for a server.
 	maxIdleConnections = 8
+	// sweepInterval is the time between two checks of the idle connections.
+	sweepInterval = time.Second
 )
 
 var (
@@ -78,6 +81,9 @@
 
 	mu   sync.Mutex
 	idle []*conn
+	// sweeper calls closeUnusable; sweeping is true while it is due.
+	sweeper  *time.Timer
+	sweeping bool
 	// open is the number of open connections, idle ones and those being opened included.
 	open    int
 	maxOpen int
@@ -87,7 +93,10 @@
 // New returns a client that opens at most maxConnections connections to the address, when they are
 // needed.
 func New(address netip.AddrPort, maxConnections int, d Dialer, f HeaderFields) *Client {
-	return &Client{address: address, maxOpen: max(1, maxConnections), dialer: d, fields: f}
+	c := &Client{address: address, maxOpen: max(1, maxConnections), dialer: d, fields: f}
+	c.sweeper = time.AfterFunc(sweepInterval, c.closeUnusable)
+	c.sweeper.Stop()
+	return c
 }
 
 // SetMaxConnections changes the limit of open connections.
@@ -102,6 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	c.sweeper.Stop()
 	for _, k := range c.idle {
 		_ = k.Close()
 		c.open--
@@ -301,8 +311,38 @@
 	if reusable && !c.closed && len(c.idle) < maxIdleConnections {
 		k.markIdle(time.Now(), r.Header)
 		c.idle = append(c.idle, k)
+		c.scheduleSweep()
 		return
 	}
 	c.open--
 	k.abort()
 }
+
+// scheduleSweep schedules the next check of the idle connections unless it is due already. The lock is
+// held.
+func (c *Client) scheduleSweep() {
+	if !c.sweeping {
+		c.sweeping = true
+		c.sweeper.Reset(sweepInterval)
+	}
+}
+
+// closeUnusable closes the idle connections that have expired or on which the server has sent data, so
+// that they hold no memory of the kernel and no file descriptor until the next request.
+func (c *Client) closeUnusable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweeping = false
+	now := time.Now()
+	c.idle = slices.DeleteFunc(c.idle, func(k *conn) bool {
+		if k.isReusable(now, false) {
+			return false
+		}
+		k.abort()
+		c.open--
+		return true
+	})
+	if len(c.idle) > 0 {
+		c.scheduleSweep()
+	}
+}
--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -204,3 +204,43 @@
 	_, err := client.Do(t.Context(), r)
 	must.NoError(t, err)
 }
+
+// Guards against an idle connection on which a server sends without end: the bytes would stay in the
+// buffers of the kernel, which count as memory of the process, until the next request.
+func TestEndlessBytesOnIdleConnection(t *testing.T) {
+	kept, ended := make(chan struct{}), make(chan error, 1)
+	_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, formatResponse("1", "", "x"))
+		<-kept
+		ended <- sendEndlessly(c, "", "a")
+	})
+	_, err := client.Do(t.Context(), request("1"))
+	must.NoError(t, err)
+	close(kept)
+	select {
+	case err := <-ended:
+		must.Error(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the idle connection is still open")
+	}
+}
+
+// Guards against idle connections that stay open beyond the time for which they may be used, and hold a
+// file descriptor each until the next request.
+func TestExpiredIdleConnection(t *testing.T) {
+	closed := make(chan struct{})
+	_, client := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, formatResponse("1", "Keep-Alive: timeout=1\r\n", "x"))
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	_, err := client.Do(t.Context(), request("1"))
+	must.NoError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the expired connection is still open")
+	}
+}
