gateway: limit the memory for all response bodies to 32 MiB

Many large responses at once, such as bodies without end from many servers, could exhaust the memory of a VM, 184 to 536 MB: each request held up to 16 MiB, and more while its buffer grew. A process above the limit is killed with all its requests.

Cause: each response body had a limit, all together had none, while the bodies of requests have maxBufferedBytes.

Package bodybudget counts the buffers of response bodies. A request reserves memory before a buffer above 64 KiB grows, and returns it when the response has been written to the client. Without room the request ends like one with any other unusable response, its connection is reset, and the error says that no memory is left. Small responses are not counted, so they pass meanwhile. 32 MiB have room for one response of 16 MiB while its buffer grows, and fit with the 64 MiB for requests into the smallest VMs, 184 MB.

--- a/entry/internal/dispatch/call.go
+++ b/entry/internal/dispatch/call.go
@@ -7,6 +7,7 @@
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
 	"bramleystand.org/common/traffic"
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 // Call is a client request that is to be sent to a backend server.
@@ -28,6 +29,8 @@
 	Arrived time.Time
 	// Deadline is the latest time for the final response to the client.
 	Deadline time.Time
+	// Memory is where the memory for the bodies of responses is reserved; nil for no limit.
+	Memory *bodybudget.Account
 }
 
 // objective returns the time by which the client must have the response to meet the latency
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -191,6 +191,7 @@
 	response, err := b.client.Do(ctx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
 		ID: c.ID, Server: b.server.ID, Deadline: c.Deadline.Add(-responseMargin), Fresh: !c.Route.Kind.Retryable(),
+		Memory: c.Memory,
 	})
 	now := time.Now()
 	serviceTime := now.Sub(begin)
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -26,6 +26,7 @@
 
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/traffic"
+	"bramleystand.org/entry/internal/bodybudget"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/origin"
 	"bramleystand.org/entry/internal/view"
@@ -36,6 +37,10 @@
 	unconfiguredRetryDelay = 300 * time.Millisecond
 	// maxBufferedBytes limits the memory for the bodies of all requests in progress.
 	maxBufferedBytes = 64 << 20
+	// maxResponseBytes limits the memory for the bodies of all responses above 64 KiB, until they are
+	// written to their clients. It has room for one of the largest responses, 16 MiB, while its buffer grows. With
+	// maxBufferedBytes it stays below the memory of the smallest VMs, 184 MB.
+	maxResponseBytes = 32 << 20
 )
 
 // Dispatcher sends a request to a backend server and returns the final result.
@@ -59,11 +64,13 @@
 	logger        log.Interface
 	stopping      atomic.Bool
 	bufferedBytes atomic.Int64
+	// responseMemory is the budget for the bodies of responses.
+	responseMemory *bodybudget.Budget
 }
 
 // New returns a handler that answers 503 until the view has a configuration.
 func New(v *view.View, d Dispatcher, f HeaderFields, loadRecorder LoadRecorder, c *Counters, logger log.Interface) *Handler {
-	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger}
+	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, responseMemory: bodybudget.New(maxResponseBytes)}
 }
 
 // Stop makes every response close its connection, so that clients connect to another process.
@@ -99,6 +106,8 @@
 	c.Body, c.HasBody = body, r.ContentLength >= 0 && declaresBody(r) || len(body) > 0
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	c.Memory = h.responseMemory.Open()
+	defer c.Memory.Close()
 	result := h.dispatcher.Do(ctx, c)
 	h.counters.recordResult(c, result, time.Since(now))
 	h.logResult(configuration, c, result)
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -30,6 +30,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
@@ -45,6 +47,11 @@
 	maxHeadBytes = 64 << 10
 	// maxResponseBody bounds the body of a response, which is held in memory.
 	maxResponseBody = 16 << 20
+	// firstBodyBuffer is the size of the first buffer for a body. Each further one is twice as large.
+	firstBodyBuffer = 4 << 10
+	// maxUncountedBody is the largest buffer that is not reserved in the account of a request, so that
+	// small responses pass while large ones take the whole budget.
+	maxUncountedBody = 64 << 10
 	// maxBodyTransfer limits the bytes in which a body is transferred, with the framing of its chunks. A
 	// body of maxResponseBody fits in if its chunks have 6 bytes or more.
 	maxBodyTransfer = 2 * maxResponseBody
@@ -64,6 +71,7 @@
 	errHeadTooLarge     = eris.New("origin: the response head is larger than 64 KiB")
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
 	errTransferTooLarge = eris.New("origin: the response body takes more than 32 MiB with the framing of its chunks")
+	errMemoryLimit      = eris.New("origin: no memory left for the response body, the bodies of other responses take it")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
 	errConnectionLimit  = eris.New("origin: all connections to the server are in use")
 )
@@ -200,7 +208,7 @@
 			}
 			continue
 		}
-		body, err := readBody(k, head)
+		body, err := readBody(k, r, head)
 		if err != nil {
 			return nil, false, err
 		}
@@ -237,14 +245,58 @@
 	}
 }
 
-// readBody reads the body of a response.
-func readBody(k *conn, head *http.Response) ([]byte, error) {
-	if head.ContentLength > maxResponseBody && head.Request.Method != http.MethodHead {
+// readBody reads the body of a response into memory that it reserves in the request's account.
+func readBody(k *conn, r *Request, head *http.Response) ([]byte, error) {
+	limit := int64(maxResponseBody)
+	switch {
+	case r.Method == http.MethodHead:
+		limit = 0
+	case head.ContentLength > limit:
 		return nil, errResponseTooLarge
+	case head.ContentLength >= 0:
+		limit = head.ContentLength
 	}
 	k.limited.N = maxBodyTransfer
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBody+1))
-	return body, bodyError(k, int64(len(body)), err)
+	body, err := readAll(head.Body, r.Memory, limit)
+	if err := bodyError(k, int64(len(body)), err); err != nil {
+		r.Memory.Release(countedSize(int64(cap(body))))
+		return nil, err
+	}
+	return body, nil
+}
+
+// readAll reads a body until its end or until it has more than limit bytes. The capacity of the slice
+// that it returns, also with an error, is reserved in the account, unless it is small.
+func readAll(from io.Reader, account *bodybudget.Account, limit int64) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) <= limit {
+		if len(body) == cap(body) {
+			size := min(max(firstBodyBuffer, 2*int64(cap(body))), limit+1)
+			if !account.Reserve(countedSize(size)) {
+				return body, errMemoryLimit
+			}
+			larger := append(make([]byte, 0, size), body...)
+			account.Release(countedSize(int64(cap(body))))
+			body = larger
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
+// countedSize returns how much of a buffer is reserved.
+func countedSize(size int64) int64 {
+	if size <= maxUncountedBody {
+		return 0
+	}
+	return size
 }
 
 // skipBody reads the body of a response to another request without keeping it.
@@ -259,6 +311,8 @@
 	switch {
 	case k.limited.N <= 0:
 		return errTransferTooLarge
+	case errors.Is(err, errMemoryLimit):
+		return err
 	case err != nil:
 		return fmt.Errorf("origin: read response: %w", err)
 	case n > maxResponseBody:
--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
@@ -244,3 +246,31 @@
 		t.Fatal("the expired connection is still open")
 	}
 }
+
+// Guards against a response for which no memory is left but that is read nevertheless, and against
+// memory that stays reserved after such a response.
+func TestNoMemoryForResponse(t *testing.T) {
+	budget := bodybudget.New(1 << 20)
+	ended := make(chan error, 1)
+	_, client := startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		if n == 1 {
+			ended <- sendEndlessly(c, okHead+"\r\n", "a")
+			return
+		}
+		_, _ = io.WriteString(c, formatResponse("1", "", strings.Repeat("a", 300<<10)))
+	})
+	r := request("1")
+	r.Memory = budget.Open()
+	_, err := client.Do(t.Context(), r)
+	must.ErrorContains(t, err, "no memory left")
+	must.True(t, asFailure(t, err).Sent)
+	must.Error(t, <-ended)
+	must.Eq(t, 0, budget.Used())
+	response, err := client.Do(t.Context(), r)
+	must.NoError(t, err)
+	must.Len(t, 300<<10, response.Body)
+	must.Eq(t, int64(cap(response.Body)), budget.Used())
+	r.Memory.Close()
+	must.Eq(t, 0, budget.Used())
+}
--- a/entry/internal/origin/request.go
+++ b/entry/internal/origin/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 // Request is a request to one backend server. Its whole body is in memory, so that it can be sent
@@ -25,4 +27,7 @@
 	// Fresh requires a connection that is new or has been idle for a short time only. It is meant
 	// for requests that must not run twice, because they can't be sent again after a failure.
 	Fresh bool
+	// Memory is where the memory for a response body above 64 KiB is reserved, until the caller closes
+	// it; nil for no limit. A response for which too little is left is an error.
+	Memory *bodybudget.Account
 }
