gatewayprocess: limit response heads of the store and of orders to 64 KiB

A backend server that answered a grant or release with a head without end made the coordinator hold up to 10 MB of it for each order.

Cause: the client for the store and for orders had the default limit of net/http, 10 MB.

MaxResponseHeaderBytes is now 64 KiB, the limit for the heads of clients' requests; net/http counts interim responses with it.

TestEndlessHead failed before: "newclient_internal_test.go:38: expected error to contain substring; substring: exceeded 65536 bytes; err: ... unexpected EOF", as the client had read the whole head of 1 to 1.8 MB.

--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -64,7 +64,8 @@
 	idleTimeout = 2 * time.Minute
 	// headerTimeout limits the time until the head of a request has arrived.
 	headerTimeout = 5 * time.Second
-	// maxHeaderBytes limits the head of a request before the limit of the configuration is known.
+	// maxHeaderBytes limits the head of a request before the limit of the configuration is known, and the
+	// heads of responses to calls of the store and of backend servers.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -144,7 +145,7 @@
 func newClient(d cluster.Dialer) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: 3 * time.Second,
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 3 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
