backend: limit interim responses and the head to 1 MiB together

A backend server that sent interim (1xx) responses without end kept a request, and a processor busy, until the deadline.

Cause: the limit of 1 MiB began anew with each interim response.

It now holds for all heads of a response together, which is enough for an interim response each 250 ms for more than two hours. The request ends with the outcome unknown and the connection is closed.

TestEndlessInterimResponses failed before: "endless_test.go:33: expected non-nil error; got nil", as the client had read all 4 MiB that the server sends at most.

--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -130,16 +130,17 @@
 }
 
 // readHead reads the head of the final response and skips interim responses (1xx), whose
-// bytes show that the server is still working on the request.
+// bytes show that the server is still working on the request. All of them together have at
+// most maxHeadSize bytes, which is enough for one each 250 ms for more than two hours.
 func (x *exchange) readHead(method string) error {
 	var request *http.Request
 	if method == http.MethodHead {
 		request = headRequest
 	}
+	x.conn.headBudget = maxHeadSize
+	defer func() { x.conn.headBudget = -1 }()
 	for {
-		x.conn.headBudget = maxHeadSize
 		r, err := http.ReadResponse(x.conn.reader, request)
-		x.conn.headBudget = -1
 		if err != nil {
 			return fmt.Errorf("backend: read response: %w", err)
 		}
