backend: limit responses to grants and probes to 4 KiB

A backend server that answered a grant with a body without end filled the memory of its leaseholder until the grant's deadline; a probe read such a body for as long as it took.

Cause: the bodies were read without a limit. maxRefusalSize was meant for this and was not applied.

Both now read at most 4 KiB and close the connection. A grant that was answered with 200 then has the outcome unknown, so the server counts as holding it; a refusal by the head stays a refusal.

--- a/entry/internal/backend/grant.go
+++ b/entry/internal/backend/grant.go
@@ -9,14 +9,17 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bramleystand.org/common/fence"
 	"bramleystand.org/common/outcome"
 	"bramleystand.org/common/shard"
 )
 
-// maxRefusalSize is meant to limit what is read of the response to a refused grant. It is
-// not applied.
-const maxRefusalSize = 4 << 10
+// maxOrderResponse is the maximum size of the body of a response to a grant or a probe.
+const maxOrderResponse = 4 << 10
+
+var errOrderResponseTooLarge = eris.New("backend: response body is larger than 4 KiB")
 
 // grantRequest is the body of a grant request. Until is nanoseconds of the server's clock.
 type grantRequest struct {
@@ -87,7 +90,7 @@
 		return fmt.Errorf("backend: grant: %w", err)
 	}
 	defer r.Body.Close()
-	text, err := io.ReadAll(r.Body)
+	text, err := readOrderResponse(r.Body)
 	if r.Outcome == outcome.NotRun {
 		var refusal grantRefusal
 		_ = json.Unmarshal(text, &refusal)
@@ -101,3 +104,12 @@
 	}
 	return nil
 }
+
+// readOrderResponse reads the body of a response to a grant or a probe.
+func readOrderResponse(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxOrderResponse+1))
+	if err == nil && len(text) > maxOrderResponse {
+		return nil, unknownError(errOrderResponseTooLarge)
+	}
+	return text, err
+}
--- a/entry/internal/backend/probe.go
+++ b/entry/internal/backend/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 )
@@ -18,7 +17,7 @@
 		return fmt.Errorf("backend: probe: %w", err)
 	}
 	defer r.Body.Close()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	if _, err := readOrderResponse(r.Body); err != nil {
 		return fmt.Errorf("backend: probe: %w", err)
 	}
 	if r.Status != http.StatusOK {
