--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -24,11 +24,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
@@ -39,19 +42,36 @@
 	probeTimeout = 50 * time.Millisecond
 	// maxInlineBody is the largest body that is copied behind the head and written with it.
 	maxInlineBody = 16 << 10
+	// maxHeadBytes limits the head of a response together with the interim (1xx) responses before it.
+	// The limit for the heads of clients' requests is the same.
+	maxHeadBytes = 64 << 10
 	// maxResponseBody bounds the body of a response, which is held in memory.
 	maxResponseBody = 16 << 20
+	// firstBodyBuffer is the size of the first buffer for a body. Each further one is twice as large.
+	firstBodyBuffer = 4 << 10
+	// maxUncountedBody is the largest buffer that is not reserved in the account of a request, so that
+	// small responses pass while large ones take the whole budget.
+	maxUncountedBody = 64 << 10
+	// maxBodyTransfer limits the bytes in which a body is transferred, with the framing of its chunks. A
+	// body of maxResponseBody fits in if its chunks have 6 bytes or more.
+	maxBodyTransfer = 2 * maxResponseBody
 	// maxResponses is the number of responses that are read for one request, while those to other
 	// requests are skipped.
 	maxResponses = 3
 	// maxIdleConnections bounds the idle connections that are kept for a server.
 	maxIdleConnections = 8
+	// sweepInterval is the time between two checks of the idle connections.
+	sweepInterval = time.Second
 )
 
 var (
 	errClosed           = eris.New("origin: the client is closed")
 	errWrongRequestID   = eris.New("origin: the response does not repeat the identifier of the request")
+	errNotHTTP          = eris.New("origin: the server sent bytes that are not an HTTP response")
+	errHeadTooLarge     = eris.New("origin: the response head is larger than 64 KiB")
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
+	errTransferTooLarge = eris.New("origin: the response body takes more than 32 MiB with the framing of its chunks")
+	errMemoryLimit      = eris.New("origin: no memory left for the response body, the bodies of other responses take it")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
 	errConnectionLimit  = eris.New("origin: all connections to the server are in use")
 )
@@ -69,6 +89,9 @@
 
 	mu   sync.Mutex
 	idle []*conn
+	// sweeper calls closeUnusable; sweeping is true while it is due.
+	sweeper  *time.Timer
+	sweeping bool
 	// open is the number of open connections, idle ones and those being opened included.
 	open    int
 	maxOpen int
@@ -78,7 +101,10 @@
 // New returns a client that opens at most maxConnections connections to the address, when they are
 // needed.
 func New(address netip.AddrPort, maxConnections int, d Dialer, f HeaderFields) *Client {
-	return &Client{address: address, maxOpen: max(1, maxConnections), dialer: d, fields: f}
+	c := &Client{address: address, maxOpen: max(1, maxConnections), dialer: d, fields: f}
+	c.sweeper = time.AfterFunc(sweepInterval, c.closeUnusable)
+	c.sweeper.Stop()
+	return c
 }
 
 // SetMaxConnections changes the limit of open connections.
@@ -93,6 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	c.sweeper.Stop()
 	for _, k := range c.idle {
 		_ = k.Close()
 		c.open--
@@ -171,20 +198,20 @@
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBody+1))
-		if err != nil {
-			return nil, false, fmt.Errorf("origin: read response: %w", err)
-		}
-		if len(body) > maxResponseBody {
-			return nil, false, errResponseTooLarge
-		}
 		framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
 		if id := c.fields.ID(head.Header); id != r.ID {
 			if id == "" || !framed || head.Close {
 				return nil, false, errWrongRequestID
 			}
+			if err := skipBody(k, head); err != nil {
+				return nil, false, err
+			}
 			continue
 		}
+		body, err := readBody(k, r, head)
+		if err != nil {
+			return nil, false, err
+		}
 		return &Response{
 			Status: head.StatusCode, Header: head.Header, Body: body,
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
@@ -194,10 +221,18 @@
 	return nil, false, errWrongRequestID
 }
 
-// readHead reads the head of the final response and skips interim (1xx) responses.
+// readHead reads the head of the final response and skips interim (1xx) responses. It reads at most
+// maxHeadBytes from the server.
 func readHead(k *conn, method string) (*http.Response, error) {
+	k.limited.N = maxHeadBytes
 	for {
+		if !k.receivesHTTP() {
+			return nil, errNotHTTP
+		}
 		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		if err != nil && k.limited.N <= 0 {
+			return nil, errHeadTooLarge
+		}
 		if err != nil {
 			return nil, fmt.Errorf("origin: read response: %w", err)
 		}
@@ -210,6 +245,82 @@
 	}
 }
 
+// readBody reads the body of a response into memory that it reserves in the request's account.
+func readBody(k *conn, r *Request, head *http.Response) ([]byte, error) {
+	limit := int64(maxResponseBody)
+	switch {
+	case r.Method == http.MethodHead:
+		limit = 0
+	case head.ContentLength > limit:
+		return nil, errResponseTooLarge
+	case head.ContentLength >= 0:
+		limit = head.ContentLength
+	}
+	k.limited.N = maxBodyTransfer
+	body, err := readAll(head.Body, r.Memory, limit)
+	if err := bodyError(k, int64(len(body)), err); err != nil {
+		r.Memory.Release(countedSize(int64(cap(body))))
+		return nil, err
+	}
+	return body, nil
+}
+
+// readAll reads a body until its end or until it has more than limit bytes. The capacity of the slice
+// that it returns, also with an error, is reserved in the account, unless it is small.
+func readAll(from io.Reader, account *bodybudget.Account, limit int64) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) <= limit {
+		if len(body) == cap(body) {
+			size := min(max(firstBodyBuffer, 2*int64(cap(body))), limit+1)
+			if !account.Reserve(countedSize(size)) {
+				return body, errMemoryLimit
+			}
+			larger := append(make([]byte, 0, size), body...)
+			account.Release(countedSize(int64(cap(body))))
+			body = larger
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
+// countedSize returns how much of a buffer is reserved.
+func countedSize(size int64) int64 {
+	if size <= maxUncountedBody {
+		return 0
+	}
+	return size
+}
+
+// skipBody reads the body of a response to another request without keeping it.
+func skipBody(k *conn, head *http.Response) error {
+	k.limited.N = maxBodyTransfer
+	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxResponseBody+1))
+	return bodyError(k, n, err)
+}
+
+// bodyError returns why a body of n bytes, whose reading ended with err, is not usable, or nil.
+func bodyError(k *conn, n int64, err error) error {
+	switch {
+	case k.limited.N <= 0:
+		return errTransferTooLarge
+	case errors.Is(err, errMemoryLimit):
+		return err
+	case err != nil:
+		return fmt.Errorf("origin: read response: %w", err)
+	case n > maxResponseBody:
+		return errResponseTooLarge
+	}
+	return nil
+}
+
 // getConn returns an idle connection or opens one.
 func (c *Client) getConn(ctx context.Context, fresh bool) (*conn, error) {
 	c.mu.Lock()
@@ -254,8 +365,38 @@
 	if reusable && !c.closed && len(c.idle) < maxIdleConnections {
 		k.markIdle(time.Now(), r.Header)
 		c.idle = append(c.idle, k)
+		c.scheduleSweep()
 		return
 	}
 	c.open--
 	k.abort()
 }
+
+// scheduleSweep schedules the next check of the idle connections unless it is due already. The lock is
+// held.
+func (c *Client) scheduleSweep() {
+	if !c.sweeping {
+		c.sweeping = true
+		c.sweeper.Reset(sweepInterval)
+	}
+}
+
+// closeUnusable closes the idle connections that have expired or on which the server has sent data, so
+// that they hold no memory of the kernel and no file descriptor until the next request.
+func (c *Client) closeUnusable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweeping = false
+	now := time.Now()
+	c.idle = slices.DeleteFunc(c.idle, func(k *conn) bool {
+		if k.isReusable(now, false) {
+			return false
+		}
+		k.abort()
+		c.open--
+		return true
+	})
+	if len(c.idle) > 0 {
+		c.scheduleSweep()
+	}
+}
