ownership: order copies of a table by term and generation

After the store was restored, it lists an older table with a later revision. view.SetTable, replica.UpdateTable and the coordinator's stream compared revisions, so a process replaced its newer copy by that table, sent requests to former owners and passed the older table on to processes that started.

Cause: the revision orders the writes of the store, not the decisions of the coordinator. The table now has its generation ("gen") beside its term, and copies are ordered by both. The revision remains the condition of the next write and the identity of the base of a difference.

--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -219,7 +219,7 @@
 		}
 		objects = nil
 		for name, t := range n.view.Tables() {
-			if last := sent[name]; last != nil && last.Revision >= t.Revision {
+			if !t.NewerThan(sent[name]) {
 				continue
 			}
 			o, err := n.encoded.encodeTable(sent[name], t)
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -476,7 +476,7 @@
 	if c.generation == c.storedGeneration || len(c.ranges) == 0 {
 		return nil, 0, false
 	}
-	t := &ownership.Table{Service: c.service, Revision: c.revision, Term: c.term}
+	t := &ownership.Table{Service: c.service, Revision: c.revision, Term: c.term, Generation: c.generation}
 	for _, s := range c.ranges {
 		t.Assignments = append(t.Assignments, s.assignment())
 	}
--- a/entry/internal/ownership/codec.go
+++ b/entry/internal/ownership/codec.go
@@ -11,9 +11,10 @@
 // wireTable is a table in JSON. Ranges refer to servers by their index in a list, because each
 // server holds several ranges.
 type wireTable struct {
-	Term    uint64       `json:"term"`
-	Servers []wireServer `json:"servers"`
-	Ranges  []wireRange  `json:"ranges"`
+	Term       uint64       `json:"term"`
+	Generation uint64       `json:"gen,omitempty"`
+	Servers    []wireServer `json:"servers"`
+	Ranges     []wireRange  `json:"ranges"`
 }
 
 type wireServer struct {
@@ -31,7 +32,7 @@
 }
 
 // Encode returns the table in the format of Decode.
-func Encode(t *Table) ([]byte, error) { return encode(t.Service, t.Term, t.Assignments) }
+func Encode(t *Table) ([]byte, error) { return encode(t, t.Assignments) }
 
 // Diff returns the assignments of t that differ from an earlier table of the same service, in the
 // format of Apply.
@@ -46,11 +47,12 @@
 			changed = append(changed, a)
 		}
 	}
-	return encode(t.Service, t.Term, changed)
+	return encode(t, changed)
 }
 
-func encode(service string, term uint64, assignments []Assignment) ([]byte, error) {
-	w := wireTable{Term: term}
+// encode returns some assignments of a table.
+func encode(t *Table, assignments []Assignment) ([]byte, error) {
+	w := wireTable{Term: t.Term, Generation: t.Generation}
 	indexes := make(map[Server]int)
 	indexOf := func(s Server) int {
 		i, ok := indexes[s]
@@ -75,7 +77,7 @@
 	}
 	data, err := json.Marshal(w)
 	if err != nil {
-		return nil, fmt.Errorf("ownership: encode table of %q: %w", service, err)
+		return nil, fmt.Errorf("ownership: encode table of %q: %w", t.Service, err)
 	}
 	return data, nil
 }
@@ -139,7 +141,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return nil, fmt.Errorf("ownership: decode table of %q: %w", service, err)
 	}
-	t := &Table{Service: service, Revision: revision, Term: w.Term, Assignments: make([]Assignment, 0, len(w.Ranges))}
+	t := &Table{Service: service, Revision: revision, Term: w.Term, Generation: w.Generation, Assignments: make([]Assignment, 0, len(w.Ranges))}
 	server := func(i int) (Server, error) {
 		if i < 0 || i >= len(w.Servers) {
 			return Server{}, fmt.Errorf("ownership: decode table of %q: server index %d is not below the number of servers, %d", service, i, len(w.Servers))
--- a/entry/internal/ownership/table.go
+++ b/entry/internal/ownership/table.go
@@ -4,6 +4,9 @@
 // The coordinator writes the table to the store before it grants keys to a server, so the table
 // names every server that may hold a key at any time. Entry VMs route requests by it.
 //
+// Copies of a table are ordered by the term and the generation that the coordinator gave them, not by
+// the store's revision: a store that is restored has an older table with a later revision.
+//
 // # Usage
 //
 //	table, err := ownership.Decode(service, revision, data)
@@ -14,6 +17,7 @@
 package ownership
 
 import (
+	"cmp"
 	"sort"
 
 	"bramleystand.org/common/keyspace"
@@ -22,13 +26,25 @@
 // Table holds the assignments of all keys of a service, ordered by key. It is immutable.
 type Table struct {
 	Service string
-	// Revision is the store's revision of the table.
+	// Revision is the store's revision of the table. It serves as the condition of the next write and
+	// as the identity of the base of a difference.
 	Revision uint64
 	// Term is the term of the coordinator that wrote the table.
-	Term        uint64
+	Term uint64
+	// Generation rises with each change of the table within a term.
+	Generation  uint64
 	Assignments []Assignment
 }
 
+// NewerThan reports whether the table replaces another copy. A copy that the coordinator has written
+// twice counts as newer with the later revision.
+func (t *Table) NewerThan(other *Table) bool {
+	if other == nil {
+		return true
+	}
+	return cmp.Or(cmp.Compare(t.Term, other.Term), cmp.Compare(t.Generation, other.Generation), cmp.Compare(t.Revision, other.Revision)) > 0
+}
+
 // Find returns the assignment of a key, or nil if there is none.
 func (t *Table) Find(k keyspace.Key) *Assignment {
 	i := sort.Search(len(t.Assignments), func(i int) bool { return t.Assignments[i].Last >= k })
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -40,8 +40,6 @@
 
 	mu      sync.Mutex
 	objects map[string]map[string]platform.Object
-	// tables holds the tables whose objects have no data, because UpdateTable does not encode them.
-	tables  map[string]*ownership.Table
 	servers map[string]registry.Server
 	// sortedNames holds the names of the servers in the order in which the view keeps them. It is
 	// cached because sorting some hundred servers at each change takes longer than the rest of the
@@ -68,7 +66,6 @@
 	return &Replica{
 		view: v, logger: logger,
 		objects:      make(map[string]map[string]platform.Object),
-		tables:       make(map[string]*ownership.Table),
 		servers:      make(map[string]registry.Server),
 		missing:      make(map[string]time.Time),
 		copyVersions: make(map[string]report.CopyVersion),
@@ -86,21 +83,25 @@
 	return r.listed[kind]
 }
 
-// AllObjects returns all objects, for a process that starts while the store can't be reached.
+// AllObjects returns all objects, for a process that starts while the store can't be reached. The
+// tables are those of the view, because the store may list older ones after it was restored.
 func (r *Replica) AllObjects() []report.Object {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []report.Object
+	for _, t := range r.view.Tables() {
+		data, err := ownership.Encode(t)
+		if err != nil {
+			r.logger.WithError(err).Error("table not encoded; it is omitted from a snapshot")
+			continue
+		}
+		out = append(out, report.Object{Kind: KindTables, Name: t.Service, Revision: t.Revision, Data: data})
+	}
 	for kind, objects := range r.objects {
+		if kind == KindTables {
+			continue
+		}
 		for _, o := range objects {
-			if t := r.tables[o.Name]; kind == KindTables && o.Data == nil && t != nil {
-				data, err := ownership.Encode(t)
-				if err != nil {
-					r.logger.WithError(err).Error("table not encoded; it is omitted from a snapshot")
-					continue
-				}
-				o.Data = data
-			}
 			out = append(out, report.Object{Kind: kind, Name: o.Name, Revision: o.Revision, Data: o.Data})
 		}
 	}
@@ -125,19 +126,7 @@
 
 // UpdateTable replaces the copy of a table if the given one is newer. The table is encoded only
 // when another process asks for the objects, because that is rare while tables change often.
-func (r *Replica) UpdateTable(t *ownership.Table) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if have, ok := r.objects[KindTables][t.Service]; ok && have.Revision >= t.Revision {
-		return
-	}
-	if r.objects[KindTables] == nil {
-		r.objects[KindTables] = make(map[string]platform.Object)
-	}
-	r.objects[KindTables][t.Service] = platform.Object{Name: t.Service, Revision: t.Revision}
-	r.tables[t.Service] = t
-	r.view.SetTable(t)
-}
+func (r *Replica) UpdateTable(t *ownership.Table) { r.view.SetTable(t) }
 
 // CopyVersion returns how up to date the copy of a kind is.
 func (r *Replica) CopyVersion(kind string) report.CopyVersion {
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -75,13 +75,13 @@
 // Configuration returns the configuration in force, or nil if none is known yet.
 func (v *View) Configuration() *traffic.Configuration { return v.configuration.Load() }
 
-// SetTable replaces the table of a service if the given one has a higher revision, and reports
-// whether it has done so.
+// SetTable replaces the table of a service if the given one is newer, and reports whether it has
+// done so.
 func (v *View) SetTable(t *ownership.Table) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := *v.tables.Load()
-	if current := old[t.Service]; current != nil && current.Revision >= t.Revision {
+	if !t.NewerThan(old[t.Service]) {
 		return false
 	}
 	next := maps.Clone(old)
