election: a read of the lock does not confirm the role

Two processes could act as the only coordinator for up to 0.7 s, also on a store that was never restored. The holder's write is executed, but its response is lost, and the store stays away from it. About 1.1 s later it reads the lock, finds itself and takes its role for confirmed for another 0.8 s. Another process has seen the lock unchanged for 1.2 s by then and takes it. The former holder could give keys away meanwhile that it took for lapsed and that its successor has renewed.

The time of Confirmed is now that of the latest write alone, from which others count too. The next write is due within 0.2 s of the read.

--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -120,9 +120,6 @@
 		e.lockKnown, e.lock, e.revision, e.revisionSeen = true, l, revision, now
 	}
 	e.holding = e.holding && l.Holder == e.self && l.Term == e.term
-	if e.holding {
-		e.lastConfirmed = now
-	}
 }
 
 // ObserveMissingLock records that the store has no lock yet.
@@ -192,7 +189,8 @@
 // HeldTerm returns the term and whether the process is its coordinator.
 func (e *Election) HeldTerm() (uint64, bool) { return e.term, e.holding }
 
-// Confirmed returns when the process last knew for certain that it was the coordinator.
+// Confirmed returns when the process last knew for certain that it was the coordinator. A read of the
+// lock does not count, because another process may take the lock right after it.
 func (e *Election) Confirmed() time.Time { return e.lastConfirmed }
 
 // Holder returns the coordinator, or false if it is not known.
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -173,6 +173,22 @@
 	must.Eq(t, 2, term)
 }
 
+// Guards against two processes that act as the only holder: others count the time without a change of
+// the lock from its latest write, which a later read does not renew.
+func TestReadDoesNotConfirmRole(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &store{}
+	a := newCandidate("a", now)
+	now = simulate(now, time.Second, s, true, a)
+	confirmed := a.Confirmed()
+	now = now.Add(time.Second)
+	a.HandleConflict(now)
+	a.ObserveLock(now, s.lock, s.revision+1)
+	_, holding := a.HeldTerm()
+	must.True(t, holding)
+	must.Eq(t, confirmed, a.Confirmed())
+}
+
 // Guards against a gap of seconds when the holder resigns or its process restarts.
 func TestQuickSuccession(t *testing.T) {
 	now := time.Unix(1000, 0)
--- /dev/null
+++ b/entry/internal/election/model_test.go
@@ -0,0 +1,212 @@
+package election_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleystand.org/common/revision"
+	"bramleystand.org/common/seed"
+	"bramleystand.org/entry/internal/election"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seed.RunTests(m, "300"))
+}
+
+// exclusiveRoleTime is how long after its latest write of the lock the holder acts as the only one.
+const exclusiveRoleTime = 800 * time.Millisecond
+
+// lockStore is a store with the lock, which is missing while number is 0.
+type lockStore struct {
+	lock       election.Lock
+	number     uint64
+	era        uint64
+	lastNumber uint64
+	late       []lateWrite
+	down       bool
+	// otherWrites returns by how much the revision rises between two writes of the lock, because other
+	// objects change.
+	otherWrites func() uint64
+}
+
+// lateWrite is a write without a response that is executed later if its condition still holds.
+type lateWrite struct {
+	due       time.Time
+	lock      election.Lock
+	condition uint64
+}
+
+func newLockStore(otherWrites func() uint64) *lockStore {
+	return &lockStore{era: 1, otherWrites: otherWrites}
+}
+
+func (s *lockStore) put(l election.Lock, condition uint64) bool {
+	if condition != s.number {
+		return false
+	}
+	s.lastNumber += s.otherWrites()
+	s.lock, s.number = l, s.lastNumber
+	return true
+}
+
+func (s *lockStore) executeLate(now time.Time) {
+	var rest []lateWrite
+	for _, w := range s.late {
+		if now.Before(w.due) {
+			rest = append(rest, w)
+			continue
+		}
+		s.put(w.lock, w.condition)
+	}
+	s.late = rest
+}
+
+// electionModel is a system of processes that elect the holder of the lock.
+type electionModel struct {
+	t interface {
+		Fatalf(format string, args ...any)
+	}
+	now        time.Time
+	store      *lockStore
+	candidates []*modelCandidate
+	// takenBy holds the process that had each term, and highest is the highest of these terms.
+	takenBy map[uint64]election.Member
+	highest uint64
+	takes   int
+	// delay returns by how much the next write is delayed; its response is lost then.
+	delay func() time.Duration
+}
+
+// modelCandidate is a process that knows the store's era from the responses that it gets.
+type modelCandidate struct {
+	*election.Election
+	member         election.Member
+	era            uint64
+	cutOff, silent bool
+}
+
+func (m *electionModel) step(c *modelCandidate) {
+	action := c.NextAction(m.now)
+	unreachable := m.store.down || c.cutOff
+	if action == election.NoAction || unreachable && action == election.ReadLock {
+		return
+	}
+	s := m.store
+	if action == election.ReadLock {
+		c.era = s.era
+		if s.number == 0 {
+			c.ObserveMissingLock(m.now)
+			return
+		}
+		c.ObserveLock(m.now, s.lock, uint64(revision.New(s.era, s.number)))
+		return
+	}
+	l, r := c.ProposeLock(m.now)
+	condition := revision.Revision(r)
+	switch {
+	case condition != 0 && condition.Era() < c.era:
+		c.HandleConflict(m.now)
+	case unreachable:
+	case m.delayWrite(l, condition.Number()):
+	case !s.put(l, condition.Number()):
+		c.era = s.era
+		c.HandleConflict(m.now)
+	default:
+		c.era = s.era
+		c.HandleStored(m.now, l, uint64(revision.New(s.era, s.number)))
+	}
+}
+
+// delayWrite reports whether a write is delayed.
+func (m *electionModel) delayWrite(l election.Lock, condition uint64) bool {
+	d := m.delay()
+	if d >= 0 {
+		m.store.late = append(m.store.late, lateWrite{due: m.now.Add(d), lock: l, condition: condition})
+	}
+	return d >= 0
+}
+
+// check fails if a term was taken twice or is not the highest one, or if two processes act as the
+// only holder.
+func (m *electionModel) check() {
+	exclusive := 0
+	for _, c := range m.candidates {
+		term, holding := c.HeldTerm()
+		if !holding {
+			continue
+		}
+		if by, ok := m.takenBy[term]; !ok {
+			if term <= m.highest {
+				m.t.Fatalf("%s takes term %d after term %d", c.member.Name, term, m.highest)
+			}
+			m.takenBy[term], m.highest = c.member, term
+			m.takes++
+		} else if by != c.member {
+			m.t.Fatalf("%s takes term %d, which %s had", c.member.Name, term, by.Name)
+		}
+		if m.now.Sub(c.Confirmed()) < exclusiveRoleTime {
+			exclusive++
+		}
+	}
+	if exclusive > 1 {
+		m.t.Fatalf("%d processes act as the only holder", exclusive)
+	}
+}
+
+// Guards against a term that repeats or falls, and against two processes that act as the only holder.
+func TestExclusiveHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		store := newLockStore(func() uint64 { return rapid.Uint64Range(1, 1<<20).Draw(t, "other writes") })
+		m := &electionModel{t: t, now: start, store: store, takenBy: make(map[uint64]election.Member), delay: func() time.Duration {
+			if rapid.IntRange(0, 9).Draw(t, "late") > 0 {
+				return -1
+			}
+			return time.Duration(rapid.IntRange(0, 3000).Draw(t, "delay")) * time.Millisecond
+		}}
+		for _, name := range []string{"a", "b", "c"} {
+			member := election.Member{Name: name, Incarnation: 1}
+			jitter := time.Duration(rapid.IntRange(0, 200).Draw(t, "jitter")) * time.Millisecond
+			m.candidates = append(m.candidates, &modelCandidate{Election: election.New(member, start, jitter), member: member})
+		}
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			m.now = m.now.Add(50 * time.Millisecond)
+			c := m.candidates[rapid.IntRange(0, 2).Draw(t, "process")]
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 0:
+				c.cutOff = !c.cutOff
+			case 1:
+				c.silent = !c.silent
+			case 2:
+				m.store.down = !m.store.down
+			case 3:
+				c.member.Incarnation++
+				c.Election, c.era = election.New(c.member, m.now, 100*time.Millisecond), 0
+			}
+			m.store.executeLate(m.now)
+			for _, c := range m.candidates {
+				m.step(c)
+				m.check()
+			}
+			m.reportAlive()
+		}
+	})
+}
+
+// reportAlive passes the signs of life of the holders to the processes that hear them.
+func (m *electionModel) reportAlive() {
+	for _, c := range m.candidates {
+		term, holding := c.HeldTerm()
+		if !holding || c.silent || m.now.Sub(c.Confirmed()) > 1500*time.Millisecond {
+			continue
+		}
+		for _, other := range m.candidates {
+			if other != c && !other.silent {
+				other.RecordHolderAlive(m.now, term)
+			}
+		}
+	}
+}
