election: a restored lock gives nobody the role in its term

After a restore the store has the lock of an earlier moment, of an earlier coordinator, or none. The process named there took its role for confirmed again, and the next one took the stored term + 1, a term that a lost coordinator had already used. Both sent grants with the same fences, or lower ones: OWNER, or servers that refuse all grants of the new term.

Cause: the term was counted from the stored lock alone, and the lock did not show that the store had forgotten later ones. The lock now records the era in which it was written ("era"). A lock of an earlier era than its revision is replaced, with a term that rises by 4096 for each era. A lock that is accepted in another era than its writer knew gives no role, since its condition may have matched a revision that was assigned again.

The store can also have lost the lock of a process that still acts as the only holder, for up to 0.8 s after its latest write. So a restored lock is taken only 1.2 s after the era was first seen. The process that was the holder keeps its role without confirmation meanwhile and renews its grants; the others wait 0.4 s longer, so that the holder stays the same. The term begins anew in any case, which also writes the lock and all tables again soon after a restore. Terms stay small on a store that was never restored (era 1).

--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -287,9 +287,9 @@
 		}
 	default:
 		n.election.HandleStored(now, l, stored.Revision)
-		if !held {
-			n.logger.WithFields(log.Fields{"term": l.Term, "former": former.Name}).Info("coordinator")
-			n.executor = newExecutor(n, l.Term, now, former)
+		if term, holding := n.election.HeldTerm(); holding && (n.executor == nil || n.executor.term != term) {
+			n.logger.WithFields(log.Fields{"term": term, "former": former.Name}).Info("coordinator")
+			n.executor = newExecutor(n, term, now, former)
 		}
 	}
 }
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -10,6 +10,12 @@
 // An early takeover does no harm: servers refuse what the former holder may still send; see
 // package coordinator.
 //
+// A store that is restored from a copy begins a new era and may have lost the latest locks. The lock
+// therefore names the era in which it was written. A lock of an earlier era gives nobody the role in
+// its term: it is replaced with a term above all those that the store can have lost, once the latest
+// holder of the earlier era can no longer act as the only one. Until then, a process that was the
+// holder keeps its role without confirmation, so that it renews grants.
+//
 // # Usage
 //
 //	e := election.New(self, now, jitter)
@@ -22,7 +28,11 @@
 //	}
 package election
 
-import "time"
+import (
+	"time"
+
+	"bramleystand.org/common/revision"
+)
 
 const (
 	// heartbeatInterval is the time between two writes of the lock by its holder.
@@ -37,6 +47,15 @@
 	staleLockTimeout = 1200 * time.Millisecond
 	// writeRetryInterval is the time before a failed write is tried again.
 	writeRetryInterval = 200 * time.Millisecond
+	// restoredLockDelay is how much later than a process that was the holder others take a restored
+	// lock: the holder may notice the new era by its next write only.
+	restoredLockDelay = 2 * writeRetryInterval
+	// firstEra is the era of a store that was never restored. Revisions of a store without eras and
+	// locks without an era count as of this one.
+	firstEra = 1
+	// termsPerEra is by how much the term rises for each era since the lock was written. It is far
+	// above the number of terms that a store can lose by one restore.
+	termsPerEra = 1 << 12
 )
 
 // Election is one process's state in the election. It is not safe for concurrent use.
@@ -64,6 +83,9 @@
 	// lastRead is when the store last returned or accepted the lock.
 	lastRead time.Time
 	resigned bool
+	// era is the latest known era of the store, and eraSeen is when the lock was first read in it.
+	era     uint64
+	eraSeen time.Time
 }
 
 // New returns the state of a process that has not read the lock yet. Jitter keeps candidates from
@@ -81,7 +103,7 @@
 	switch {
 	case e.resigned:
 		return NoAction
-	case e.holding && e.lockKnown || e.mayTakeLock(now):
+	case e.mayWrite(now):
 		if now.Before(e.nextWrite) {
 			return NoAction
 		}
@@ -93,6 +115,38 @@
 	return ReadLock
 }
 
+// mayWrite reports whether the process may write the known lock: it is the holder, or may take it.
+func (e *Election) mayWrite(now time.Time) bool {
+	if e.isRestored() {
+		return e.mayReplaceRestored(now)
+	}
+	return e.holding && e.lockKnown || e.mayTakeLock(now)
+}
+
+// isRestored reports whether the known lock was written in an earlier era than that of the store, or is
+// missing although the process has the role.
+func (e *Election) isRestored() bool {
+	return e.lockKnown && (e.lock.era() < eraOf(e.revision) || e.holding && e.revision == 0)
+}
+
+// mayReplaceRestored reports whether the process may take a restored lock. The store can have lost the
+// lock of another process, which acts as the only holder for less than staleLockTimeout after its
+// latest write, and thus after the restore. Nobody can have taken the lock of a holder that has
+// written it later than that.
+func (e *Election) mayReplaceRestored(now time.Time) bool {
+	wait := staleLockTimeout
+	if e.holding {
+		return now.Sub(e.lastConfirmed) < wait || now.Sub(e.eraSeen) >= wait
+	}
+	if now.Sub(e.lastHeard) < holderTimeout || now.Sub(e.lastRead) >= readInterval+staleLockTimeout/2 {
+		return false
+	}
+	return now.Sub(e.eraSeen) >= wait+restoredLockDelay+e.jitter+e.takeoverDelay
+}
+
+// eraOf returns the era of a revision.
+func eraOf(r uint64) uint64 { return max(revision.Revision(r).Era(), firstEra) }
+
 // mayTakeLock reports whether the process may take the lock: the lock is free, the process's own,
 // or its holder counts as lost.
 func (e *Election) mayTakeLock(now time.Time) bool {
@@ -113,13 +167,18 @@
 // ObserveLock processes a lock that was read from the store.
 func (e *Election) ObserveLock(now time.Time, l Lock, revision uint64) {
 	e.lastRead = now
+	if era := eraOf(revision); era > e.era {
+		e.era, e.eraSeen = era, now
+	}
 	if !e.lockKnown || revision != e.revision {
 		if !e.lockKnown || l.Holder != e.lock.Holder {
 			e.lastHeard = now
 		}
 		e.lockKnown, e.lock, e.revision, e.revisionSeen = true, l, revision, now
 	}
-	e.holding = e.holding && l.Holder == e.self && l.Term == e.term
+	if !e.isRestored() {
+		e.holding = e.holding && l.Holder == e.self && l.Term == e.term
+	}
 }
 
 // ObserveMissingLock records that the store has no lock yet.
@@ -134,15 +193,23 @@
 func (e *Election) ProposeLock(now time.Time) (Lock, uint64) {
 	e.nextWrite = now.Add(writeRetryInterval)
 	l := e.lock
-	if e.holding {
+	if e.holding && !e.isRestored() {
 		l.Heartbeat++
 		return l, e.revision
 	}
-	return Lock{Term: l.Term + 1, Holder: e.self}, e.revision
+	era := max(e.era, firstEra)
+	lowest := l.Term + (era-min(l.era(), era))*termsPerEra
+	return Lock{Term: max(lowest, e.term) + 1, Holder: e.self, Era: era}, e.revision
 }
 
-// HandleStored records that the store has accepted a lock; sent is when it was sent.
+// HandleStored records that the store has accepted a lock; sent is when it was sent. A lock that was
+// accepted in a later era than its own must be read again: it gives no role, and its condition may have
+// matched a revision that was assigned again.
 func (e *Election) HandleStored(sent time.Time, l Lock, revision uint64) {
+	if eraOf(revision) > l.era() {
+		e.HandleConflict(sent)
+		return
+	}
 	e.lock, e.revision, e.revisionSeen, e.lockKnown = l, revision, sent, true
 	e.holding, e.term = l.Holder == e.self, l.Term
 	e.lastConfirmed, e.lastRead = sent, sent
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -219,7 +219,7 @@
 
 // Guards against a lock that can't be decoded after it was encoded.
 func TestCodec(t *testing.T) {
-	l := election.Lock{Term: 7, Heartbeat: 9, Holder: election.Member{Name: "a", Incarnation: 5, DataCentre: "x"}}
+	l := election.Lock{Term: 7, Heartbeat: 9, Era: 2, Holder: election.Member{Name: "a", Incarnation: 5, DataCentre: "x"}}
 	data, err := election.Encode(l)
 	must.NoError(t, err)
 	back, err := election.Decode(data)
--- a/entry/internal/election/lock.go
+++ b/entry/internal/election/lock.go
@@ -18,4 +18,9 @@
 	Holder Member
 	// Heartbeat rises while the holder is alive.
 	Heartbeat uint64
+	// Era is the era of the store in which the lock was written, as its writer knew it.
+	Era uint64
 }
+
+// era returns the era in which the lock was written.
+func (l Lock) era() uint64 { return max(l.Era, firstEra) }
--- a/entry/internal/election/model_test.go
+++ b/entry/internal/election/model_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
 	"bramleystand.org/common/revision"
@@ -19,12 +20,19 @@
 // exclusiveRoleTime is how long after its latest write of the lock the holder acts as the only one.
 const exclusiveRoleTime = 800 * time.Millisecond
 
-// lockStore is a store with the lock, which is missing while number is 0.
-type lockStore struct {
-	lock       election.Lock
-	number     uint64
+// lockCopy is the lock in the store or in a copy of the store; the lock is missing while number is 0.
+type lockCopy struct {
+	at     time.Time
+	lock   election.Lock
+	number uint64
+}
+
+// restorableStore is a store that may come back from an earlier copy.
+type restorableStore struct {
+	lockCopy
 	era        uint64
 	lastNumber uint64
+	copies     []lockCopy
 	late       []lateWrite
 	down       bool
 	// otherWrites returns by how much the revision rises between two writes of the lock, because other
@@ -39,38 +47,49 @@
 	condition uint64
 }
 
-func newLockStore(otherWrites func() uint64) *lockStore {
-	return &lockStore{era: 1, otherWrites: otherWrites}
+func newRestorableStore(now time.Time, otherWrites func() uint64) *restorableStore {
+	return &restorableStore{era: 1, copies: []lockCopy{{at: now}}, otherWrites: otherWrites}
 }
 
-func (s *lockStore) put(l election.Lock, condition uint64) bool {
+func (s *restorableStore) put(now time.Time, l election.Lock, condition uint64) bool {
 	if condition != s.number {
 		return false
 	}
 	s.lastNumber += s.otherWrites()
-	s.lock, s.number = l, s.lastNumber
+	s.lockCopy = lockCopy{at: now, lock: l, number: s.lastNumber}
+	s.copies = append(s.copies, s.lockCopy)
 	return true
 }
 
-func (s *lockStore) executeLate(now time.Time) {
+func (s *restorableStore) executeLate(now time.Time) {
 	var rest []lateWrite
 	for _, w := range s.late {
 		if now.Before(w.due) {
 			rest = append(rest, w)
 			continue
 		}
-		s.put(w.lock, w.condition)
+		s.put(now, w.lock, w.condition)
 	}
 	s.late = rest
 }
 
+// restore replaces the lock by that of the latest copy from before the given time.
+func (s *restorableStore) restore(before time.Time) {
+	s.era++
+	for len(s.copies) > 1 && s.copies[len(s.copies)-1].at.After(before) {
+		s.copies = s.copies[:len(s.copies)-1]
+	}
+	s.lockCopy = s.copies[len(s.copies)-1]
+	s.lastNumber = max(s.number, 1)
+}
+
 // electionModel is a system of processes that elect the holder of the lock.
 type electionModel struct {
 	t interface {
 		Fatalf(format string, args ...any)
 	}
 	now        time.Time
-	store      *lockStore
+	store      *restorableStore
 	candidates []*modelCandidate
 	// takenBy holds the process that had each term, and highest is the highest of these terms.
 	takenBy map[uint64]election.Member
@@ -111,7 +130,7 @@
 		c.HandleConflict(m.now)
 	case unreachable:
 	case m.delayWrite(l, condition.Number()):
-	case !s.put(l, condition.Number()):
+	case !s.put(m.now, l, condition.Number()):
 		c.era = s.era
 		c.HandleConflict(m.now)
 	default:
@@ -156,11 +175,12 @@
 	}
 }
 
-// Guards against a term that repeats or falls, and against two processes that act as the only holder.
+// Guards against a term that repeats or falls, and against two processes that act as the only holder,
+// after the store was restored from an earlier copy.
 func TestExclusiveHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		start := time.Unix(1000, 0)
-		store := newLockStore(func() uint64 { return rapid.Uint64Range(1, 1<<20).Draw(t, "other writes") })
+		store := newRestorableStore(start, func() uint64 { return rapid.Uint64Range(1, 1<<20).Draw(t, "other writes") })
 		m := &electionModel{t: t, now: start, store: store, takenBy: make(map[uint64]election.Member), delay: func() time.Duration {
 			if rapid.IntRange(0, 9).Draw(t, "late") > 0 {
 				return -1
@@ -183,6 +203,8 @@
 			case 2:
 				m.store.down = !m.store.down
 			case 3:
+				m.store.restore(m.now.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond))
+			case 4:
 				c.member.Incarnation++
 				c.Election, c.era = election.New(c.member, m.now, 100*time.Millisecond), 0
 			}
@@ -210,3 +232,38 @@
 		}
 	}
 }
+
+// Guards against a term that repeats, a change of the holder and a gap in the role for longer than
+// grants last after the store was restored.
+func TestHolderAfterRestore(t *testing.T) {
+	for _, age := range []time.Duration{0, 300 * time.Millisecond, 4 * time.Second, 9 * time.Second, time.Minute} {
+		now := time.Unix(1000, 0)
+		store := newRestorableStore(now, func() uint64 { return 1 })
+		m := &electionModel{t: t, now: now, store: store, takenBy: make(map[uint64]election.Member), delay: func() time.Duration { return -1 }}
+		for _, name := range []string{"a", "b"} {
+			member := election.Member{Name: name, Incarnation: 1}
+			m.candidates = append(m.candidates, &modelCandidate{Election: election.New(member, now, 0), member: member})
+		}
+		run := func(d time.Duration) {
+			for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(50 * time.Millisecond) {
+				for _, c := range m.candidates {
+					m.step(c)
+					m.check()
+				}
+				m.reportAlive()
+			}
+		}
+		run(10 * time.Second)
+		must.Eq(t, 1, m.highest)
+		store.down = true
+		run(2 * time.Second)
+		store.down = false
+		store.restore(m.now.Add(-2*time.Second - age))
+		run(2 * time.Second)
+		must.Eq(t, 2, m.takes, must.Sprint("terms taken, age ", age))
+		term, holding := m.candidates[0].HeldTerm()
+		must.True(t, holding, must.Sprint("the holder has its role, age ", age))
+		must.Eq(t, m.highest, term)
+		must.Less(t, exclusiveRoleTime, m.now.Sub(m.candidates[0].Confirmed()))
+	}
+}
