coordinator: renew an unstored move at the usual interval

While the store does not accept the table with a move, the coordinator renews the grant of the holder. Each accepted grant of a moving range made the next call due at once, which is meant for the steps of a stored move, so the coordinator sent the holder one grant after the other for as long as the store was away.

The next call is due at once only after the store has the move; MarkStored makes the first one due.

--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -321,7 +321,7 @@
 		h.keysReleased = true
 	default:
 		h.fenceAccepted, h.maybeGranted, h.confirmed = true, false, true
-		if !s.isStable() {
+		if !s.isStable() && s.generation <= c.storedGeneration {
 			// The next call of a move does not wait for the renewal interval.
 			h.nextCall = now
 		}
@@ -489,6 +489,9 @@
 	for _, s := range c.ranges {
 		if s.generation > c.storedGeneration && s.generation <= generation && !s.isStable() {
 			s.propagatedAt = now.Add(propagationDelay)
+			for _, h := range s.holders {
+				h.nextCall = now
+			}
 		}
 	}
 	c.storedGeneration, c.revision = generation, revision
--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -510,3 +510,33 @@
 	}
 	t.Fatal("the keys were not granted to the other server")
 }
+
+// Guards against grants to a holder without a pause while the store is away and does not have the move
+// of its keys.
+func TestUnstoredMoveRenewsAtInterval(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sim := &simulation{now: now, load: func(int) float64 { return 8.0 / keyspace.KeyCount }}
+	leaving, other := newServer(0, 1), newServer(1, 1)
+	table := &ownership.Table{Service: "svc", Revision: 1, Assignments: []ownership.Assignment{{
+		Range:   keyspace.Range{Last: keyspace.Last},
+		Holders: []ownership.Server{{Instance: leaving.Instance, Address: leaving.Address.String()}},
+	}}}
+	c := coordinator.New("svc", 2, table, now, now)
+	storeUp, grants := true, 0
+	for i := range 100 {
+		now = now.Add(step)
+		if i == 40 {
+			storeUp, leaving.Draining, grants = false, true, 0
+		}
+		c.SetServers(now, []registry.Server{leaving.Server, other.Server})
+		for _, o := range c.Step(now, sim, storeUp || i == 40) {
+			grants++
+			c.HandleResult(now, coordinator.Result{Number: o.Number})
+		}
+		if table, generation, ok := c.Table(); ok && storeUp {
+			c.MarkStored(now, generation, table.Revision+1)
+		}
+	}
+	// 3 s have four intervals of 0.8 s, and both servers may have keys.
+	must.Between(t, 3, grants, 8)
+}
