cluster: take over after a restore from the newest known table

A successor read its table from the store alone. After a restore that was an older one, or none: a move was undone, and the successor granted the keys to their former owner while the present one held them (OWNER).

The table records the era of its term ("era"); a copy whose revision is of a later era was brought back by a restore. A new coordinator starts from the newest table that it knows, which is mostly the copy that the former one has sent, and writes it under the store's revision.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/demand"
 	"bramleystand.org/entry/internal/election"
@@ -32,6 +33,9 @@
 	fenceOnlyHold = time.Millisecond
 	// stepDownInterval is the time between two requests to the former coordinator to step down.
 	stepDownInterval = 300 * time.Millisecond
+	// restoredTableInterval is the time between two reads of a table that a restored store may have
+	// lost.
+	restoredTableInterval = time.Second
 	// probeTimeout bounds the connection attempt that checks whether a silent server can be reached
 	// again.
 	probeTimeout = 250 * time.Millisecond
@@ -42,6 +46,11 @@
 type executor struct {
 	node *Node
 	term uint64
+	// era is the era of the store in which the term began.
+	era uint64
+	// earlierErasUntil is the time by which all grants of the coordinators of earlier eras have
+	// expired. It is zero if the store was never restored.
+	earlierErasUntil time.Time
 	// inheritedUntil is the time by which all grants of earlier coordinators have expired.
 	inheritedUntil time.Time
 	// former is the previous coordinator until it is known to have stopped.
@@ -74,7 +83,23 @@
 	if former.Name != "" {
 		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
 	}
-	return &executor{node: n, term: term, former: former, inheritedUntil: inheritedUntil, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
+	s := &executor{node: n, term: term, former: former, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
+	era, eraSeen := n.election.Era()
+	s.era = era
+	if era > revision.FirstEra {
+		s.earlierErasUntil = eraSeen.Add(coordinator.MaxOfflineRenewal + coordinator.MaxGrantLifetime())
+	}
+	s.limitInherited(inheritedUntil)
+	return s
+}
+
+// limitInherited sets the time by which all grants of earlier coordinators have expired. A restored
+// store may have lost the lock of a coordinator that nobody can ask to stop.
+func (s *executor) limitInherited(until time.Time) {
+	s.inheritedUntil = until
+	if until.Before(s.earlierErasUntil) {
+		s.inheritedUntil = s.earlierErasUntil
+	}
 }
 
 // step performs the work that is due for all services.
@@ -144,7 +169,7 @@
 		}
 		s.node.logger.WithFields(log.Fields{"former": s.former.Name, "term": s.term}).Info("former coordinator has stopped")
 		s.former = election.Member{}
-		s.inheritedUntil = time.Now().Add(coordinator.MaxGrantLifetime() + grantTimeout)
+		s.limitInherited(time.Now().Add(coordinator.MaxGrantLifetime() + grantTimeout))
 		for _, state := range s.services {
 			if state.coordinator != nil {
 				state.coordinator.LimitInheritedGrants(s.inheritedUntil)
@@ -179,11 +204,36 @@
 				return
 			}
 		}
+		table, known := s.latestTable(name, table)
+		if now := time.Now(); !known && now.Before(s.earlierErasUntil) {
+			s.node.logger.WithField("service", name).WithField("term", s.term).Warn("restored store may have lost the table; grants of earlier coordinators must expire first")
+			state.nextStoreCall = now.Add(restoredTableInterval)
+			return
+		}
 		state.coordinator = coordinator.New(name, s.term, table, time.Now(), s.inheritedUntil)
 		s.wakeNode()
 	})
 }
 
+// latestTable returns the newer one of the table in the store, which is nil if there is none, and the
+// process's copy, with the revision that the store has. The second result is false if the store may
+// have lost a later table of which the process has no copy.
+func (s *executor) latestTable(name string, stored *ownership.Table) (*ownership.Table, bool) {
+	latest := s.node.view.Table(name)
+	if latest == nil || stored != nil && stored.NewerThan(latest) {
+		latest = stored
+	}
+	if latest == nil {
+		return nil, s.era == revision.FirstEra
+	}
+	table := *latest
+	table.Revision = 0
+	if stored != nil {
+		table.Revision = stored.Revision
+	}
+	return &table, !latest.IsRestored()
+}
+
 // writeTable writes the table of a service to the store if it has changed.
 func (s *executor) writeTable(ctx context.Context, group *sync.WaitGroup, now time.Time, name string, state *serviceState) {
 	if state.writePending || now.Before(state.nextStoreCall) {
@@ -193,6 +243,7 @@
 	if !ok {
 		return
 	}
+	table.Era = s.era
 	data, err := ownership.Encode(table)
 	if err != nil {
 		s.node.logger.WithError(err).Error("table can't be encoded")
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -12,6 +12,16 @@
 //   - Before a server gives up keys, it has accepted a fence of the current term, so that it
 //     refuses grants of earlier coordinators that arrive late.
 //
+// A store that was restored from a copy may lack the latest lock and tables. Its new era begins a new
+// term (package election), and three more rules apply:
+//
+//   - A new coordinator starts from the newest table that it knows, the store's or its own copy, by
+//     term and generation.
+//   - If it knows only a table that the store has brought back, or none, it sends no orders and writes
+//     no table until all grants of coordinators of earlier eras have expired.
+//   - Grants that it inherits count as in force until then too, because a coordinator whose lock was
+//     lost can't be asked to stop.
+//
 // A coordinator that can't reach the store continues to renew the grants it has made, for up to
 // MaxOfflineRenewal, and moves no keys. The package makes no calls and reads no clock: every
 // method takes the time, and the caller executes the orders.
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -50,9 +50,6 @@
 	// restoredLockDelay is how much later than a process that was the holder others take a restored
 	// lock: the holder may notice the new era by its next write only.
 	restoredLockDelay = 2 * writeRetryInterval
-	// firstEra is the era of a store that was never restored. Revisions of a store without eras and
-	// locks without an era count as of this one.
-	firstEra = 1
 	// termsPerEra is by how much the term rises for each era since the lock was written. It is far
 	// above the number of terms that a store can lose by one restore.
 	termsPerEra = 1 << 12
@@ -145,7 +142,7 @@
 }
 
 // eraOf returns the era of a revision.
-func eraOf(r uint64) uint64 { return max(revision.Revision(r).Era(), firstEra) }
+func eraOf(r uint64) uint64 { return max(revision.Revision(r).Era(), revision.FirstEra) }
 
 // mayTakeLock reports whether the process may take the lock: the lock is free, the process's own,
 // or its holder counts as lost.
@@ -197,7 +194,7 @@
 		l.Heartbeat++
 		return l, e.revision
 	}
-	era := max(e.era, firstEra)
+	era := max(e.era, revision.FirstEra)
 	lowest := l.Term + (era-min(l.era(), era))*termsPerEra
 	return Lock{Term: max(lowest, e.term) + 1, Holder: e.self, Era: era}, e.revision
 }
@@ -260,6 +257,9 @@
 // lock does not count, because another process may take the lock right after it.
 func (e *Election) Confirmed() time.Time { return e.lastConfirmed }
 
+// Era returns the latest known era of the store and when the process first read the lock in it.
+func (e *Election) Era() (uint64, time.Time) { return max(e.era, revision.FirstEra), e.eraSeen }
+
 // Holder returns the coordinator, or false if it is not known.
 func (e *Election) Holder() (Member, bool) {
 	return e.lock.Holder, e.lockKnown && e.lock.Holder.Name != ""
--- a/entry/internal/election/lock.go
+++ b/entry/internal/election/lock.go
@@ -1,6 +1,10 @@
 package election
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"bramleystand.org/common/revision"
+)
 
 // Member is an entry process.
 type Member struct {
@@ -23,4 +27,4 @@
 }
 
 // era returns the era in which the lock was written.
-func (l Lock) era() uint64 { return max(l.Era, firstEra) }
+func (l Lock) era() uint64 { return max(l.Era, revision.FirstEra) }
--- a/entry/internal/ownership/codec.go
+++ b/entry/internal/ownership/codec.go
@@ -13,6 +13,7 @@
 type wireTable struct {
 	Term       uint64       `json:"term"`
 	Generation uint64       `json:"gen,omitempty"`
+	Era        uint64       `json:"era,omitempty"`
 	Servers    []wireServer `json:"servers"`
 	Ranges     []wireRange  `json:"ranges"`
 }
@@ -52,7 +53,7 @@
 
 // encode returns some assignments of a table.
 func encode(t *Table, assignments []Assignment) ([]byte, error) {
-	w := wireTable{Term: t.Term, Generation: t.Generation}
+	w := wireTable{Term: t.Term, Generation: t.Generation, Era: t.Era}
 	indexes := make(map[Server]int)
 	indexOf := func(s Server) int {
 		i, ok := indexes[s]
@@ -141,7 +142,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return nil, fmt.Errorf("ownership: decode table of %q: %w", service, err)
 	}
-	t := &Table{Service: service, Revision: revision, Term: w.Term, Generation: w.Generation, Assignments: make([]Assignment, 0, len(w.Ranges))}
+	t := &Table{Service: service, Revision: revision, Term: w.Term, Generation: w.Generation, Era: w.Era, Assignments: make([]Assignment, 0, len(w.Ranges))}
 	server := func(i int) (Server, error) {
 		if i < 0 || i >= len(w.Servers) {
 			return Server{}, fmt.Errorf("ownership: decode table of %q: server index %d is not below the number of servers, %d", service, i, len(w.Servers))
--- a/entry/internal/ownership/codec_test.go
+++ b/entry/internal/ownership/codec_test.go
@@ -19,7 +19,7 @@
 // drawTable returns a random table with up to ten ranges. It has few servers, so that two tables
 // often have equal assignments.
 func drawTable(t *rapid.T, revision uint64) *ownership.Table {
-	out := &ownership.Table{Service: "s", Revision: revision, Term: revision / 2, Generation: revision * 3}
+	out := &ownership.Table{Service: "s", Revision: revision, Term: revision / 2, Generation: revision * 3, Era: revision / 3}
 	first := 0
 	for first < keyspace.KeyCount {
 		last := keyspace.KeyCount - 1
--- a/entry/internal/ownership/table.go
+++ b/entry/internal/ownership/table.go
@@ -21,6 +21,7 @@
 	"sort"
 
 	"bramleystand.org/common/keyspace"
+	"bramleystand.org/common/revision"
 )
 
 // Table holds the assignments of all keys of a service, ordered by key. It is immutable.
@@ -32,17 +33,25 @@
 	// Term is the term of the coordinator that wrote the table.
 	Term uint64
 	// Generation rises with each change of the table within a term.
-	Generation  uint64
+	Generation uint64
+	// Era is the era of the store in which the coordinator had its term.
+	Era         uint64
 	Assignments []Assignment
 }
 
+// IsRestored reports whether the copy was read from the store after a restore, so that the store may
+// have lost later ones. A copy from before the restore has a revision of the table's era.
+func (t *Table) IsRestored() bool {
+	return revision.Revision(t.Revision).Era() > max(t.Era, revision.FirstEra)
+}
+
 // NewerThan reports whether the table replaces another copy. A copy that the coordinator has written
-// twice counts as newer with the later revision.
+// twice counts as newer with the later revision, unless that comes from a restore.
 func (t *Table) NewerThan(other *Table) bool {
 	if other == nil {
 		return true
 	}
-	return cmp.Or(cmp.Compare(t.Term, other.Term), cmp.Compare(t.Generation, other.Generation), cmp.Compare(t.Revision, other.Revision)) > 0
+	return cmp.Or(cmp.Compare(t.Term, other.Term), cmp.Compare(t.Generation, other.Generation), cmp.Compare(t.writtenAt(), other.writtenAt())) > 0
 }
 
 // Find returns the assignment of a key, or nil if there is none.
@@ -53,3 +62,12 @@
 	}
 	return &t.Assignments[i]
 }
+
+// writtenAt returns the revision at which the copy was written, or zero if that is not known because
+// the store was restored since.
+func (t *Table) writtenAt() uint64 {
+	if t.IsRestored() {
+		return 0
+	}
+	return t.Revision
+}
