cluster: keep the coordinator's state when its table in the store is lost

A coordinator whose table had been replaced by a late write of an earlier coordinator dropped its state and loaded that older table, although it had sent orders since: it granted keys to servers that did not hold them and forgot the holders. A table that was missing, as after a restore, was not created again; every write failed on its revision.

Loading the table again is right only until the coordinator has stored its first one. After that it keeps its state and writes the table again, at the new revision, or without one if the table is missing. If a revision shows a later era than that of the term, the coordinator reads its lock again and keeps its state until the next term begins; a write that was accepted in such an era does not count as stored, because its condition may have matched a revision that was assigned again.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -258,6 +258,10 @@
 		defer s.node.mu.Unlock()
 		state.writePending = false
 		switch {
+		case err == nil && s.isOutdated(o.Revision):
+			// The store was restored before the write, which may have replaced a later coordinator's
+			// table.
+			s.recheckRole(state)
 		case err == nil:
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
@@ -272,6 +276,18 @@
 	})
 }
 
+// isOutdated reports whether a revision is of a later era than the term.
+func (s *executor) isOutdated(r uint64) bool { return revision.Revision(r).Era() > s.era }
+
+// recheckRole makes the process read the lock again, because the store was restored since the term
+// began. The state of the coordinators is kept, so that they renew their grants until the next term
+// begins.
+func (s *executor) recheckRole(state *serviceState) {
+	now := time.Now()
+	s.node.election.HandleConflict(now)
+	state.nextStoreCall = now.Add(time.Second)
+}
+
 // resolveConflict finds out who wrote a table that has an unexpected revision. The node's lock must
 // be held.
 func (s *executor) resolveConflict(ctx context.Context, group *sync.WaitGroup, name string, state *serviceState) {
@@ -284,16 +300,25 @@
 		defer s.node.mu.Unlock()
 		state.writePending = false
 		state.nextStoreCall = time.Now().Add(50 * time.Millisecond)
+		if errors.Is(err, platform.ErrNotFound) {
+			// Only a restore removes a table.
+			state.coordinator.SetRevision(0)
+			return
+		}
 		if err != nil {
 			return
 		}
+		if s.isOutdated(o.Revision) {
+			s.recheckRole(state)
+			return
+		}
 		table, err := ownership.Decode(name, o.Revision, o.Data)
 		if err != nil || table.Term > s.term {
 			s.node.logger.WithField("service", name).Warn("another coordinator has written the table")
 			state.nextStoreCall = time.Now().Add(time.Second)
 			return
 		}
-		if table.Term < s.term {
+		if table.Term < s.term && !state.coordinator.Stored() {
 			// The earlier coordinator wrote the table after it was read here. No order was sent
 			// yet, so the table is loaded again.
 			state.coordinator = nil
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -142,6 +142,14 @@
 	s.write(kind, o)
 }
 
+// remove removes an object.
+func (s *restorableStore) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = storeCopy{at: time.Now(), objects: maps.Clone(s.now.objects), number: s.now.number + 1}
+	delete(s.now.objects, kind+"/"+name)
+}
+
 // sentGrant is a grant that a server has received.
 type sentGrant struct {
 	at   time.Time
@@ -379,3 +387,40 @@
 		})
 	}
 }
+
+// Guards against a coordinator that forgets to whom it has granted keys because a late write of an
+// earlier coordinator has replaced its table, and against one that never writes a missing table again.
+func TestTableOfCoordinatorLost(t *testing.T) {
+	for name, lose := range map[string]func(*restorableStore){
+		"replaced by a late write": func(s *restorableStore) { storeTable(t, s, moved(1, 9, revision.New(1, 40), 1)) },
+		"missing":                  func(s *restorableStore) { s.remove(replica.KindTables, shardedService) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, grants := newRestorableStore(), newRecordedGrants()
+				storeTable(t, store, moved(1, 3, revision.New(1, 2), 0))
+				store.overwrite(lockKind, platform.Object{Name: lockName, Data: []byte(`{"term":1,"beat":3,"era":1}`)})
+				n := newTestNode("n", store, grants, 1)
+				defer run(t, n)()
+				time.Sleep(3 * time.Second)
+				must.Eq(t, 2, storedTable(t, store).Term)
+				lose(store)
+				changed := time.Now()
+				// The holder leaves, so that its keys move and the table has to be written.
+				n.view.SetServers(changed, []registry.Server{
+					{Instance: backend(0).Instance, Service: shardedService, Address: backendAddress(0), Slots: 4, Draining: true},
+					{Instance: backend(2).Instance, Service: shardedService, Address: backendAddress(2), Slots: 4},
+				})
+				time.Sleep(3 * time.Second)
+				must.Eq(t, 2, storedTable(t, store).Term)
+				sent := grants.after(changed)
+				must.SliceNotEmpty(t, sent)
+				must.SliceEmpty(t, grants.hasOverlaps())
+				for _, g := range sent {
+					must.NotEq(t, backendAddress(1), g.to)
+				}
+				must.Eq(t, backendAddress(2), sent[len(sent)-1].to)
+			})
+		})
+	}
+}
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -507,6 +507,9 @@
 	c.storedGeneration, c.revision = generation, revision
 }
 
+// Stored reports whether the store has accepted a table of this coordinator.
+func (c *Coordinator) Stored() bool { return c.storedGeneration > 0 }
+
 // SetRevision sets the revision of the table in the store, which the next write replaces.
 func (c *Coordinator) SetRevision(revision uint64) { c.revision = revision }
 
