--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -12,6 +12,16 @@
 //   - Before a server gives up keys, it has accepted a fence of the current term, so that it
 //     refuses grants of earlier coordinators that arrive late.
 //
+// A store that was restored from a copy may lack the latest lock and tables. Its new era begins a new
+// term (package election), and three more rules apply:
+//
+//   - A new coordinator starts from the newest table that it knows, the store's or its own copy, by
+//     term and generation.
+//   - If it knows only a table that the store has brought back, or none, it sends no orders and writes
+//     no table until all grants of coordinators of earlier eras have expired.
+//   - Grants that it inherits count as in force until then too, because a coordinator whose lock was
+//     lost can't be asked to stop.
+//
 // A coordinator that can't reach the store continues to renew the grants it has made, for up to
 // MaxOfflineRenewal, and moves no keys. The package makes no calls and reads no clock: every
 // method takes the time, and the caller executes the orders.
@@ -321,7 +331,7 @@
 		h.keysReleased = true
 	default:
 		h.fenceAccepted, h.maybeGranted, h.confirmed = true, false, true
-		if !s.isStable() {
+		if !s.isStable() && s.generation <= c.storedGeneration {
 			// The next call of a move does not wait for the renewal interval.
 			h.nextCall = now
 		}
@@ -476,7 +486,7 @@
 	if c.generation == c.storedGeneration || len(c.ranges) == 0 {
 		return nil, 0, false
 	}
-	t := &ownership.Table{Service: c.service, Revision: c.revision, Term: c.term}
+	t := &ownership.Table{Service: c.service, Revision: c.revision, Term: c.term, Generation: c.generation}
 	for _, s := range c.ranges {
 		t.Assignments = append(t.Assignments, s.assignment())
 	}
@@ -489,11 +499,17 @@
 	for _, s := range c.ranges {
 		if s.generation > c.storedGeneration && s.generation <= generation && !s.isStable() {
 			s.propagatedAt = now.Add(propagationDelay)
+			for _, h := range s.holders {
+				h.nextCall = now
+			}
 		}
 	}
 	c.storedGeneration, c.revision = generation, revision
 }
 
+// Stored reports whether the store has accepted a table of this coordinator.
+func (c *Coordinator) Stored() bool { return c.storedGeneration > 0 }
+
 // SetRevision sets the revision of the table in the store, which the next write replaces.
 func (c *Coordinator) SetRevision(revision uint64) { c.revision = revision }
 
