replica: log changes that are dropped and configurations that are ignored

The logs of a restored store could not tell whether a follower drops the coordinator's change because of its revision or gets an older configuration under the new revision. Both are now logged, and the line of a configuration in force has its revision.

--- a/entry/internal/replica/changes.go
+++ b/entry/internal/replica/changes.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
+	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/platform"
 )
@@ -69,7 +72,14 @@
 		if !ok {
 			current = r.objects[o.Kind][o.Name].Revision
 		}
-		if o.Revision < current || o.Revision == current && !o.Deleted {
+		if o.Revision < current {
+			r.logger.WithFields(log.Fields{
+				"kind": o.Kind, "object": o.Name,
+				"revision": revision.Revision(o.Revision).String(), "current": revision.Revision(current).String(),
+			}).Info("change with an older revision not applied")
+			continue
+		}
+		if o.Revision == current && !o.Deleted {
 			continue
 		}
 		revisions[key] = o.Revision
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/view"
@@ -61,6 +62,8 @@
 	copyVersions map[string]report.CopyVersion
 	// listed holds the kinds that have been listed from the store.
 	listed map[string]bool
+	// configurationRevision is the revision of the last valid configuration that was received.
+	configurationRevision uint64
 }
 
 // New returns an empty replica that updates a view.
@@ -233,8 +236,13 @@
 			r.logger.WithError(err).Error("configuration refused; the previous one stays in force")
 			return
 		}
+		fields := log.Fields{"version": c.Version, "routes": c.RouteCount(), "revision": revision.Revision(o.Revision).String()}
+		known := o.Revision == r.configurationRevision
+		r.configurationRevision = o.Revision
 		if r.view.SetConfiguration(c) {
-			r.logger.WithField("version", c.Version).WithField("routes", c.RouteCount()).Info("configuration in force")
+			r.logger.WithFields(fields).Info("configuration in force")
+		} else if !known {
+			r.logger.WithFields(fields).Info("configuration is not newer than the one in force")
 		}
 	case kind == KindTables:
 		t, err := ownership.Decode(o.Name, o.Revision, o.Data)
