storemetrics: log when the store has been restored, and publish its era

A restore from a copy left no trace: no line and no metric told it from an outage. The header Store-Era is read from every response; the first rise that a process sees is logged, and the metric era has the highest value.

--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -11,6 +11,7 @@
 		"slots":         func(time.Time) any { return p.allocator.Counts() },
 		"retries":       func(now time.Time) any { return p.retryBudgets.Balances(now) },
 		"store":         func(time.Time) any { return p.store.Counts() },
+		"era":           func(time.Time) any { return p.store.Era() },
 		"orders":        func(time.Time) any { return p.node.Orders() },
 		"term":          func(time.Time) any { return p.node.CoordinatorTerm() },
 		"members":       func(time.Time) any { return len(p.node.Members()) },
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -119,7 +119,7 @@
 	p.self = election.Member{Name: s.Name, Incarnation: now.UnixNano(), DataCentre: s.DataCentre, Address: s.PeerAddress}
 	d := dialer.NewKeepAlive(s.ClientAddress.Addr())
 	p.replica = replica.New(p.view, logger)
-	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)))
+	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)), logger)
 	p.peerClient = report.NewClient(d)
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
