--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -12,6 +12,7 @@
 		"active":        func(time.Time) any { return p.handler.ActiveCounts() },
 		"retries":       func(now time.Time) any { return p.retryBudgets.Balances(now) },
 		"store":         func(time.Time) any { return p.store.Counts() },
+		"era":           func(time.Time) any { return p.store.Era() },
 		"orders":        func(time.Time) any { return p.node.Orders() },
 		"term":          func(time.Time) any { return p.node.CoordinatorTerm() },
 		"members":       func(time.Time) any { return len(p.node.Members()) },
