platform: order revisions by the store's era

Cause: a restored store assigns revisions again. Revisions were taken for identities and for an order over the whole life of the store, in two places that callers reach:

- The coordinator caches compressed objects by kind, name and revision.
A configuration that got the revision of an earlier one was sent with the earlier content.
The copies agreed on the revision, so nothing listed again.
- A process that had not listed the store since the restore dropped changes whose revisions were lower than its own ("change with an older revision not applied", current 1009, revision 9, in the first run of the new test).

The class is the use of a counter beyond its epoch. Revisions now have the store's era, which the store states in the header Store-Era. They are unique again and ordered, so the cache, the comparisons in replica, follow, report, view and cluster, and the difference to an earlier table are right without a change. A write or watch from a revision of an earlier era is not sent; a response that shows a restore, or that is from before one, does not count as a response to the call. Logs and the dump print revisions as era.number.

--- a/entry/internal/gateway/log.go
+++ b/entry/internal/gateway/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"bramleystand.org/common/revision"
 	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/dispatch"
 )
@@ -22,7 +23,7 @@
 		"limit": c.Deadline.Sub(c.Arrived).Milliseconds(), "configuration": configuration.Version,
 	}
 	if c.HasKey {
-		fields["key"], fields["table"] = uint64(c.Key), r.TableRevision
+		fields["key"], fields["table"] = uint64(c.Key), revision.Revision(r.TableRevision).String()
 	}
 	if n := len(r.Steps); n > 0 && r.Steps[n-1].Server != r.Server {
 		fields["chosen"] = r.Steps[n-1].Server
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -1,6 +1,7 @@
 package gatewayprocess
 
 import (
+	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/ownership"
 )
 
@@ -37,5 +38,5 @@
 		}
 		ranges = append(ranges, r)
 	}
-	return map[string]any{"revision": t.Revision, "term": t.Term, "ranges": ranges}
+	return map[string]any{"revision": revision.Revision(t.Revision).String(), "term": t.Term, "ranges": ranges}
 }
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -1,12 +1,15 @@
 package gatewayprocess_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +47,8 @@
 	history  []event
 	changed  chan struct{}
 	down     bool
+	// era is the number of restores.
+	era uint64
 	// calls is the number of calls received.
 	calls int
 }
@@ -92,6 +97,54 @@
 	s.changed = make(chan struct{})
 }
 
+// storeCopy is a copy from which a fake store can be restored.
+type storeCopy struct {
+	revision uint64
+	objects  map[string]*storedObject
+	history  int
+}
+
+func (s *fakeStore) makeCopy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{revision: s.revision, objects: maps.Clone(s.objects), history: len(s.history)}
+}
+
+// restore replaces the content by a copy, whose revision is the latest one again, and writes the latest
+// objects of the operator and the servers again.
+func (s *fakeStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latest := s.objects
+	s.era++
+	s.revision, s.objects, s.history = c.revision, maps.Clone(c.objects), slices.Clone(s.history[:c.history])
+	for key, o := range latest {
+		if o.kind == "config" || o.kind == "servers" {
+			if old := s.objects[key]; old == nil || !bytes.Equal(old.spec, o.spec) {
+				s.commit(event{storedObject: *o})
+			}
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// putAt writes an object like put, with a revision that is above the latest one: the store has assigned
+// those in between to objects of other kinds.
+func (s *fakeStore) putAt(revision uint64, kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, revision-1)
+	s.commit(event{storedObject: storedObject{kind: kind, name: name, spec: json.RawMessage(spec)}})
+}
+
+// revisionOf returns the revision of an object.
+func (s *fakeStore) revisionOf(kind, name string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind+"/"+name].rev
+}
+
 // commit applies a change and wakes the watches. The lock is held.
 func (s *fakeStore) commit(e event) {
 	s.revision++
@@ -121,6 +174,7 @@
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	switch {
 	case s.down:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -182,11 +236,16 @@
 			}
 		}
 		changed, revision, down := s.changed, s.revision, s.down
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if after > revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 {
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "storeRevision": revision})
 			return
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -34,6 +34,7 @@
 	settings gatewaysettings.Settings
 	file     string
 	logs     *recordedMessages
+	metrics  *expvar.Map
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -58,6 +59,18 @@
 	return slices.Contains(m.all, message)
 }
 
+func (m *recordedMessages) count(message string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, logged := range m.all {
+		if logged == message {
+			n++
+		}
+	}
+	return n
+}
+
 // startProcess runs a process on loopback.
 func startProcess(t *testing.T, s *fakeStore, name string, seeds ...netip.AddrPort) *testProcess {
 	return startProcessWithStore(t, s.address, name, seeds...)
@@ -65,13 +78,13 @@
 
 // startProcessWithStore runs a process that uses the store at the given address.
 func startProcessWithStore(t *testing.T, storeAddress netip.AddrPort, name string, seeds ...netip.AddrPort) *testProcess {
-	p := &testProcess{logs: &recordedMessages{}, done: make(chan error, 1), file: filepath.Join(t.TempDir(), "settings.json")}
+	p := &testProcess{logs: &recordedMessages{}, metrics: new(expvar.Map), done: make(chan error, 1), file: filepath.Join(t.TempDir(), "settings.json")}
 	p.settings = gatewaysettings.Settings{
 		Name: name, DataCentre: "x", ClientAddress: unusedAddress(t), ReadyAddress: unusedAddress(t), PeerAddress: unusedAddress(t), AdminAddress: unusedAddress(t), Store: storeAddress,
 		Seeds: seeds, Stop: 5 * time.Second, Cores: 1, MemoryLimit: 200 << 20, RetryBudget: gatewaysettings.RetryBudget{Share: 0.2, Burst: 50, Processes: 4},
 	}
 	must.NoError(t, os.WriteFile(p.file, []byte("not read at the start"), 0o600))
-	process, err := gatewayprocess.New(p.settings, p.file, time.Now(), new(expvar.Map), &log.Logger{Handler: p.logs, Level: log.InfoLevel})
+	process, err := gatewayprocess.New(p.settings, p.file, time.Now(), p.metrics, &log.Logger{Handler: p.logs, Level: log.InfoLevel})
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	p.stop = cancel
@@ -136,6 +149,15 @@
 	return dump.Configuration.Version
 }
 
+// configurationAge returns the metric of the time in ms since the store answered for the configuration.
+func (p *testProcess) configurationAge() int {
+	var age struct{ Configuration int }
+	if err := json.Unmarshal([]byte(p.metrics.Get("age").String()), &age); err != nil {
+		return 0
+	}
+	return age.Configuration
+}
+
 // eventually waits until a condition holds and fails the test at the timeout.
 func eventually(t *testing.T, timeout time.Duration, what string, f func() bool) {
 	t.Helper()
@@ -322,3 +344,99 @@
 	// The platform requires a change to be in force within 2 s.
 	eventually(t, 2*time.Second, "second gets the change", func() bool { return second.configurationVersion() == 5 })
 }
+
+// paddedConfiguration returns a configuration that is large enough to be sent compressed.
+func paddedConfiguration(version int) string {
+	routes := ""
+	for i := range 20 {
+		routes += fmt.Sprintf(`"more-%d":{"host":"h.example","pathPrefix":"/more-%d/","routeType":"idempotent","timeoutMs":2000,"sloMs":500,"priority":0,"service":"keyed","attempts":2},`, i, i)
+	}
+	return strings.Replace(fmt.Sprintf(configurationFormat, version), `"routes":{`, `"routes":{`+routes, 1)
+}
+
+// restoreTest is a deployment whose store loses the latest configurations in a restore.
+type restoreTest struct {
+	store     *fakeStore
+	processes []*testProcess
+	copied    storeCopy
+	// reused is the revision of version 4, which the restored store assigns again.
+	reused uint64
+}
+
+func newRestoreTest(t *testing.T) *restoreTest {
+	s := newFakeStore(t)
+	a := newFakeBackend(t, "a")
+	s.put("config", "main", paddedConfiguration(3))
+	s.put("servers", "a", a.registryEntry("ready"))
+	r := &restoreTest{store: s}
+	for _, name := range []string{"first", "second", "third"} {
+		p := startProcess(t, s, name)
+		r.processes = append(r.processes, p)
+		eventually(t, 10*time.Second, name+" serves", func() bool { return p.servesAllKeys("start") })
+	}
+	r.mustForwardChanges(t)
+	r.copied = s.makeCopy()
+	r.reused = r.copied.revision + 1000
+	s.putAt(r.reused, "config", "main", paddedConfiguration(4))
+	must.Eq(t, r.reused, s.revisionOf("config", "main"))
+	r.mustBeInForce(t, 4)
+	s.put("config", "main", paddedConfiguration(5))
+	r.mustBeInForce(t, 5)
+	return r
+}
+
+// mustBeInForce checks that a version is in force at all processes within the 2 s that the platform allows.
+func (r *restoreTest) mustBeInForce(t *testing.T, version int) {
+	t.Helper()
+	for _, p := range r.processes {
+		eventually(t, 2*time.Second, fmt.Sprintf("version %d is in force at %s", version, p.settings.Name), func() bool { return p.configurationVersion() == version })
+	}
+}
+
+// mustForwardChanges waits until one process watches the store and forwards the changes to the others. A
+// watch waits for 0.6 s, so a process with older copies does not watch.
+func (r *restoreTest) mustForwardChanges(t *testing.T) {
+	t.Helper()
+	eventually(t, 10*time.Second, "one process watches for all", func() bool {
+		idle := 0
+		for _, p := range r.processes {
+			if p.configurationAge() > 900 {
+				idle++
+			}
+		}
+		return idle == 2
+	})
+}
+
+// mustLogTwice waits until all processes have logged a message for both kinds of objects.
+func (r *restoreTest) mustLogTwice(t *testing.T, message string) {
+	t.Helper()
+	for _, p := range r.processes {
+		eventually(t, 5*time.Second, p.settings.Name+": "+message, func() bool { return p.logs.count(message) == 2 })
+	}
+}
+
+// Guards against a configuration that is dropped because its revision is below that of a lost one.
+func TestConfigurationWithLowerRevisionAfterRestore(t *testing.T) {
+	t.Parallel()
+	r := newRestoreTest(t)
+	r.store.restore(r.copied)
+	r.store.put("config", "main", paddedConfiguration(6))
+	must.Less(t, r.reused, r.store.revisionOf("config", "main"))
+	r.mustBeInForce(t, 6)
+}
+
+// Guards against an older configuration that is sent because its revision has been assigned again.
+func TestConfigurationWithReusedRevisionAfterRestore(t *testing.T) {
+	t.Parallel()
+	r := newRestoreTest(t)
+	r.store.setDown(true)
+	r.mustLogTwice(t, "store can't be read")
+	r.store.restore(r.copied)
+	r.store.setDown(false)
+	r.mustLogTwice(t, "store can be read again")
+	r.mustForwardChanges(t)
+	r.store.putAt(r.reused, "config", "main", paddedConfiguration(6))
+	must.Eq(t, r.reused, r.store.revisionOf("config", "main"))
+	r.mustBeInForce(t, 6)
+}
