backend: check idle connections once a second

A backend server that sent bytes on an idle connection of the product's own interface had them kept in the process's receive buffer until the next request; idle connections past their time stayed open as long.

A timer of the pool now checks its idle connections each second while there are any, and closes those that have expired, were closed or have received bytes.

TestEndlessBytesOnIdleConnection failed before: "idle_test.go:35: ... got: write tcp ...: i/o timeout", 10 s after the server had begun to send.

--- a/entry/internal/backend/pool.go
+++ b/entry/internal/backend/pool.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// sweepInterval is the time between two checks of the idle connections.
+const sweepInterval = time.Second
+
 // pool keeps connections, each of which carries one request at a time.
 //
 // A request first takes one of a fixed number of permits and only then an idle or a new
@@ -23,10 +27,16 @@
 	idle   []*conn
 	conns  map[*conn]struct{}
 	closed bool
+	// sweeper calls closeUnusable; sweeping is true while it is due.
+	sweeper  *time.Timer
+	sweeping bool
 }
 
 func newPool(dial func(context.Context) (*conn, error), limit int) *pool {
-	return &pool{dial: dial, permits: make(chan struct{}, limit), conns: make(map[*conn]struct{})}
+	p := &pool{dial: dial, permits: make(chan struct{}, limit), conns: make(map[*conn]struct{})}
+	p.sweeper = time.AfterFunc(sweepInterval, p.closeUnusable)
+	p.sweeper.Stop()
+	return p
 }
 
 // get waits for a permit and returns an idle connection or a new one.
@@ -80,6 +90,7 @@
 	if reusable && !p.singleUse && !p.closed && !c.closedAsSilent.Load() {
 		c.idle = time.Now()
 		p.idle = append(p.idle, c)
+		p.scheduleSweep()
 	} else {
 		p.closeConn(c)
 	}
@@ -87,6 +98,34 @@
 	<-p.permits
 }
 
+// scheduleSweep schedules the next check of the idle connections unless it is due already.
+// The caller must hold the lock.
+func (p *pool) scheduleSweep() {
+	if !p.sweeping {
+		p.sweeping = true
+		p.sweeper.Reset(sweepInterval)
+	}
+}
+
+// closeUnusable closes the idle connections that have expired or on which the server has sent
+// bytes, so that they hold no memory of the kernel and no file descriptor until the next request.
+func (p *pool) closeUnusable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweeping = false
+	now := time.Now()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.isReusable(now) {
+			return false
+		}
+		p.closeConn(c)
+		return true
+	})
+	if len(p.idle) > 0 {
+		p.scheduleSweep()
+	}
+}
+
 // closeConn closes a connection and removes it from the pool. The caller must hold the lock.
 func (p *pool) closeConn(c *conn) {
 	delete(p.conns, c)
@@ -131,6 +170,7 @@
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
+	p.sweeper.Stop()
 	p.mu.Unlock()
 	p.closeIdle()
 }
