router, upstream: end the waits of the product's own interface before a stop ends

Change: after 70% of the stop timeout the waits for a leaseholder end, and the requests in the queues of this process get the outcome 'not-run' with a Retry-After. Requests at a server continue. A request that waits in the queue of another entry VM is not ended; its outcome can't be known here.

TestWaitingRequestAnsweredBeforeStop failed before: 'the process has stopped before the response: context deadline exceeded'.

--- a/entry/internal/process/handover.go
+++ b/entry/internal/process/handover.go
@@ -11,6 +11,9 @@
 	// minUnhealthyTime is how long the health check fails before the listener closes, so
 	// that the load balancer notices it.
 	minUnhealthyTime = 500 * time.Millisecond
+	// maxWaitPercent is the percentage of the stop timeout for which requests may wait for a leaseholder or
+	// a slot. The rest is left for the responses of the backend servers.
+	maxWaitPercent = 70
 	// pollInterval is the time between two checks of a pollUntil condition.
 	pollInterval = 20 * time.Millisecond
 	// forwardedDrainDivisor divides the stop timeout; the quotient is the time limit for
@@ -27,6 +30,7 @@
 	defer cancel()
 	p.logger.Info("stopping")
 	p.handler.Stop()
+	time.AfterFunc(time.Until(start.Add(p.settings.Stop*maxWaitPercent/100)), p.endWaits)
 	p.directory.Announce(start, true)
 	for _, c := range p.pairRegistry.all() {
 		c.HandOverLeases(start)
@@ -47,6 +51,15 @@
 	return nil
 }
 
+// endWaits refuses the requests that still wait for a leaseholder or a slot. They would otherwise wait until
+// their own deadlines, which may lie after the end of the process.
+func (p *Process) endWaits() {
+	p.router.Stop()
+	for _, r := range p.localHandler.allRunners() {
+		r.upstream.CancelWaiting()
+	}
+}
+
 // allOthersLeaving reports whether all other entry processes are stopping too. A member
 // reported as silent counts as running, because it may still need this process's
 // acknowledgement.
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -58,6 +58,7 @@
 	platform      Platform
 	pairStore     *pairStore
 	localHandler  *localHandler
+	router        *router.Router
 	pairRegistry  *pairRegistry
 	runnerManager *runnerManager
 	suspects      *suspect.List
@@ -92,8 +93,8 @@
 	p.suspects = suspect.New(maxSuspects)
 	p.pairRegistry = newPairRegistry(p.pairDirectory, p.startPair)
 	p.runnerManager = newRunnerManager(p.pairDirectory, p.pairRegistry, p.localHandler, p.suspects, dialer.New(s.PeerAddress.Addr()), logger)
-	requestRouter := router.New(p.self, p.routes, p.localHandler, p.peers, retry.New(retry.Default))
-	p.handler = caller.New(requestRouter, p.routes, s.MaxBodyBytes, caller.NewResponseCounters(metrics), logger)
+	p.router = router.New(p.self, p.routes, p.localHandler, p.peers, retry.New(retry.Default))
+	p.handler = caller.New(p.router, p.routes, s.MaxBodyBytes, caller.NewResponseCounters(metrics), logger)
 	return p, nil
 }
 
--- a/entry/internal/router/router.go
+++ b/entry/internal/router/router.go
@@ -17,6 +17,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"bramleystand.org/common/outcome"
@@ -66,13 +67,23 @@
 	localHandler LocalHandler
 	peers        Peers
 	budgets      Budgets
+	// stopped is closed by Stop.
+	stopped chan struct{}
+	stop    func()
 }
 
 // New returns a router for the entry process self.
 func New(self control.Member, routes Routes, localHandler LocalHandler, peers Peers, budgets Budgets) *Router {
-	return &Router{self: self, routes: routes, localHandler: localHandler, peers: peers, budgets: budgets}
+	stopped := make(chan struct{})
+	return &Router{
+		self: self, routes: routes, localHandler: localHandler, peers: peers, budgets: budgets,
+		stopped: stopped, stop: sync.OnceFunc(func() { close(stopped) }),
+	}
 }
 
+// Stop ends the waits for a leaseholder; requests that were not run are refused from then on.
+func (r *Router) Stop() { r.stop() }
+
 // Route returns the response of the leaseholder, or one that says why there is none.
 func (r *Router) Route(ctx context.Context, request *exchange.Request) *exchange.Response {
 	r.budgets.Deposit(time.Now(), request.Service)
@@ -80,11 +91,11 @@
 		response, changed := r.sendOnce(ctx, request)
 		switch {
 		case response.Reroute:
-			if !waitForTable(ctx, changed) {
+			if !r.waitForTable(ctx, changed) {
 				return finalRefusal(request, response)
 			}
 		case response.Outcome == outcome.Unknown && resent < maxResends && mayResend(request, response) && ctx.Err() == nil:
-			if !r.budgets.Withdraw(time.Now(), request.Service) || !waitForTable(ctx, changed) {
+			if !r.budgets.Withdraw(time.Now(), request.Service) || !r.waitForTable(ctx, changed) {
 				return response
 			}
 			resent++
@@ -119,13 +130,16 @@
 	return request.Rank == rank.Lookup
 }
 
-// waitForTable returns true after a table change or the recheck interval, and false if the context ends first.
-func waitForTable(ctx context.Context, changed <-chan struct{}) bool {
+// waitForTable returns true after a table change or the recheck interval, and false if the context ends or the
+// process stops first.
+func (r *Router) waitForTable(ctx context.Context, changed <-chan struct{}) bool {
 	timer := time.NewTimer(recheckInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
+	case <-r.stopped:
+		return false
 	case <-changed:
 	case <-timer.C:
 	}
