--- a/entry/internal/gateway/handler_test.go
+++ b/entry/internal/gateway/handler_test.go
@@ -94,12 +94,16 @@
 	return traffic.Route{Name: "r", Host: "h.example", Prefix: "/p/", Kind: kind, Attempts: 1, Timeout: 500 * time.Millisecond, WeightedServices: services}
 }
 
-// sendRaw sends a text on a new connection and returns the responses.
+// sendRaw sends a text on a new connection and returns the responses of the next 3 s.
 func sendRaw(t *testing.T, s *httptest.Server, text string) []*http.Response {
+	return sendRawUntil(t, s, text, time.Now().Add(3*time.Second))
+}
+
+func sendRawUntil(t *testing.T, s *httptest.Server, text string, deadline time.Time) []*http.Response {
 	c, err := net.Dial("tcp", s.Listener.Addr().String())
 	must.NoError(t, err)
 	defer c.Close()
-	must.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+	must.NoError(t, c.SetDeadline(deadline))
 	_, err = io.WriteString(c, text)
 	must.NoError(t, err)
 	r := bufio.NewReader(c)
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -155,7 +155,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: yes\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 		})
 		for i := range 4 {
-			responses := sendRaw(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i)))
+			responses := sendRawUntil(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i)), time.Now().Add(time.Minute))
 			must.Len(t, 1, responses)
 			must.Eq(t, 200, responses[0].StatusCode)
 		}
