coordinator: the model restores the store from an earlier copy

TestOneOwner takes the table back to a copy of up to 9 s before, at any step. Its coordinator starts from the newest known table, or waits if it has no copy of its own; an earlier coordinator's write may match a revision that was assigned again, and coordinators whose lock was lost are not asked to stop.

--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -14,13 +14,14 @@
 	"bramleystand.org/common/fence"
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
+	"bramleystand.org/common/revision"
 	"bramleystand.org/common/seed"
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/ownership"
 )
 
 func TestMain(m *testing.M) {
-	os.Exit(seed.RunTests(m, "60"))
+	os.Exit(seed.RunTests(m, "600"))
 }
 
 const (
@@ -77,14 +78,24 @@
 	server *server
 }
 
-// process is a coordinator with the time at which its role was last confirmed.
+// process is a coordinator with the time at which its role was last confirmed. Coordinator is nil
+// until startAt.
 type process struct {
 	*coordinator.Coordinator
 	term          uint64
+	era           uint64
+	startAt       time.Time
+	hasCopy       bool
 	lastConfirmed time.Time
 	disconnected  bool
 }
 
+// storedCopy is the table in the store at some time.
+type storedCopy struct {
+	at    time.Time
+	table *ownership.Table
+}
+
 // simulation is the state of the simulated system.
 type simulation struct {
 	t          *rapid.T
@@ -96,6 +107,12 @@
 	calls      []*call
 	stored     *ownership.Table
 	term       uint64
+	// era is the era of the store, which began at eraBegan, and number is its latest revision in it.
+	era, number uint64
+	eraBegan    time.Time
+	copies      []storedCopy
+	// latest is the newest table that the processes have got from a coordinator.
+	latest *ownership.Table
 	// highestFences holds the highest fence that each server has accepted for a key, by key and
 	// server.
 	highestFences   map[keyspace.Key]map[string]fence.Fence
@@ -138,12 +155,79 @@
 		}
 		sim.former = append(sim.former, sim.current)
 	}
+	if sim.now.Sub(sim.eraBegan) < minTakeoverTime && sim.era > 1 {
+		return
+	}
 	sim.term++
-	sim.current = &process{Coordinator: coordinator.New("svc", sim.term, sim.stored, sim.now, inheritedUntil), term: sim.term, lastConfirmed: sim.now}
+	p := &process{term: sim.term, era: sim.era, lastConfirmed: sim.now, hasCopy: rapid.IntRange(0, 3).Draw(sim.t, "has copy") > 0}
+	sim.current = p
 	if rapid.Bool().Draw(sim.t, "former stops") {
-		sim.former = nil
-		sim.current.LimitInheritedGrants(sim.now.Add(coordinator.MaxGrantLifetime() + grantTimeout))
+		// A coordinator whose lock a restored store has lost is not asked to stop.
+		sim.former = slices.DeleteFunc(sim.former, func(f *process) bool { return f.era == sim.era })
+		inheritedUntil = sim.now.Add(coordinator.MaxGrantLifetime() + grantTimeout)
+	}
+	if until := sim.earlierErasUntil(); until.After(inheritedUntil) {
+		inheritedUntil = until
+	}
+	sim.loadTable(p, inheritedUntil)
+}
+
+// earlierErasUntil returns the time by which all grants of coordinators of earlier eras have expired.
+func (sim *simulation) earlierErasUntil() time.Time {
+	if sim.era == 1 {
+		return time.Time{}
+	}
+	return sim.eraBegan.Add(coordinator.MaxOfflineRenewal + coordinator.MaxGrantLifetime())
+}
+
+// loadTable creates the coordinator of a process from the newest table that it knows, or later if the
+// store may have lost a newer one.
+func (sim *simulation) loadTable(p *process, inheritedUntil time.Time) {
+	table := sim.stored
+	if p.hasCopy && sim.latest != nil && sim.latest.NewerThan(table) {
+		known := *sim.latest
+		known.Revision = sim.storedRevision()
+		p.Coordinator = coordinator.New("svc", p.term, &known, sim.now, inheritedUntil)
+		return
+	}
+	if restored := table == nil && sim.era > 1 || table != nil && table.IsRestored(); restored && sim.now.Before(sim.earlierErasUntil()) {
+		p.startAt = sim.earlierErasUntil()
+		return
+	}
+	p.Coordinator = coordinator.New("svc", p.term, table, sim.now, inheritedUntil)
+}
+
+// storedRevision returns the revision of the table in the store, or zero if there is none.
+func (sim *simulation) storedRevision() uint64 {
+	if sim.stored == nil {
+		return 0
 	}
+	return sim.stored.Revision
+}
+
+// restore replaces the table in the store by an earlier one.
+func (sim *simulation) restore(before time.Time) {
+	sim.era++
+	sim.eraBegan = sim.now
+	for len(sim.copies) > 0 && sim.copies[len(sim.copies)-1].at.After(before) {
+		sim.copies = sim.copies[:len(sim.copies)-1]
+	}
+	sim.stored = nil
+	if len(sim.copies) > 0 {
+		table := *sim.copies[len(sim.copies)-1].table
+		table.Revision = uint64(revision.New(sim.era, revision.Revision(table.Revision).Number()))
+		sim.stored = &table
+	}
+}
+
+// store writes a table to the store.
+func (sim *simulation) store(p *process, t *ownership.Table) *ownership.Table {
+	sim.number++
+	stored := *t
+	stored.Era, stored.Revision = p.era, uint64(revision.New(sim.era, sim.number))
+	sim.stored = &stored
+	sim.copies = append(sim.copies, storedCopy{at: sim.now, table: &stored})
+	return &stored
 }
 
 // run makes one process write its table and send its orders.
@@ -151,19 +235,38 @@
 	if sim.now.Sub(p.lastConfirmed) > coordinator.MaxOfflineRenewal {
 		return
 	}
+	if p.Coordinator == nil {
+		if sim.now.Before(p.startAt) || p.era < sim.era {
+			return
+		}
+		sim.loadTable(p, p.startAt)
+		if p.Coordinator == nil {
+			return
+		}
+	}
 	p.SetServers(sim.now, sim.registered)
 	if table, generation, ok := p.Table(); ok && storeUp {
 		switch {
-		case sim.stored == nil || sim.stored.Revision == table.Revision:
-			stored := *table
-			stored.Revision = table.Revision + 1
-			sim.stored = &stored
+		case p.era < sim.era:
+			// The revision of an earlier era may have been assigned again.
+			if rapid.IntRange(0, 19).Draw(sim.t, "revision matches") == 0 {
+				sim.store(p, table)
+			}
+		case sim.storedRevision() == table.Revision:
+			stored := sim.store(p, table)
 			// The response to a write may be lost.
 			if !rapid.Bool().Draw(sim.t, "response lost") {
 				p.MarkStored(sim.now, generation, stored.Revision)
+				if stored.NewerThan(sim.latest) {
+					sim.latest = stored
+				}
 			}
-		case sim.stored.Term == p.term:
-			p.SetRevision(sim.stored.Revision)
+		case sim.stored == nil || sim.stored.Term == p.term || sim.stored.Term < p.term && p.Stored():
+			p.SetRevision(sim.storedRevision())
+		case sim.stored.Term < p.term:
+			p.Coordinator = nil
+			sim.loadTable(p, sim.now.Add(coordinator.MaxOfflineRenewal+coordinator.MaxGrantLifetime()))
+			return
 		}
 	}
 	for _, o := range p.Step(sim.now, sim, sim.now.Sub(p.lastConfirmed) < confirmedPeriod) {
@@ -307,10 +410,11 @@
 }
 
 // Guards against a key with two owners, or with a fence that does not rise, after lost, late and
-// unsent calls, server restarts, changes of coordinator and outages of the store.
+// unsent calls, server restarts, changes of coordinator, outages of the store and restores from an
+// earlier copy.
 func TestOneOwner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1}
+		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1, era: 1}
 		for i := range 5 {
 			sim.servers = append(sim.servers, newServer(i, 1))
 		}
@@ -355,8 +459,13 @@
 				}
 			case 7:
 				sim.registerAll()
+			case 8:
+				sim.restore(sim.now.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond))
+			}
+			if sim.current.era < sim.era && rapid.IntRange(0, 9).Draw(t, "new term") == 0 {
+				sim.elect()
 			}
-			if storeUp && rapid.IntRange(0, 9).Draw(t, "role confirmed") > 0 {
+			if storeUp && sim.current.era == sim.era && rapid.IntRange(0, 9).Draw(t, "role confirmed") > 0 {
 				sim.current.lastConfirmed = sim.now
 			}
 			sim.deliver()
@@ -371,7 +480,7 @@
 // Guards against keys without an owner in a service in which nothing fails.
 func TestAllKeysOwned(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1}
+		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1, era: 1}
 		for i := range rapid.IntRange(1, 30).Draw(t, "servers") {
 			sim.servers = append(sim.servers, newServer(i, 1))
 		}
