replica: never take the state of a server back

After the store was restored from a copy some seconds old, requests were sent again to backend servers whose leaving had been acknowledged, and the coordinator could move keys back to them.

Cause: each entry replaced the known state of a server. A restored store lists an older entry with a later revision, so `ready` replaced `draining`, and a removed server came back until its entry expired.

The decoded server now has the sequence of its entry, which rises with each write of an incarnation. An entry with a lower one changes nothing, and draining is final for an incarnation. So a running server comes back, and one that left does not. Raw objects and CopyVersion are as before. Entries without an incarnation can't be ordered and are handled as before.

It was always 1, which a server that is registered again never writes; TestFollowerMatchesCoordinator failed with it.

--- a/common/registry/server.go
+++ b/common/registry/server.go
@@ -22,6 +22,8 @@
 	Slots int
 	// Draining is true if the server takes no new requests.
 	Draining bool
+	// Sequence rises with each write of the server's entry and starts anew with each incarnation.
+	Sequence int64
 	// WarmAt is when the server reaches full speed after its start.
 	WarmAt time.Time
 }
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -49,6 +49,10 @@
 	// missing holds the servers whose entries were missing after an outage, with the time at which
 	// they are removed.
 	missing map[string]time.Time
+	// departed holds the latest state of instances that were removed or replaced.
+	departed map[registry.Instance]departure
+	// returning holds the departed instances that have an outdated entry in the store, by ID.
+	returning map[string]returningServer
 	// lastOutage is when the store was last known to be unreachable.
 	lastOutage time.Time
 	// changes holds the latest changes of all kinds but KindTables. The position of the first one is
@@ -71,6 +75,8 @@
 		objects:      make(map[string]map[string]platform.Object),
 		servers:      make(map[string]registry.Server),
 		missing:      make(map[string]time.Time),
+		departed:     make(map[registry.Instance]departure),
+		returning:    make(map[string]returningServer),
 		copyVersions: make(map[string]report.CopyVersion),
 		listed:       make(map[string]bool),
 	}
@@ -146,7 +152,8 @@
 	return m
 }
 
-// RemoveMissingServers removes the servers whose entries have not reappeared in time after an outage.
+// RemoveMissingServers removes the servers whose entries have not reappeared in time after an outage,
+// and ends the waits for departed servers whose entries have stayed in the store.
 func (r *Replica) RemoveMissingServers(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -154,10 +161,14 @@
 	for name, removeAt := range r.missing {
 		if !now.Before(removeAt) {
 			delete(r.missing, name)
-			delete(r.servers, name)
+			r.removeServer(now, name, false)
 			changed = true
 		}
 	}
+	if r.admitReturning(now) {
+		changed = true
+	}
+	r.forgetDepartures(now)
 	if changed {
 		r.publishServers(now)
 	}
@@ -248,14 +259,26 @@
 	s, err := platform.DecodeServer(now, o)
 	if err != nil {
 		r.logger.WithError(err).Warn("server entry refused; the server is removed")
-		delete(r.servers, o.Name)
+		delete(r.returning, o.Name)
+		r.removeServer(now, o.Name, false)
 		return
 	}
+	if d, ok := r.departed[s.Instance]; ok {
+		if d.outdates(s) {
+			r.holdBack(now, s)
+			return
+		}
+		delete(r.departed, s.Instance)
+		s = latest(d.server, s)
+	}
+	delete(r.returning, o.Name)
 	delete(r.missing, o.Name)
-	if old, ok := r.servers[o.Name]; ok && old.Instance == s.Instance {
-		// The entry states the remaining warm-up time as of its last change, so the first value is
-		// kept.
-		s.WarmAt = old.WarmAt
+	old, ok := r.servers[o.Name]
+	switch {
+	case ok && old.Instance == s.Instance:
+		s = latest(old, s)
+	case ok:
+		r.removeServer(now, o.Name, true)
 	}
 	r.servers[o.Name] = s
 }
@@ -266,6 +289,7 @@
 	if kind != platform.KindServers {
 		return
 	}
+	delete(r.returning, name)
 	if _, ok := r.servers[name]; !ok {
 		return
 	}
@@ -273,7 +297,7 @@
 		r.missing[name] = r.lastOutage.Add(outageGrace)
 		return
 	}
-	delete(r.servers, name)
+	r.removeServer(now, name, true)
 }
 
 // publishServers passes the list of servers to the view. The lock is held.
--- a/entry/internal/replica/replica_test.go
+++ b/entry/internal/replica/replica_test.go
@@ -21,10 +21,10 @@
 	return v, replica.New(v, &log.Logger{Handler: discard.New()})
 }
 
-// serverEntry returns the entry of a server in the store.
+// serverEntry returns the entry of a server in the store. Its sequence rises with the revision.
 func serverEntry(name string, revision uint64, state string) platform.Object {
 	return platform.Object{Name: name, Revision: revision, Data: fmt.Appendf(nil,
-		`{"service":"svc","address":"10.0.0.1:80","zone":"z","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":1,"born":5}`, state)}
+		`{"service":"svc","address":"10.0.0.1:80","zone":"z","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":%d,"born":5}`, state, revision)}
 }
 
 func serverIDs(v *view.View) []string {
