--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -276,7 +276,11 @@
 	old, ok := r.servers[o.Name]
 	switch {
 	case ok && old.Instance == s.Instance:
-		s = latest(old, s)
+		next := latest(old, s)
+		if next.Draining != s.Draining {
+			r.logger.WithFields(log.Fields{"server": s.ID, "incarnation": s.Incarnation, "sequence": s.Sequence, "known": old.Sequence}).Info("server stays draining; an outdated entry is ignored")
+		}
+		s = next
 	case ok:
 		r.removeServer(now, o.Name, true)
 	}
