dispatch: send nothing to a server after the last start of a shutdown

Requests that arrived after the last start, for example those whose body ended late, were still sent to a server and cut by the SIGKILL.

Cause: context.AfterFunc starts its function in a new goroutine when the context has already ended. A call that does not wait read its own context before that goroutine had run, and the limiter grants a free slot without blocking.

Before: dispatcher_test.go:483: TestShutdownSendsNothingAfterLastStart: expected 503, got 200.

The clock is now compared with the last start before each selection of a server and directly before sending, in the goroutine of the call. This also holds if the timer of the shutdown fires late.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -144,8 +144,8 @@
 // waits for owners and slots end with waitCtx.
 func (d *Dispatcher) tryServers(ctx, waitCtx context.Context, p *progress) *Result {
 	for {
-		if waitCtx.Err() != nil {
-			return d.contextDone(waitCtx, p)
+		if refusal := d.startRefused(waitCtx, p); refusal != nil {
+			return refusal
 		}
 		p.call.SetPhase(AwaitsOwner, "")
 		b, refusal := d.selectBackend(waitCtx, p)
@@ -193,9 +193,9 @@
 		slot.Release(0)
 		return refusedResult(NoOwner, time.Now().Add(refusalRetryDelay), nil), true
 	}
-	if waitCtx.Err() != nil {
+	if refusal := d.startRefused(waitCtx, p); refusal != nil {
 		slot.Release(0)
-		return d.contextDone(waitCtx, p), false
+		return refusal, false
 	}
 	begin := time.Now()
 	b.requestStarted()
@@ -249,7 +249,7 @@
 // that a shutdown has prevented from being sent to a server.
 func (d *Dispatcher) contextDone(ctx context.Context, p *progress) *Result {
 	if isShutdown(ctx) {
-		return p.finalResult(refusedResult(Stopping, time.Now().Add(refusalRetryDelay), errShutdown))
+		return p.finalResult(stoppingResult())
 	}
 	reason := DeadlineExceeded
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -473,6 +473,19 @@
 	}
 }
 
+// Guards against requests that are sent to a server after the last start because they don't have to wait.
+func TestShutdownSendsNothingAfterLastStart(t *testing.T) {
+	a := newServer(t, "a", handleOK)
+	f := newFixture(t, false, unlimited{}, ampleBudget, a)
+	f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), End: time.Now().Add(time.Second)})
+	for range 50 {
+		r := f.call(traffic.Upload)
+		must.Eq(t, http.StatusServiceUnavailable, r.Status)
+		must.Eq(t, dispatch.Stopping, r.Reason)
+	}
+	must.Eq(t, 0, a.requests())
+}
+
 // Guards against a wait for a slot so long that the response would come after the end of the process.
 func TestShutdownBoundsSlotRequests(t *testing.T) {
 	a := newServer(t, "a", handleOK)
--- a/entry/internal/dispatch/shutdown.go
+++ b/entry/internal/dispatch/shutdown.go
@@ -35,6 +35,23 @@
 	}
 }
 
+// startRefused returns the result of a call that must not be sent to a server any more, or nil. It reads
+// the clock, because the waits end in a goroutine that may run later than a call which has not waited.
+func (d *Dispatcher) startRefused(waitCtx context.Context, p *progress) *Result {
+	if waitCtx.Err() != nil {
+		return d.contextDone(waitCtx, p)
+	}
+	if s := d.shutdown.Load(); s != nil && !time.Now().Before(s.LastStart) {
+		return p.finalResult(stoppingResult())
+	}
+	return nil
+}
+
+// stoppingResult returns the result of a call that a shutdown has prevented from being sent to a server.
+func stoppingResult() *Result {
+	return refusedResult(Stopping, time.Now().Add(refusalRetryDelay), errShutdown)
+}
+
 // slotRequest returns the request of a call for a slot. A response after the end of a shutdown has no
 // value.
 func (d *Dispatcher) slotRequest(c *Call, b *backend) SlotRequest {
