dispatch: keep a server's own 503 when no further attempt is made

Clients were told that an idempotent request had not been run, with 503 and for example `stopping` or `no server`, although a server had run it and had answered 503 itself.

Cause: the refusal of a later attempt replaced any earlier result with the status 503, also a response of a server.

Before: dispatcher_test.go:498: TestNoRefusalAfterServerAnswered503: expected reason `answered`, got `no server`.

An earlier result with a response is now kept.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -171,10 +171,11 @@
 }
 
 // finalResult returns the result of a call whose last attempt ended with r. If an earlier attempt
-// may have run the request, that result stays, because a later refusal doesn't undo the run.
+// may have run the request, that result stays, because a later refusal doesn't undo the run. A
+// server that has answered has run the request, whatever the status is.
 func (p *progress) finalResult(r *Result) *Result {
-	if p.fallback != nil && p.fallback.Status != http.StatusServiceUnavailable {
-		return p.fallback
+	if f := p.fallback; f != nil && (f.Response != nil || f.Status != http.StatusServiceUnavailable) {
+		return f
 	}
 	return r
 }
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -486,6 +486,19 @@
 	must.Eq(t, 0, a.requests())
 }
 
+// Guards against a refusal, which promises that the request was not run, after a server has run it and
+// answered 503 itself.
+func TestNoRefusalAfterServerAnswered503(t *testing.T) {
+	a := newServer(t, "a", func(_ int, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Proof", "s")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	r := newFixture(t, false, unlimited{}, ampleBudget, a).call(traffic.Idempotent)
+	must.Eq(t, 1, a.requests())
+	must.Eq(t, dispatch.Answered, r.Reason)
+	must.NotNil(t, r.Response)
+}
+
 // Guards against a wait for a slot so long that the response would come after the end of the process.
 func TestShutdownBoundsSlotRequests(t *testing.T) {
 	a := newServer(t, "a", handleOK)
