gatewayprocess: answer requests at silent servers before a stop ends

When a process stopped while a server had queued or lost a request, its client got no answer: the connection was cut by the SIGKILL.

Cause: a stop had no end of its own. The drain takes 2.6 s or more, and only then the stop timeout of kratos began, with the full stop timeout, so that it always ended after the SIGKILL. Nothing gave the requests at servers up, and those that must not run twice don't end with their client either.

Before: dispatcher_test.go:491: TestShutdownGivesUpRequests: expected reason `given up`, got `late`. process_test.go:327: TestSilentServerAnsweredBeforeStop: no answer before the stop timeout.

150 ms before the end of the stop timeout, inside its last sixth for every allowed timeout, the requests at servers now end with 504 (`given up`), since they may have run, and their connections to servers are reset. Attempts to resign end when requests are given up.

TestShutdownKeepsRunningRequests sets the new point in time, with the same checks.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -95,14 +95,18 @@
 	// waits ends at the last start of a shutdown.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
+	// requests ends when a shutdown gives up the requests at servers.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns a dispatcher for a process in the given data centre.
 func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker) *Dispatcher {
 	waits, endWaits := context.WithCancelCause(context.Background())
+	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
 		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c,
-		waits: waits, endWaits: endWaits,
+		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
 	}
 }
 
@@ -202,13 +206,9 @@
 	b.requestStarted()
 	p.server = b.server.ID
 	c.SetPhase(AwaitsResponse, b.server.ID)
-	if !c.Route.Kind.Retryable() {
-		// A request that must not run twice is not aborted when its client disconnects.
-		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
-		defer cancel()
-		ctx = detached
-	}
-	response, err := b.client.Do(ctx, &origin.Request{
+	requestCtx, cancel := d.withRequest(ctx, c)
+	defer cancel()
+	response, err := b.client.Do(requestCtx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
 		ID: c.ID, Server: b.server.ID, Deadline: c.Deadline.Add(-responseMargin), Fresh: !c.Route.Kind.Retryable(),
 		Memory: c.Memory,
@@ -227,7 +227,7 @@
 	}
 	d.observer.AttemptEnded(Observation{Call: c, Server: b.server, Service: serviceTime, Ran: ran})
 	if err != nil {
-		return d.handleFailure(ctx, p, b, failure)
+		return d.handleFailure(requestCtx, p, b, failure)
 	}
 	return d.handleResponse(waitCtx, p, b, response)
 }
@@ -247,14 +247,17 @@
 }
 
 // contextDone returns the result of a call whose deadline has passed, whose client has disconnected or
-// that a shutdown has prevented from being sent to a server.
+// that a shutdown has prevented from being sent to a server or has given up.
 func (d *Dispatcher) contextDone(ctx context.Context, p *progress) *Result {
-	if isShutdown(ctx) {
+	if isShutdown(ctx) || isGivenUp(ctx) && p.attempts == 0 {
 		return p.finalResult(stoppingResult())
 	}
-	reason := DeadlineExceeded
-	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		reason = ClientDisconnected
+	reason := ClientDisconnected
+	switch {
+	case isGivenUp(ctx):
+		reason = GivenUp
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		reason = DeadlineExceeded
 	}
 	if p.attempts == 0 {
 		return p.finalResult(refusedResult(reason, time.Time{}, context.Cause(ctx)))
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -460,7 +460,7 @@
 	for _, kind := range []traffic.Kind{traffic.Idempotent, traffic.NonIdempotent, traffic.Upload} {
 		var f *fixture
 		a := newServer(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
-			f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), End: time.Now()})
+			f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), GiveUp: time.Now().Add(time.Minute), End: time.Now()})
 			// A dispatcher that aborts the request closes the connection within this time.
 			select {
 			case <-r.Context().Done():
@@ -473,6 +473,27 @@
 	}
 }
 
+// Guards against a request that ends without an answer because its server is silent until the process
+// ends, and against a refusal of a request that may have run.
+func TestShutdownGivesUpRequests(t *testing.T) {
+	for _, kind := range []traffic.Kind{traffic.Idempotent, traffic.NonIdempotent, traffic.Upload} {
+		var f *fixture
+		reset := make(chan struct{})
+		a := newServer(t, "a", func(_ int, _ http.ResponseWriter, r *http.Request) {
+			now := time.Now()
+			f.dispatcher.Stop(dispatch.Shutdown{LastStart: now, GiveUp: now.Add(50 * time.Millisecond), End: now.Add(time.Minute)})
+			<-r.Context().Done()
+			close(reset)
+		})
+		f = newFixture(t, false, unlimited{}, ampleBudget, a)
+		r := f.call(kind)
+		must.Eq(t, http.StatusGatewayTimeout, r.Status)
+		must.Eq(t, dispatch.GivenUp, r.Reason)
+		must.Eq(t, 1, a.requests())
+		<-reset
+	}
+}
+
 // Guards against requests that are sent to a server after the last start because they don't have to wait.
 func TestShutdownSendsNothingAfterLastStart(t *testing.T) {
 	a := newServer(t, "a", handleOK)
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -27,4 +27,6 @@
 	CrashesServers Reason = "crashes servers"
 	// Stopping means that the process stops before the request could be sent to a server.
 	Stopping Reason = "stopping"
+	// GivenUp means that the process ends before the server has answered.
+	GivenUp Reason = "given up"
 )
--- a/entry/internal/dispatch/shutdown.go
+++ b/entry/internal/dispatch/shutdown.go
@@ -8,20 +8,28 @@
 	"github.com/rotisserie/eris"
 )
 
-var errShutdown = eris.New("dispatch: the process stops before the request could be served")
+var (
+	errShutdown = eris.New("dispatch: the process stops before the request could be served")
+	errGivenUp  = eris.New("dispatch: the process ends before the server has answered")
+)
 
 // Shutdown holds the times until which a process that stops works on calls.
 type Shutdown struct {
-	// LastStart is until when requests are sent to servers, and End is when the process ends.
+	// LastStart is until when requests are sent to servers.
 	LastStart time.Time
-	End       time.Time
+	// GiveUp is until when the process waits for the responses of servers.
+	GiveUp time.Time
+	// End is when the process ends.
+	End time.Time
 }
 
 // Stop ends the waits of all calls for owners and slots at the last start; calls that have not been
-// sent to a server by then are refused. Requests at a server are not affected.
+// sent to a server by then are refused. Requests at a server go on until they are given up: their
+// connections are reset, and because they may have run, they end with 504.
 func (d *Dispatcher) Stop(s Shutdown) {
 	d.shutdown.Store(&s)
 	time.AfterFunc(time.Until(s.LastStart), func() { d.endWaits(errShutdown) })
+	time.AfterFunc(time.Until(s.GiveUp), func() { d.endRequests(errGivenUp) })
 }
 
 // withWaits returns a context for the waits of a call: it ends with the context of the call or at the
@@ -35,6 +43,23 @@
 	}
 }
 
+// withRequest returns a context for a request to a server. It ends when a shutdown gives the request up,
+// at the deadline of the call or with ctx. A request that must not run twice is not aborted when its
+// client disconnects.
+func (d *Dispatcher) withRequest(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
+	if !c.Route.Kind.Retryable() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	bounded, cancelDeadline := context.WithDeadline(ctx, c.Deadline)
+	requestCtx, cancel := context.WithCancelCause(bounded)
+	stop := context.AfterFunc(d.requests, func() { cancel(errGivenUp) })
+	return requestCtx, func() {
+		stop()
+		cancel(context.Canceled)
+		cancelDeadline()
+	}
+}
+
 // startRefused returns the result of a call that must not be sent to a server any more, or nil. It reads
 // the clock, because the waits end in a goroutine that may run later than a call which has not waited.
 func (d *Dispatcher) startRefused(waitCtx context.Context, p *progress) *Result {
@@ -73,3 +98,8 @@
 func isShutdown(waitCtx context.Context) bool {
 	return errors.Is(context.Cause(waitCtx), errShutdown)
 }
+
+// isGivenUp reports whether a context for a request to a server has ended because of a shutdown.
+func isGivenUp(requestCtx context.Context) bool {
+	return errors.Is(context.Cause(requestCtx), errGivenUp)
+}
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -57,6 +57,13 @@
 	// coordinator continues to run and requests are still sent to servers. The rest is left for their
 	// responses.
 	maxDrainPercent = 70
+	// giveUpMargin is the time before the end of the stop timeout at which requests at servers are given
+	// up, so that their clients get an answer. Servers may take until the last sixth of the timeout,
+	// which is at least 166 ms long.
+	giveUpMargin = 150 * time.Millisecond
+	// closeMargin is the time before the end of the stop timeout at which the remaining connections are
+	// closed, so that the process ends by itself.
+	closeMargin = 60 * time.Millisecond
 	// resignInterval is the time between two attempts to resign as coordinator.
 	resignInterval = 100 * time.Millisecond
 	// idleTimeout is how long a client's connection is kept open without a request. Clients may use
@@ -102,6 +109,8 @@
 	// hangups receives SIGHUP from the start; the signal would otherwise terminate the process.
 	hangups  chan os.Signal
 	stopping atomic.Bool
+	// serversEnd is when the servers of a stopping process close their remaining connections; nil before.
+	serversEnd atomic.Pointer[time.Time]
 	// lastReady is the last response to a readiness check of the balancer.
 	lastReady   atomic.Bool
 	loopContext context.Context
@@ -181,9 +190,9 @@
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(p.settings.Stop),
 		kratos.Server(
-			newServer(p.clients, p.handler.Filter),
-			newServer(p.ready, func(http.Handler) http.Handler { return http.HandlerFunc(p.serveReady) }),
-			newServer(p.admin, admin.Filter),
+			p.newServer(p.clients, p.handler.Filter),
+			p.newServer(p.ready, func(http.Handler) http.Handler { return http.HandlerFunc(p.serveReady) }),
+			p.newServer(p.admin, admin.Filter),
 		),
 		kratos.BeforeStop(p.drain),
 	)
@@ -200,13 +209,13 @@
 // newServer returns a kratos HTTP server. The endpoint is set, because kratos would otherwise derive
 // it from the network interfaces, which are not visible on the platform. The timeout of kratos is
 // disabled because it would cut off requests; each request has its own deadline.
-func newServer(l net.Listener, filter khttp.FilterFunc) *khttp.Server {
+func (p *Process) newServer(l net.Listener, filter khttp.FilterFunc) *boundedServer {
 	s := khttp.NewServer(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}),
 		khttp.Timeout(0), khttp.Filter(filter), khttp.NotFoundHandler(http.NotFoundHandler()))
 	s.ReadHeaderTimeout = headerTimeout
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = maxHeaderBytes
-	return s
+	return &boundedServer{Server: s, end: &p.serversEnd}
 }
 
 // serveReady handles the readiness checks of the balancer.
@@ -295,17 +304,21 @@
 	begin := time.Now()
 	p.logger.Info("stopping")
 	p.stopping.Store(true)
+	deadline, end := begin.Add(p.settings.Stop*maxDrainPercent/100), begin.Add(p.settings.Stop)
+	giveUp, serversEnd := end.Add(-giveUpMargin), end.Add(-closeMargin)
+	p.serversEnd.Store(&serversEnd)
 	p.handler.Stop()
-	deadline := begin.Add(p.settings.Stop * maxDrainPercent / 100)
-	p.dispatcher.Stop(dispatch.Shutdown{LastStart: deadline, End: begin.Add(p.settings.Stop)})
-	resigned := p.node.Resign(ctx)
+	p.dispatcher.Stop(dispatch.Shutdown{LastStart: deadline, GiveUp: giveUp, End: end})
+	bounded, cancel := context.WithDeadline(ctx, giveUp)
+	defer cancel()
+	resigned := p.node.Resign(bounded)
 	for now := begin; now.Before(deadline) && (!resigned || now.Sub(begin) < minDrainTime); now = time.Now() {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(resignInterval):
 		}
-		resigned = resigned || p.node.Resign(ctx)
+		resigned = resigned || p.node.Resign(bounded)
 	}
 	p.logger.WithField("ms", time.Since(begin).Milliseconds()).WithField("resigned", resigned).Info("listeners close")
 	p.runInBackground(p.logActiveRequests)
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -78,10 +78,15 @@
 
 // startProcessWithStore runs a process that uses the store at the given address.
 func startProcessWithStore(t *testing.T, storeAddress netip.AddrPort, name string, seeds ...netip.AddrPort) *testProcess {
+	return startProcessWithStop(t, 5*time.Second, storeAddress, name, seeds...)
+}
+
+// startProcessWithStop is startProcessWithStore with the stop timeout.
+func startProcessWithStop(t *testing.T, stop time.Duration, storeAddress netip.AddrPort, name string, seeds ...netip.AddrPort) *testProcess {
 	p := &testProcess{logs: &recordedMessages{}, metrics: new(expvar.Map), done: make(chan error, 1), file: filepath.Join(t.TempDir(), "settings.json")}
 	p.settings = gatewaysettings.Settings{
 		Name: name, DataCentre: "x", ClientAddress: unusedAddress(t), ReadyAddress: unusedAddress(t), PeerAddress: unusedAddress(t), AdminAddress: unusedAddress(t), Store: storeAddress,
-		Seeds: seeds, Stop: 5 * time.Second, Cores: 1, MemoryLimit: 200 << 20, RetryBudget: gatewaysettings.RetryBudget{Share: 0.2, Burst: 50, Processes: 4},
+		Seeds: seeds, Stop: stop, Cores: 1, MemoryLimit: 200 << 20, RetryBudget: gatewaysettings.RetryBudget{Share: 0.2, Burst: 50, Processes: 4},
 	}
 	must.NoError(t, os.WriteFile(p.file, []byte("not read at the start"), 0o600))
 	process, err := gatewayprocess.New(p.settings, p.file, time.Now(), p.metrics, &log.Logger{Handler: p.logs, Level: log.InfoLevel})
@@ -291,6 +296,43 @@
 	}
 }
 
+// Guards against requests that end without an answer because their server is silent until the process is
+// killed at the stop timeout.
+func TestSilentServerAnsweredBeforeStop(t *testing.T) {
+	t.Parallel()
+	s := newFakeStore(t)
+	a := newFakeBackend(t, "a")
+	defer close(a.finishSlow)
+	s.put("config", "main", strings.NewReplacer(`"timeoutMs":2000`, `"timeoutMs":60000`).Replace(fmt.Sprintf(configurationFormat, 3)))
+	s.put("servers", "a", a.registryEntry("ready"))
+	const stop = 2 * time.Second
+	p := startProcessWithStop(t, stop, s.address, "first")
+	eventually(t, 10*time.Second, "the process serves", func() bool { return p.servesAllKeys("start") })
+	statuses := make(chan int, 2)
+	for _, path := range []string{"/get/x", "/final/x"} {
+		go func() {
+			status, _ := p.sendWithin(time.Minute, path, "slow-"+path, 1)
+			statuses <- status
+		}()
+	}
+	eventually(t, 5*time.Second, "the server has both requests", func() bool { return a.slow.Load() == 2 })
+	stopped := time.Now()
+	p.stop()
+	for range 2 {
+		select {
+		case status := <-statuses:
+			must.Eq(t, http.StatusGatewayTimeout, status)
+			must.GreaterEq(t, stop*5/6, time.Since(stopped))
+		case <-time.After(stop - time.Since(stopped)):
+			t.Fatal("no answer before the stop timeout")
+		}
+	}
+	err := <-p.done
+	must.Less(t, stop, time.Since(stopped))
+	must.NoError(t, err)
+	p.done <- nil
+}
+
 // Guards against a process that terminates on SIGHUP or applies a settings file with errors, and
 // against a changed file that is not read without a signal.
 func TestSettingsReload(t *testing.T) {
