gateway: refuse bodies that still arrive when a stop ends

Clients whose body still arrived when a process ended had their connection cut without an answer.

Cause: the read of a body ended only with the deadline of its request, which may be after the end of the process.

Stop now takes the time until which bodies may arrive and moves the read deadlines of all bodies to it, also of those that are being read. They end with 408, which is true: such a request has not been sent to a server.

--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -63,6 +63,7 @@
 	counters      *Counters
 	logger        log.Interface
 	active        *activeCalls
+	bodyReads     *bodyReads
 	stopping      atomic.Bool
 	bufferedBytes atomic.Int64
 	// responseMemory is the budget for the bodies of responses.
@@ -71,11 +72,17 @@
 
 // New returns a handler that answers 503 until the view has a configuration.
 func New(v *view.View, d Dispatcher, f HeaderFields, loadRecorder LoadRecorder, c *Counters, logger log.Interface) *Handler {
-	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, active: newActiveCalls(), responseMemory: bodybudget.New(maxResponseBytes)}
+	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, active: newActiveCalls(), bodyReads: newBodyReads(), responseMemory: bodybudget.New(maxResponseBytes)}
 }
 
-// Stop makes every response close its connection, so that clients connect to another process.
-func (h *Handler) Stop() { h.stopping.Store(true) }
+// Stop makes every response close its connection, so that clients connect to another process. Requests
+// whose body has not arrived by lastBody are refused.
+func (h *Handler) Stop(lastBody time.Time) {
+	h.stopping.Store(true)
+	if err := h.bodyReads.limitTo(lastBody); err != nil {
+		h.logger.WithError(err).Warn("read deadline of a body not set")
+	}
+}
 
 // Filter is a khttp.FilterFunc that passes every request to the handler; the routes of kratos are not used.
 func (h *Handler) Filter(http.Handler) http.Handler { return h }
@@ -178,7 +185,7 @@
 		return nil, http.StatusServiceUnavailable, "too many large bodies"
 	}
 	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
+	if err := h.bodyReads.begin(controller, deadline); err != nil {
 		h.logger.WithError(err).Warn("read deadline of a body not set")
 	}
 	var buffer bytes.Buffer
@@ -186,6 +193,7 @@
 		buffer.Grow(int(min(r.ContentLength, maxBufferedBytes)) + bytes.MinRead)
 	}
 	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	h.bodyReads.end(controller)
 	body := buffer.Bytes()
 	h.bufferedBytes.Add(int64(cap(body)))
 	if err == nil {
