--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -95,14 +95,18 @@
 	// waits ends at the last start of a shutdown.
 	waits    context.Context
 	endWaits context.CancelCauseFunc
+	// requests ends when a shutdown gives up the requests at servers.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns a dispatcher for a process in the given data centre.
 func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker) *Dispatcher {
 	waits, endWaits := context.WithCancelCause(context.Background())
+	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
 		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c,
-		waits: waits, endWaits: endWaits,
+		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
 	}
 }
 
@@ -144,8 +148,8 @@
 // waits for owners and slots end with waitCtx.
 func (d *Dispatcher) tryServers(ctx, waitCtx context.Context, p *progress) *Result {
 	for {
-		if waitCtx.Err() != nil {
-			return d.contextDone(waitCtx, p)
+		if refusal := d.startRefused(waitCtx, p); refusal != nil {
+			return refusal
 		}
 		p.call.SetPhase(AwaitsOwner, "")
 		b, refusal := d.selectBackend(waitCtx, p)
@@ -171,10 +175,11 @@
 }
 
 // finalResult returns the result of a call whose last attempt ended with r. If an earlier attempt
-// may have run the request, that result stays, because a later refusal doesn't undo the run.
+// may have run the request, that result stays, because a later refusal doesn't undo the run. A
+// server that has answered has run the request, whatever the status is.
 func (p *progress) finalResult(r *Result) *Result {
-	if p.fallback != nil && p.fallback.Status != http.StatusServiceUnavailable {
-		return p.fallback
+	if f := p.fallback; f != nil && (f.Response != nil || f.Status != http.StatusServiceUnavailable) {
+		return f
 	}
 	return r
 }
@@ -193,21 +198,17 @@
 		slot.Release(0)
 		return refusedResult(NoOwner, time.Now().Add(refusalRetryDelay), nil), true
 	}
-	if waitCtx.Err() != nil {
+	if refusal := d.startRefused(waitCtx, p); refusal != nil {
 		slot.Release(0)
-		return d.contextDone(waitCtx, p), false
+		return refusal, false
 	}
 	begin := time.Now()
 	b.requestStarted()
 	p.server = b.server.ID
 	c.SetPhase(AwaitsResponse, b.server.ID)
-	if !c.Route.Kind.Retryable() {
-		// A request that must not run twice is not aborted when its client disconnects.
-		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
-		defer cancel()
-		ctx = detached
-	}
-	response, err := b.client.Do(ctx, &origin.Request{
+	requestCtx, cancel := d.withRequest(ctx, c)
+	defer cancel()
+	response, err := b.client.Do(requestCtx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
 		ID: c.ID, Server: b.server.ID, Deadline: c.Deadline.Add(-responseMargin), Fresh: !c.Route.Kind.Retryable(),
 		Memory: c.Memory,
@@ -226,7 +227,7 @@
 	}
 	d.observer.AttemptEnded(Observation{Call: c, Server: b.server, Service: serviceTime, Ran: ran})
 	if err != nil {
-		return d.handleFailure(ctx, p, b, failure)
+		return d.handleFailure(requestCtx, p, b, failure)
 	}
 	return d.handleResponse(waitCtx, p, b, response)
 }
@@ -246,14 +247,17 @@
 }
 
 // contextDone returns the result of a call whose deadline has passed, whose client has disconnected or
-// that a shutdown has prevented from being sent to a server.
+// that a shutdown has prevented from being sent to a server or has given up.
 func (d *Dispatcher) contextDone(ctx context.Context, p *progress) *Result {
-	if isShutdown(ctx) {
-		return p.finalResult(refusedResult(Stopping, time.Now().Add(refusalRetryDelay), errShutdown))
+	if isShutdown(ctx) || isGivenUp(ctx) && p.attempts == 0 {
+		return p.finalResult(stoppingResult())
 	}
-	reason := DeadlineExceeded
-	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		reason = ClientDisconnected
+	reason := ClientDisconnected
+	switch {
+	case isGivenUp(ctx):
+		reason = GivenUp
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		reason = DeadlineExceeded
 	}
 	if p.attempts == 0 {
 		return p.finalResult(refusedResult(reason, time.Time{}, context.Cause(ctx)))
