election: keep the era of the lock when the role is resigned

After a restore, a planned stop of the coordinator left the service without one for 2.25 s instead of 0.66 s, and the term rose by 4097.

The lock that gives up the role did not have the era, so its successor took it for one that a restore had brought back: it waited for a holder whose lock may be lost and skipped the terms that may be.

The lock now keeps the era in which it was written. If the store was restored since, that era is still an earlier one, and the successor waits as before.

TestResignAfterRestore failed before ("the other process has the role after 1.1 s: expected condition to be true; is false").

--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -277,7 +277,7 @@
 		return Lock{}, 0, false
 	}
 	e.resigned = true
-	return Lock{Term: e.lock.Term, Heartbeat: e.lock.Heartbeat + 1}, e.revision, true
+	return Lock{Term: e.lock.Term, Heartbeat: e.lock.Heartbeat + 1, Era: e.lock.Era}, e.revision, true
 }
 
 // FinishResign records whether the store has accepted the lock that gives up the role.
--- a/entry/internal/election/model_test.go
+++ b/entry/internal/election/model_test.go
@@ -267,3 +267,36 @@
 		must.Less(t, exclusiveRoleTime, m.now.Sub(m.candidates[0].Confirmed()))
 	}
 }
+
+// Guards against a resigned lock that counts as restored, so that the successor waits and its term
+// rises as after a restore.
+func TestResignAfterRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	store := newRestorableStore(now, func() uint64 { return 1 })
+	store.restore(now)
+	m := &electionModel{t: t, now: now, store: store, takenBy: make(map[uint64]election.Member), delay: func() time.Duration { return -1 }}
+	for _, name := range []string{"a", "b"} {
+		member := election.Member{Name: name, Incarnation: 1}
+		m.candidates = append(m.candidates, &modelCandidate{Election: election.New(member, now, 0), member: member})
+	}
+	run := func(d time.Duration) {
+		for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(50 * time.Millisecond) {
+			for _, c := range m.candidates {
+				m.step(c)
+				m.check()
+			}
+			m.reportAlive()
+		}
+	}
+	run(10 * time.Second)
+	before, holding := m.candidates[0].HeldTerm()
+	must.True(t, holding)
+	l, r, ok := m.candidates[0].Resign()
+	must.True(t, ok)
+	must.True(t, store.put(m.now, l, revision.Revision(r).Number()))
+	m.candidates[0].FinishResign(true)
+	run(1100 * time.Millisecond)
+	term, holding := m.candidates[1].HeldTerm()
+	must.True(t, holding, must.Sprint("the other process has the role after 1.1 s"))
+	must.Eq(t, before+1, term)
+}
