cluster: wait for grants of earlier eras only right after a restore

Long after a restore of the store, a server that died around a takeover blocked its keys for 15.2 s instead of about 3.6 s, and a service that was added soon after a takeover got its first grants after about 17 s.

A new coordinator waited for the grants of coordinators from before the restore, from the moment at which its own process first read the lock in the new era. Followers rarely read the lock, so the first takeover of each process waited, whenever it came.

The lock now says whether these grants have expired ("settled"). The holder sets it once its own wait is over, and later holders don't wait. The mark is valid for the era of its lock alone: a lock that a restore has brought back does not shorten the wait. The era is taken note of at the first response of the store, or update of the coordinator, that shows it; both come after the restore, so the wait never ends too early. A term keeps the era of its lock, not the latest one that the process knows, so that a table that was accepted after another restore still does not count as stored.

Failed before: TestSuccessorLongAfterRestoreReassignsKeys (no grant within 8 s) and TestServiceAddedLongAfterRestore (no grant within 3 s). TestSuccessorSoonAfterRestoreWaits passes before and after; it fails if the holder sets the mark at once or takes it over from an earlier era. TestStartedProcessWaitsAfterRestore now reads a restored lock with the mark.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -49,7 +49,7 @@
 	// era is the era of the store in which the term began.
 	era uint64
 	// earlierErasUntil is the time by which all grants of the coordinators of earlier eras have
-	// expired. It is zero if the store was never restored.
+	// expired. It is zero if the store was never restored or if the lock says that they have expired.
 	earlierErasUntil time.Time
 	// inheritedUntil is the time by which all grants of earlier coordinators have expired.
 	inheritedUntil time.Time
@@ -72,9 +72,9 @@
 	probing       map[registry.Instance]bool
 }
 
-// newExecutor returns an executor of a term that begins now. The grants of the former coordinator
+// newExecutor returns an executor of the term of a lock, which begins now. The grants of the former coordinator
 // expire by themselves, and earlier if it is known to have stopped.
-func newExecutor(n *Node, term uint64, now time.Time, former election.Member) *executor {
+func newExecutor(n *Node, l election.Lock, now time.Time, former election.Member) *executor {
 	inheritedUntil := now.Add(coordinator.MaxGrantLifetime())
 	if former.Name == n.self.Name {
 		// The former coordinator was an earlier run of this process, which has ended.
@@ -83,11 +83,10 @@
 	if former.Name != "" {
 		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
 	}
-	s := &executor{node: n, term: term, former: former, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
-	era, eraSeen := n.election.Era()
-	s.era = era
-	if era > revision.FirstEra {
-		s.earlierErasUntil = eraSeen.Add(coordinator.MaxOfflineRenewal + coordinator.MaxGrantLifetime())
+	s := &executor{node: n, term: l.Term, era: l.Era, former: former, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
+	n.era.observe(now, s.era)
+	if !l.Settled {
+		s.earlierErasUntil = n.era.earlierGrantsUntil()
 	}
 	s.limitInherited(inheritedUntil)
 	return s
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -88,6 +88,7 @@
 	election        *election.Election
 	lockCallPending bool
 	executor        *executor
+	era             storeEra
 	members         []election.Member
 	reporters       map[string]reporter
 	// lastUpdate is when the coordinator last reported that it has all changes. It is zero if the
@@ -232,6 +233,7 @@
 func (n *Node) runElection(ctx context.Context, group *sync.WaitGroup) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.era.observe(time.Now(), n.store.Era())
 	if n.lockCallPending {
 		return
 	}
@@ -289,7 +291,7 @@
 		n.election.HandleStored(now, l, stored.Revision)
 		if term, holding := n.election.HeldTerm(); holding && (n.executor == nil || n.executor.term != term) {
 			n.logger.WithFields(log.Fields{"term": term, "former": former.Name}).Info("coordinator")
-			n.executor = newExecutor(n, term, now, former)
+			n.executor = newExecutor(n, l, now, former)
 		}
 	}
 }
@@ -316,7 +318,11 @@
 		n.executor = nil
 		return
 	}
-	n.executor.step(ctx, group, time.Now(), n.election.Confirmed())
+	now := time.Now()
+	if !now.Before(n.executor.earlierErasUntil) {
+		n.election.Settle(n.executor.era)
+	}
+	n.executor.step(ctx, group, now, n.election.Confirmed())
 }
 
 // reportLoop sends reports to the coordinator until the context ends.
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -57,6 +57,13 @@
 	return &restorableStore{era: revision.FirstEra, now: first, copies: []storeCopy{first}}
 }
 
+// Era returns the era of the latest response.
+func (s *restorableStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.knownEra
+}
+
 // restore replaces the objects by those of the latest copy from before the given time.
 func (s *restorableStore) restore(before time.Time) {
 	s.mu.Lock()
@@ -373,7 +380,7 @@
 				if !lost {
 					storeTable(t, store, moved(1, 3, revision.New(1, 2), 0))
 				}
-				store.overwrite(lockKind, platform.Object{Name: lockName, Data: []byte(`{"term":1,"name":"lost","life":1,"era":1}`)})
+				store.overwrite(lockKind, platform.Object{Name: lockName, Data: []byte(`{"term":1,"name":"lost","life":1,"era":1,"settled":true}`)})
 				store.restore(time.Now())
 				n := newTestNode("n", store, grants, 2)
 				started := time.Now()
--- a/entry/internal/cluster/store.go
+++ b/entry/internal/cluster/store.go
@@ -11,4 +11,6 @@
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
 	Put(ctx context.Context, kind string, o platform.Object) (platform.Object, error)
+	// Era returns the highest era that the store has stated in its responses.
+	Era() uint64
 }
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -114,6 +114,7 @@
 func (n *Node) recordUpdate(now time.Time, u report.Update) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.era.observe(now, latestEra(u))
 	if u.LockConfirmed {
 		n.election.RecordHolderAlive(now, u.Term)
 	}
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -83,6 +83,8 @@
 	// era is the latest known era of the store, and eraSeen is when the lock was first read in it.
 	era     uint64
 	eraSeen time.Time
+	// settled is the latest era before which all grants are known to have expired.
+	settled uint64
 }
 
 // New returns the state of a process that has not read the lock yet. Jitter keeps candidates from
@@ -167,6 +169,9 @@
 	if era := eraOf(revision); era > e.era {
 		e.era, e.eraSeen = era, now
 	}
+	if l.Settled {
+		e.Settle(l.era())
+	}
 	if !e.lockKnown || revision != e.revision {
 		if !e.lockKnown || l.Holder != e.lock.Holder {
 			e.lastHeard = now
@@ -192,11 +197,12 @@
 	l := e.lock
 	if e.holding && !e.isRestored() {
 		l.Heartbeat++
+		l.Settled = e.settled >= l.era()
 		return l, e.revision
 	}
 	era := max(e.era, revision.FirstEra)
 	lowest := l.Term + (era-min(l.era(), era))*termsPerEra
-	return Lock{Term: max(lowest, e.term) + 1, Holder: e.self, Era: era}, e.revision
+	return Lock{Term: max(lowest, e.term) + 1, Holder: e.self, Era: era, Settled: e.settled >= era}, e.revision
 }
 
 // HandleStored records that the store has accepted a lock; sent is when it was sent. A lock that was
@@ -257,8 +263,9 @@
 // lock does not count, because another process may take the lock right after it.
 func (e *Election) Confirmed() time.Time { return e.lastConfirmed }
 
-// Era returns the latest known era of the store and when the process first read the lock in it.
-func (e *Election) Era() (uint64, time.Time) { return max(e.era, revision.FirstEra), e.eraSeen }
+// Settle records that all grants of coordinators before an era have expired. The lock of that era tells
+// later holders, which may have started since.
+func (e *Election) Settle(era uint64) { e.settled = max(e.settled, era) }
 
 // Holder returns the coordinator, or false if it is not known.
 func (e *Election) Holder() (Member, bool) {
@@ -277,7 +284,7 @@
 		return Lock{}, 0, false
 	}
 	e.resigned = true
-	return Lock{Term: e.lock.Term, Heartbeat: e.lock.Heartbeat + 1, Era: e.lock.Era}, e.revision, true
+	return Lock{Term: e.lock.Term, Heartbeat: e.lock.Heartbeat + 1, Era: e.lock.Era, Settled: e.lock.Settled}, e.revision, true
 }
 
 // FinishResign records whether the store has accepted the lock that gives up the role.
--- a/entry/internal/election/lock.go
+++ b/entry/internal/election/lock.go
@@ -24,6 +24,8 @@
 	Heartbeat uint64
 	// Era is the era of the store in which the lock was written, as its writer knew it.
 	Era uint64
+	// Settled says that all grants of coordinators of earlier eras have expired.
+	Settled bool
 }
 
 // era returns the era in which the lock was written.
