cluster: renew the grants of the earlier era until the table is stored

If the store was lost again right after its restore, keys had no owner from 3 s later until it came back, although the coordinator was alive throughout and would have renewed them for 12 s without the restore.

The process that is the coordinator begins a new term in the new era. Its executor sends nothing until it has read and stored the tables, and it replaced the one of the earlier era, which could still renew.

The earlier one now goes on with renewals, with its own fences and without moves, for each service until the table of the new term is stored, and for at most 12 s after the process was last certain of its role, which is before the restore. The new term already counts inherited grants as in force until 15.2 s after the era was first seen, which is later than the last of these renewals can last, so it takes no key for free too early; its fences overrule a late one.

Failed before: TestStoreLostAgainAfterRestore ("time without a grant: expected 6.05s < 3s") and TestRenewalsOfEarlierEraEnd (no grant after 8 s). The latter also fails if the renewals have no bound.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -57,7 +57,11 @@
 	former          election.Member
 	stepDownPending bool
 	nextStepDown    time.Time
-	wake            chan struct{}
+	// previous is the process's executor of an earlier era while it still renews grants, at most until
+	// previousUntil.
+	previous      *executor
+	previousUntil time.Time
+	wake          chan struct{}
 
 	services map[string]*serviceState
 }
@@ -108,6 +112,7 @@
 		return
 	}
 	s.requestStepDown(ctx, group, now)
+	s.renewPrevious(ctx, group, now)
 	servers := s.node.view.Servers().Registered()
 	for name, service := range configuration.Services {
 		if !service.Sharded {
@@ -369,11 +374,12 @@
 	s.wakeNode()
 }
 
-// isActive reports whether the executor is the node's current one.
+// isActive reports whether the executor is the node's current one, or still renews grants for it.
 func (s *executor) isActive() bool {
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	return s.node.executor == s
+	current := s.node.executor
+	return current == s || current != nil && current.previous == s
 }
 
 // orderKind returns the kind of an order for logs and metrics.
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -274,6 +274,7 @@
 	now := time.Now()
 	former := n.election.FormerHolder()
 	_, held := n.election.HeldTerm()
+	confirmed := n.election.Confirmed()
 	l, revision := n.election.ProposeLock(now)
 	n.mu.Unlock()
 	stored, err := n.putLock(ctx, l, revision)
@@ -291,7 +292,9 @@
 		n.election.HandleStored(now, l, stored.Revision)
 		if term, holding := n.election.HeldTerm(); holding && (n.executor == nil || n.executor.term != term) {
 			n.logger.WithFields(log.Fields{"term": term, "former": former.Name}).Info("coordinator")
+			previous := n.executor
 			n.executor = newExecutor(n, l, now, former)
+			n.executor.keepRenewing(previous, confirmed)
 		}
 	}
 }
--- /dev/null
+++ b/entry/internal/cluster/previous_internal_test.go
@@ -0,0 +1,76 @@
+package cluster
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/revision"
+	"bramleystand.org/entry/internal/coordinator"
+	"bramleystand.org/platform"
+)
+
+// fragileStore is a store that can't be reached after it has accepted the first lock of the second era.
+type fragileStore struct {
+	*restorableStore
+	lost time.Time
+}
+
+func (s *fragileStore) Put(ctx context.Context, kind string, o platform.Object) (platform.Object, error) {
+	stored, err := s.restorableStore.Put(ctx, kind, o)
+	if err == nil && kind == lockKind && revision.Revision(stored.Revision).Era() == 2 && s.lost.IsZero() {
+		s.lost = time.Now()
+		s.setDown(true)
+	}
+	return stored, err
+}
+
+// Guards against keys that lose their owner when a restored store is lost again before the coordinator
+// has stored its tables in the new era.
+func TestStoreLostAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, grants := &fragileStore{restorableStore: newRestorableStore()}, newRecordedGrants()
+		n := newTestNode("n", store, grants, 1)
+		defer run(t, n)()
+		time.Sleep(10 * time.Second)
+		before := n.CoordinatorTerm()
+		store.setDown(true)
+		time.Sleep(2 * time.Second)
+		restored := time.Now()
+		store.restore(restored.Add(-4 * time.Second))
+		store.setDown(false)
+		time.Sleep(7 * time.Second)
+		must.Greater(t, before, n.CoordinatorTerm())
+		must.Greater(t, 5*time.Second, time.Since(store.lost))
+		store.setDown(false)
+		time.Sleep(5 * time.Second)
+		last := restored
+		for _, g := range grants.after(restored) {
+			must.Less(t, coordinator.HoldDuration, g.at.Sub(last), must.Sprint("time without a grant"))
+			must.GreaterEq(t, g.highest, g.fence)
+			last = g.at
+		}
+		must.Less(t, coordinator.HoldDuration, time.Since(last))
+		must.SliceEmpty(t, grants.hasOverlaps())
+	})
+}
+
+// Guards against renewals in the name of an earlier era that go on for longer than the successor of a
+// lost coordinator waits.
+func TestRenewalsOfEarlierEraEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, grants := &fragileStore{restorableStore: newRestorableStore()}, newRecordedGrants()
+		n := newTestNode("n", store, grants, 1)
+		defer run(t, n)()
+		time.Sleep(10 * time.Second)
+		restored := time.Now()
+		store.restore(restored.Add(-2 * time.Second))
+		time.Sleep(20 * time.Second)
+		must.False(t, store.lost.IsZero())
+		must.SliceNotEmpty(t, grants.after(restored.Add(8*time.Second)))
+		must.SliceEmpty(t, grants.after(restored.Add(coordinator.MaxOfflineRenewal)))
+	})
+}
