--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -49,7 +49,7 @@
 	// era is the era of the store in which the term began.
 	era uint64
 	// earlierErasUntil is the time by which all grants of the coordinators of earlier eras have
-	// expired. It is zero if the store was never restored.
+	// expired. It is zero if the store was never restored or if the lock says that they have expired.
 	earlierErasUntil time.Time
 	// inheritedUntil is the time by which all grants of earlier coordinators have expired.
 	inheritedUntil time.Time
@@ -57,7 +57,11 @@
 	former          election.Member
 	stepDownPending bool
 	nextStepDown    time.Time
-	wake            chan struct{}
+	// previous is the process's executor of an earlier era while it still renews grants, at most until
+	// previousUntil.
+	previous      *executor
+	previousUntil time.Time
+	wake          chan struct{}
 
 	services map[string]*serviceState
 }
@@ -72,9 +76,9 @@
 	probing       map[registry.Instance]bool
 }
 
-// newExecutor returns an executor of a term that begins now. The grants of the former coordinator
+// newExecutor returns an executor of the term of a lock, which begins now. The grants of the former coordinator
 // expire by themselves, and earlier if it is known to have stopped.
-func newExecutor(n *Node, term uint64, now time.Time, former election.Member) *executor {
+func newExecutor(n *Node, l election.Lock, now time.Time, former election.Member) *executor {
 	inheritedUntil := now.Add(coordinator.MaxGrantLifetime())
 	if former.Name == n.self.Name {
 		// The former coordinator was an earlier run of this process, which has ended.
@@ -83,11 +87,10 @@
 	if former.Name != "" {
 		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
 	}
-	s := &executor{node: n, term: term, former: former, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
-	era, eraSeen := n.election.Era()
-	s.era = era
-	if era > revision.FirstEra {
-		s.earlierErasUntil = eraSeen.Add(coordinator.MaxOfflineRenewal + coordinator.MaxGrantLifetime())
+	s := &executor{node: n, term: l.Term, era: l.Era, former: former, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
+	n.era.observe(now, s.era)
+	if !l.Settled {
+		s.earlierErasUntil = n.era.earlierGrantsUntil()
 	}
 	s.limitInherited(inheritedUntil)
 	return s
@@ -109,6 +112,7 @@
 		return
 	}
 	s.requestStepDown(ctx, group, now)
+	s.renewPrevious(ctx, group, now)
 	servers := s.node.view.Servers().Registered()
 	for name, service := range configuration.Services {
 		if !service.Sharded {
@@ -370,11 +374,12 @@
 	s.wakeNode()
 }
 
-// isActive reports whether the executor is the node's current one.
+// isActive reports whether the executor is the node's current one, or still renews grants for it.
 func (s *executor) isActive() bool {
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	return s.node.executor == s
+	current := s.node.executor
+	return current == s || current != nil && current.previous == s
 }
 
 // orderKind returns the kind of an order for logs and metrics.
