--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -354,9 +355,16 @@
 	return n
 }
 
-// unusedAddress returns a loopback address with an unused port.
+// lastAddress is the number of addresses that unusedAddress has returned.
+var lastAddress atomic.Uint32
+
+// unusedAddress returns an address with a loopback IP of its own, so that no other socket can take the
+// port before a process listens on it.
 func unusedAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid, n := os.Getpid(), lastAddress.Add(1)
+	must.Less(t, 255, n)
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%254), byte(pid), byte(n)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	must.NoError(t, err)
 	defer l.Close()
 	return netip.MustParseAddrPort(l.Addr().String())
