--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -649,3 +649,34 @@
 	// 3 s have four intervals of 0.8 s, and both servers may have keys.
 	must.Between(t, 3, grants, 8)
 }
+
+// Guards against two owners when an earlier coordinator, which can't be asked to stop, still renews the
+// grant of a holder whose move its successor's successor completes.
+func TestInheritedMoveFencesHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sim := &simulation{now: now, load: func(int) float64 { return 8.0 / keyspace.KeyCount }}
+	from, to := newServer(0, 1), newServer(1, 1)
+	target := ownership.Server{Instance: to.Instance, Address: to.Address.String()}
+	table := &ownership.Table{Service: "svc", Revision: 1, Term: 2, Assignments: []ownership.Assignment{{
+		Range:   keyspace.Range{Last: keyspace.Last},
+		Holders: []ownership.Server{{Instance: from.Instance, Address: from.Address.String()}}, Target: &target,
+	}}}
+	c := coordinator.New("svc", 3, table, now, now.Add(time.Hour))
+	fenced := false
+	for range 40 {
+		now = now.Add(step)
+		c.SetServers(now, []registry.Server{from.Server, to.Server})
+		for _, o := range c.Step(now, sim, true) {
+			fenced = fenced || o.FenceOnly && o.Server.Instance == from.Instance
+			if !o.Release && o.Server.Instance == to.Instance {
+				must.True(t, fenced, must.Sprint("the former owner has accepted a fence of the term"))
+				return
+			}
+			c.HandleResult(now, coordinator.Result{Number: o.Number})
+		}
+		if table, generation, ok := c.Table(); ok {
+			c.MarkStored(now, generation, table.Revision+1)
+		}
+	}
+	t.Fatal("the keys were not granted to the target")
+}
