slots: move waiting requests to the next allocator when one stops

Cause: when the connection to an allocator closed, as it does at each planned stop of one, every process used its own share of the slots, half of them, for the requests that had waited there.

Change: a request whose allocator is lost waits at the next one, which all processes select alike, and uses the share of its process only if that can't be reached either. A lost allocator is excluded before its waiting requests learn of the loss, so they don't select it again.

TestWaitMovesToNextAllocator fails with one attempt: one allocator dialled instead of two.

--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -4,8 +4,8 @@
 // allocator of the server. A process requests a slot from the allocator, sends the request to the
 // server itself and returns the slot; bodies never pass through the allocator. So the limit of a
 // server is exact and urgent requests go first, although every process sends requests. When an
-// allocator fails, no request is lost: until another process replaces it, each process uses a fixed
-// share of the slots, and the limit is not exact.
+// allocator fails, no request is lost: the requests that wait there wait at the next one instead. If
+// that can't be reached either, each process uses a fixed share of the slots, and the limit is not exact.
 //
 // # Usage
 //
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -101,11 +101,14 @@
 		instance: r.Server.Instance, slots: r.Server.Slots, rank: r.Rank,
 		arrived: r.Arrived, objective: r.Objective, deadline: r.Deadline,
 	}
-	name, member := lm.allocatorOf(time.Now(), r.Server)
-	switch {
-	case name == lm.self.Name:
-		return lm.acquireLocal(ctx, lm.allocator, m)
-	case name != "":
+	for range maxAllocatorAttempts {
+		name, member := lm.allocatorOf(time.Now(), r.Server)
+		if name == lm.self.Name {
+			return lm.acquireLocal(ctx, lm.allocator, m)
+		}
+		if name == "" {
+			break
+		}
 		s, err := lm.acquireRemote(ctx, name, member, m)
 		if !errors.Is(err, errLinkLost) {
 			return s, err
@@ -115,6 +118,11 @@
 	return lm.acquireLocal(ctx, lm.fallback, m)
 }
 
+// maxAllocatorAttempts is the number of allocators that a request is sent to before it uses the share of
+// its process. If the requests that wait at an allocator all used these shares when it stops, they would
+// be sent to the server at once and wait there.
+const maxAllocatorAttempts = 2
+
 // fallbackDivisor divides a server's slots into the shares that each process uses while there is
 // no allocator. Of the ten processes of a deployment, two or three send requests to the same server
 // at a time.
--- a/entry/internal/slots/limiter_internal_test.go
+++ b/entry/internal/slots/limiter_internal_test.go
@@ -79,3 +79,38 @@
 		must.Between(t, 2*time.Second, time.Since(begin), 2*time.Second+2*expireInterval)
 	})
 }
+
+// recordingPeers opens silent connections and records the addresses.
+type recordingPeers struct {
+	silentPeers
+	dialed chan netip.AddrPort
+}
+
+func (p recordingPeers) Dial(ctx context.Context, to netip.AddrPort) (drpcpool.Conn, error) {
+	p.dialed <- to
+	return p.silentPeers.Dial(ctx, to)
+}
+
+// Guards against the requests in the queue of a failed allocator being sent to the server at once.
+func TestWaitMovesToNextAllocator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		peers := recordingPeers{dialed: make(chan netip.AddrPort, 10)}
+		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, NewAllocator(), peers, fixedMembers{
+			{Name: "a", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:1")},
+			{Name: "c", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:2")},
+		}, &log.Logger{Handler: discard.New()})
+		go lm.Run(ctx)
+		begin := time.Now()
+		r := dispatch.SlotRequest{
+			Server:  registry.Server{Instance: registry.Instance{ID: "server", Incarnation: 1}, Slots: 4, DataCentre: "x"},
+			Arrived: begin, Objective: begin.Add(3 * time.Second), Deadline: begin.Add(4 * time.Second),
+		}
+		_, err := lm.Acquire(ctx, r)
+		must.NoError(t, err)
+		must.Eq(t, 2, len(peers.dialed))
+		must.NotEq(t, <-peers.dialed, <-peers.dialed)
+		must.Eq(t, 2*heartbeatTimeout, time.Since(begin))
+	})
+}
--- a/entry/internal/slots/link.go
+++ b/entry/internal/slots/link.go
@@ -48,7 +48,7 @@
 }
 
 // connect opens a link and receives replies until the link is lost; then it calls onLost with the
-// number of requests that waited for a reply.
+// number of requests that wait for a reply, before they learn of the loss.
 func connect(ctx context.Context, p Peers, to netip.AddrPort, onLost func(waiting int)) (*link, error) {
 	bounded, stop := context.WithTimeout(ctx, connectTimeout)
 	conn, err := p.Dial(bounded, to)
@@ -65,36 +65,46 @@
 	}
 	l := &link{cancel: cancel, stream: stream, pending: make(map[uint64]chan reply), lastUsed: time.Now()}
 	go func() {
-		waiting := l.receive()
+		l.receive()
 		cancel()
 		_ = conn.Close()
-		onLost(waiting)
+		onLost(l.markLost())
+		l.closePending()
 	}()
 	return l, nil
 }
 
 // receive delivers replies until the stream ends or the allocator has been silent for
-// heartbeatTimeout. Then it closes the channels of all pending requests and returns their number.
-func (l *link) receive() int {
+// heartbeatTimeout.
+func (l *link) receive() {
 	overdue := time.AfterFunc(heartbeatTimeout, l.cancel)
 	defer overdue.Stop()
 	for {
 		var w wireReply
 		if err := l.stream.MsgRecv(&w, rpc.Encoding{}); err != nil {
-			break
+			return
 		}
 		overdue.Reset(heartbeatTimeout)
 		l.deliver(decodeReply(&w))
 	}
+}
+
+// markLost makes further requests fail and returns the number of pending ones.
+func (l *link) markLost() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lost = true
-	waiting := len(l.pending)
+	return len(l.pending)
+}
+
+// closePending closes the channels of all pending requests.
+func (l *link) closePending() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for n, c := range l.pending {
 		close(c)
 		delete(l.pending, n)
 	}
-	return waiting
 }
 
 // deliver passes a reply to its request. On a heartbeat, it closes a link that has not been used
