--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -355,9 +355,8 @@
 // keysReleased records that a server has answered a release of a range.
 func (c *Coordinator) keysReleased(s *rangeState, h *holder, handover string) {
 	// A server that has confirmed the keys before can at most receive the same grant again, late. A
-	// server that may never have received them must refuse the first grant if it arrives late, and one
-	// that is inherited must refuse the renewals of an earlier coordinator that can't be asked to stop.
-	if h.maybeGranted && (!h.confirmed || h.inherited) {
+	// server that may never have received them must refuse the first grant if it arrives late.
+	if h.maybeGranted && !h.confirmed {
 		h.releaseAnswered = true
 	} else {
 		h.keysReleased = true
