origin, slots: record the request limits that servers name

A server in need names the requests a second that it takes from all processes together. The limits are logged when they change, listed in the dump and counted in the metrics; a value that is not one decimal number is counted and logged at most once in 10 s. Statements are ordered by the arrival of their responses, because responses overtake each other.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -195,11 +195,11 @@
 		return d.handleNoSlot(waitCtx, p, b, err)
 	}
 	if !d.isUsable(c, b) {
-		slot.Release(0)
+		slot.Release(Outcome{})
 		return refusedResult(NoOwner, time.Now().Add(refusalRetryDelay), nil), true
 	}
 	if refusal := d.startRefused(waitCtx, p); refusal != nil {
-		slot.Release(0)
+		slot.Release(Outcome{})
 		return refusal, false
 	}
 	begin := time.Now()
@@ -221,7 +221,7 @@
 	if !ran {
 		serviceTime = 0
 	}
-	slot.Release(serviceTime)
+	slot.Release(outcome(serviceTime, response))
 	if failure == nil || failure.Sent {
 		p.attempts++
 	}
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +38,12 @@
 func (testHeaderFields) NotRun(status int, h http.Header) bool {
 	return h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest
 }
+
+func (testHeaderFields) RequestLimit(h http.Header) (float64, bool, error) {
+	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return perSecond, err == nil, nil
+}
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a backend server that counts the requests it receives.
@@ -101,7 +108,7 @@
 
 type unlimitedSlot struct{}
 
-func (unlimitedSlot) Release(time.Duration) {}
+func (unlimitedSlot) Release(dispatch.Outcome) {}
 
 // noSlots is a limiter that never has a slot.
 type noSlots struct{ unlimited }
--- a/entry/internal/dispatch/endless_test.go
+++ b/entry/internal/dispatch/endless_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -29,7 +28,7 @@
 	return l, nil
 }
 
-func (l countingLimiter) Release(time.Duration) { l.inUse.Add(-1) }
+func (l countingLimiter) Release(dispatch.Outcome) { l.inUse.Add(-1) }
 
 // Guards against a response without end that takes the request's whole time or its slot, leads to a 503,
 // counts as a crash, or is not followed by another attempt where one is allowed.
--- a/entry/internal/dispatch/limiter.go
+++ b/entry/internal/dispatch/limiter.go
@@ -30,8 +30,8 @@
 
 // Slot is the permission to send one request to a server.
 type Slot interface {
-	// Release returns the slot with the time that the server took; zero if nothing was sent.
-	Release(serviceTime time.Duration)
+	// Release returns the slot with what the request has shown about the server.
+	Release(o Outcome)
 }
 
 // RefusalError is returned by a Limiter that has no slot in time.
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -35,6 +35,8 @@
 func (originFields) AddRequestFields(func(name, value string), time.Duration, string) {}
 func (originFields) NotRun(int, http.Header) bool                                     { return false }
 
+func (originFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
+
 func (originFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // noLimits has a slot for every request and tracks nothing.
@@ -44,7 +46,7 @@
 	return noLimits{}, nil
 }
 func (noLimits) ExpectedWait(dispatch.SlotRequest) time.Duration    { return 0 }
-func (noLimits) Release(time.Duration)                              {}
+func (noLimits) Release(dispatch.Outcome)                           {}
 func (noLimits) AttemptEnded(dispatch.Observation)                  {}
 func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noLimits) RecordCrash(suspect.Fingerprint, registry.Instance) {}
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -1,6 +1,8 @@
 package gatewayprocess
 
 import (
+	"time"
+
 	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/ownership"
 )
@@ -20,9 +22,20 @@
 	}
 	d["tables"] = tables
 	d["servers"] = p.view.Servers().Registered()
+	d["limits"] = p.dumpLimits(time.Now())
 	return d
 }
 
+// dumpLimits returns the request limits of servers that the process knows of, with the time in ms since
+// a response last named them.
+func (p *Process) dumpLimits(now time.Time) map[string]any {
+	limits := make(map[string]any)
+	for inst, l := range p.limits.InForce(now) {
+		limits[inst.ID] = map[string]any{"incarnation": inst.Incarnation, "rate": l.PerSecond, "age": now.Sub(l.HeardAt).Milliseconds()}
+	}
+	return limits
+}
+
 func dumpTable(t *ownership.Table) map[string]any {
 	var ranges []map[string]any
 	for i := range t.Assignments {
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -275,6 +275,34 @@
 	fences     [1 << 16]uint64
 	expiries   [1 << 16]time.Time
 	executions map[string]int
+	// limit is the request limit that the responses name; empty for none.
+	limit string
+	// arrivals has the times of all requests, those without grants included.
+	arrivals []time.Time
+}
+
+// setLimit makes the responses name a request limit from now on.
+func (b *fakeBackend) setLimit(limit string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// maxArrivals returns the largest number of requests that arrived in a window of the given length that
+// ends after since.
+func (b *fakeBackend) maxArrivals(since time.Time, window time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range b.arrivals {
+		for at.Sub(b.arrivals[first]) >= window {
+			first++
+		}
+		if at.After(since) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
 }
 
 func newFakeBackend(t *testing.T, id string) *fakeBackend {
@@ -297,6 +325,10 @@
 		b.handleOrder(w, r.URL.Path == "/v1/release", body)
 		return
 	}
+	b.arrivals = append(b.arrivals, time.Now())
+	if b.limit != "" {
+		w.Header().Set("Server-Limit", b.limit)
+	}
 	w.Header().Set("Bramleystand-Attempt-Id", r.Header.Get("Bramleystand-Attempt-Id"))
 	key, err := strconv.Atoi(r.Header.Get("Bramleystand-Shard-Key"))
 	if err != nil || r.Header.Get("Bramleystand-Expect-Instance") != b.id || !time.Now().Before(b.expiries[key]) {
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -17,6 +17,7 @@
 		"term":          func(time.Time) any { return p.node.CoordinatorTerm() },
 		"members":       func(time.Time) any { return len(p.node.Members()) },
 		"age":           func(now time.Time) any { return p.copyAges(now) },
+		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
 	} {
 		m.Set(name, expvar.Func(func() any { return value(time.Now()) }))
@@ -36,6 +37,17 @@
 	return out
 }
 
+// limitCounts returns the number of servers whose request limit is in force, the sum of these limits and
+// the number of responses with a limit that could not be used.
+func (p *Process) limitCounts(now time.Time) map[string]float64 {
+	counts := map[string]float64{"servers": 0, "rate": 0, "invalid": float64(p.limits.Invalid())}
+	for _, l := range p.limits.InForce(now) {
+		counts["servers"]++
+		counts["rate"] += l.PerSecond
+	}
+	return counts
+}
+
 // configurationVersion returns the version of the configuration in force, or zero.
 func (p *Process) configurationVersion() uint64 {
 	c := p.view.Configuration()
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -42,6 +42,7 @@
 	"bramleystand.org/entry/internal/operator"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/retry"
 	"bramleystand.org/entry/internal/slots"
 	"bramleystand.org/entry/internal/storemetrics"
@@ -95,6 +96,7 @@
 	peerClient *report.Client
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
+	limits     *requestlimit.Table
 	dispatcher *dispatch.Dispatcher
 	handler    *gateway.Handler
 	peerServer *report.Server
@@ -137,7 +139,8 @@
 	tracker := crashes.NewTracker()
 	p.node = cluster.New(p.self, s.Cores, p.store, platform.NewGrantClient(newClient(&dialer.ResetOnClose{Dialer: d})), p.peerClient, p.view, p.replica, loadCollector, tracker, d, logger)
 	p.allocator = slots.NewAllocator()
-	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, logger)
+	p.limits = requestlimit.NewTable(logger)
+	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -212,8 +212,10 @@
 		if err != nil {
 			return nil, false, err
 		}
+		perSecond, named, limitErr := c.fields.RequestLimit(head.Header)
 		return &Response{
 			Status: head.StatusCode, Header: head.Header, Body: body,
+			Limit:          Limit{PerSecond: perSecond, Named: named, Err: limitErr},
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
 			HasServerProof: c.fields.HasProof(head.Header),
 		}, framed && !head.Close && k.reader.Buffered() == 0, nil
--- a/entry/internal/origin/client_test.go
+++ b/entry/internal/origin/client_test.go
@@ -34,6 +34,8 @@
 func (testHeaderFields) NotRun(status int, h http.Header) bool {
 	return h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest
 }
+func (testHeaderFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a TCP server that counts its connections.
--- a/entry/internal/origin/fields.go
+++ b/entry/internal/origin/fields.go
@@ -16,6 +16,9 @@
 	AddRequestFields(add func(name, value string), left time.Duration, server string)
 	// NotRun reports whether a response states that the request was not run.
 	NotRun(status int, h http.Header) bool
+	// RequestLimit returns the requests a second that the server of a response takes from all processes
+	// together, and whether the response names them. An error means that they can't be read.
+	RequestLimit(h http.Header) (perSecond float64, named bool, err error)
 	// HasProof reports whether a response carries the server's proof that it made the response.
 	HasProof(h http.Header) bool
 }
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -2,6 +2,16 @@
 
 import "net/http"
 
+// Limit is the number of requests a second that a server takes from all processes together, as stated in
+// a response.
+type Limit struct {
+	PerSecond float64
+	// Named is false if the response names no limit, or one that can't be used.
+	Named bool
+	// Err is why the limit can't be used, or nil.
+	Err error
+}
+
 // Response is a complete response of a backend server.
 type Response struct {
 	Status int
@@ -11,4 +21,6 @@
 	NotRun bool
 	// HasServerProof is true if the response carries the server's proof that it made the response.
 	HasServerProof bool
+	// Limit is what the response says about the request limit of its server.
+	Limit Limit
 }
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -10,9 +10,9 @@
 // # Usage
 //
 //	allocator := slots.NewAllocator()
-//	limiter := slots.New(ctx, self, allocator, peers, members, logger)
+//	limiter := slots.New(ctx, self, allocator, peers, members, limits, logger)
 //	slot, err := limiter.Acquire(ctx, slotRequest)
-//	defer slot.Release(serviceTime)
+//	defer slot.Release(outcome)
 package slots
 
 import (
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -13,6 +13,7 @@
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
 const (
@@ -38,6 +39,7 @@
 	localRequester *requester
 	peers          Peers
 	members        Members
+	limits         *requestlimit.Table
 	logger         log.Interface
 
 	mu sync.Mutex
@@ -71,9 +73,9 @@
 }
 
 // New returns a limiter whose links end with the context.
-func New(ctx context.Context, self election.Member, a *Allocator, p Peers, m Members, logger log.Interface) *Limiter {
+func New(ctx context.Context, self election.Member, a *Allocator, p Peers, m Members, t *requestlimit.Table, logger log.Interface) *Limiter {
 	lm := &Limiter{
-		ctx: ctx, self: self, allocator: a, peers: p, members: m, logger: logger, links: make(map[string]*linkEntry),
+		ctx: ctx, self: self, allocator: a, peers: p, members: m, limits: t, logger: logger, links: make(map[string]*linkEntry),
 		excluded: make(map[string]time.Time), waitEstimates: make(map[registry.Instance]waitEstimate),
 		pending: make(map[uint64]chan reply), fallback: NewAllocator(),
 	}
@@ -232,7 +234,7 @@
 	if !r.started {
 		return nil, &dispatch.RefusalError{RetryAt: now.Add(r.retry)}
 	}
-	return &slot{message: m, release: release}, nil
+	return &slot{message: m, granted: now, limits: lm.limits, release: release}, nil
 }
 
 // maxEstimates bounds the servers whose estimated wait is stored.
@@ -287,11 +289,19 @@
 // slot implements dispatch.Slot.
 type slot struct {
 	message message
+	// granted is when this process got the slot.
+	granted time.Time
+	limits  *requestlimit.Table
 	release func(message)
 }
 
 // Release implements dispatch.Slot.
-func (s *slot) Release(serviceTime time.Duration) {
-	s.message.serviceTime = serviceTime
+func (s *slot) Release(o dispatch.Outcome) {
+	now := time.Now()
+	if o.LimitErr != nil {
+		s.limits.ObserveInvalid(now, s.message.instance, o.LimitErr)
+	}
+	s.limits.Observe(now, s.message.instance, s.granted, o.Limit)
+	s.message.serviceTime = o.ServiceTime
 	s.release(s.message)
 }
--- a/entry/internal/slots/limiter_internal_test.go
+++ b/entry/internal/slots/limiter_internal_test.go
@@ -17,8 +17,11 @@
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
+var logger = &log.Logger{Handler: discard.New()}
+
 // silentPeers opens connections to allocators that never reply.
 type silentPeers struct{}
 
@@ -57,7 +60,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, NewAllocator(), silentPeers{},
-			fixedMembers{{Name: "a", DataCentre: "x"}}, &log.Logger{Handler: discard.New()})
+			fixedMembers{{Name: "a", DataCentre: "x"}}, requestlimit.NewTable(logger), logger)
 		go lm.Run(ctx)
 		begin := time.Now()
 		r := dispatch.SlotRequest{
@@ -100,7 +103,7 @@
 		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, NewAllocator(), peers, fixedMembers{
 			{Name: "a", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:1")},
 			{Name: "c", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:2")},
-		}, &log.Logger{Handler: discard.New()})
+		}, requestlimit.NewTable(logger), logger)
 		go lm.Run(ctx)
 		begin := time.Now()
 		r := dispatch.SlotRequest{
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -17,6 +17,7 @@
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/slots"
 )
 
@@ -60,7 +61,8 @@
 	m := &member{Member: election.Member{Name: name, DataCentre: centre, Address: netip.MustParseAddrPort(l.Addr().String())}, stop: cancel}
 	allocator := slots.NewAllocator()
 	client := report.NewClient(&net.Dialer{})
-	m.limiter = slots.New(ctx, m.Member, allocator, client, members, &log.Logger{Handler: discard.New()})
+	logger := &log.Logger{Handler: discard.New()}
+	m.limiter = slots.New(ctx, m.Member, allocator, client, members, requestlimit.NewTable(logger), logger)
 	var group sync.WaitGroup
 	group.Go(func() { allocator.Run(ctx) })
 	group.Go(func() { m.limiter.Run(ctx) })
@@ -109,7 +111,7 @@
 				mu.Lock()
 				running--
 				mu.Unlock()
-				s.Release(time.Millisecond)
+				s.Release(dispatch.Outcome{ServiceTime: time.Millisecond})
 			})
 		}
 	}
@@ -144,8 +146,8 @@
 	again, err := other.limiter.Acquire(t.Context(), slotRequest("server", 4, 10*time.Second))
 	must.NoError(t, err)
 	must.Less(t, 5*time.Second, time.Since(begin))
-	s.Release(time.Millisecond)
-	again.Release(time.Millisecond)
+	s.Release(dispatch.Outcome{ServiceTime: time.Millisecond})
+	again.Release(dispatch.Outcome{ServiceTime: time.Millisecond})
 }
 
 // Guards against a refusal without a time for the next try, and against waiting for a slot that
@@ -159,7 +161,7 @@
 	refusal, ok := errors.AsType[*dispatch.RefusalError](err)
 	must.True(t, ok)
 	must.True(t, refusal.RetryAt.After(time.Now()))
-	s.Release(time.Millisecond)
+	s.Release(dispatch.Outcome{ServiceTime: time.Millisecond})
 }
 
 // Guards against a request that keeps its place in the queue after its client has disconnected.
@@ -173,10 +175,10 @@
 	cancel()
 	_, err = b.limiter.Acquire(ctx, slotRequest("server", 1, 10*time.Second))
 	must.ErrorIs(t, err, context.Canceled)
-	s.Release(time.Millisecond)
+	s.Release(dispatch.Outcome{ServiceTime: time.Millisecond})
 	s, err = b.limiter.Acquire(t.Context(), slotRequest("server", 1, 10*time.Second))
 	must.NoError(t, err)
-	s.Release(time.Millisecond)
+	s.Release(dispatch.Outcome{ServiceTime: time.Millisecond})
 }
 
 // Guards against a request that waits beyond its deadline because new requests at another server
