admission: limit the requests that start in a second

The scheduler of a server's slots knew only how many requests run at a time. SetRate limits the starts too; waits and retry times count the time until the rate allows another request, so that a request which would wait too long is refused at once with a retry time at which it starts. Nothing uses it yet. golang.org/x/time/rate keeps the tokens.

Requests of up to a second may be saved up, at least one and at most four: enough for a short burst at a server that takes a few requests a second, and below the slack of five requests that servers allow.

--- a/entry/internal/admission/decision.go
+++ b/entry/internal/admission/decision.go
@@ -9,4 +9,6 @@
 	Started bool
 	// RetryAt is when a refused request may be submitted again.
 	RetryAt time.Time
+	// OverRate is true if the request was refused because of the rate that the server takes.
+	OverRate bool
 }
--- a/entry/internal/admission/scheduler.go
+++ b/entry/internal/admission/scheduler.go
@@ -9,17 +9,24 @@
 // requests wait for slots that no other request needs; the rest are refused at once, so that the
 // client can retry in time.
 //
+// A server may also limit how many requests it takes in a second. Requests then start no faster than
+// that, and each estimate of a wait counts the time until the server takes another request.
+//
 // # Usage
 //
 //	s := admission.New(slots)
+//	s.SetRate(now, perSecond)
 //	decisions := s.Submit(now, request)
 //	decisions = s.Finish(now, request, serviceTime)
 //	decisions = s.Expire(now)
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -37,6 +44,8 @@
 	// rankCount is the number of ranks with a mean service time of their own; higher ranks
 	// count as the last one.
 	rankCount = 4
+	// maxBurst bounds the requests that may start at once after a time with few requests.
+	maxBurst = 4
 )
 
 // Scheduler assigns the slots of one server to its queued requests. It has no clock and is not
@@ -49,6 +58,8 @@
 	meanTimes    [rankCount]time.Duration
 	// credit is the number of starts that less urgent requests may make before more urgent ones.
 	credit float64
+	// rate limits the starts; it is nil if the server names no limit.
+	rate *rate.Limiter
 }
 
 // New returns a scheduler without requests.
@@ -57,6 +68,24 @@
 // SetSlots changes the number of slots.
 func (s *Scheduler) SetSlots(n int) { s.slots = max(1, n) }
 
+// SetRate limits the requests that start in a second, which must be above zero, from now on. A server that has just named its limit
+// may have got too many requests already, so none is saved up at first.
+func (s *Scheduler) SetRate(now time.Time, perSecond float64) {
+	burst := int(min(max(1, perSecond), maxBurst))
+	if s.rate == nil {
+		s.rate = rate.NewLimiter(rate.Limit(perSecond), burst)
+		s.rate.AllowN(now, burst)
+		return
+	}
+	if s.rate.Limit() != rate.Limit(perSecond) {
+		s.rate.SetLimitAt(now, rate.Limit(perSecond))
+		s.rate.SetBurstAt(now, burst)
+	}
+}
+
+// ClearRate ends the limit that SetRate has set.
+func (s *Scheduler) ClearRate() { s.rate = nil }
+
 // Idle reports whether no request is queued or running.
 func (s *Scheduler) Idle() bool { return s.running == 0 && len(s.queue) == 0 }
 
@@ -70,18 +99,32 @@
 func (s *Scheduler) Queued() int { return len(s.queue) }
 
 // ExpectedWait returns how long a request of a rank would wait if it were submitted now.
-func (s *Scheduler) ExpectedWait(rank int) time.Duration {
+func (s *Scheduler) ExpectedWait(now time.Time, rank int) time.Duration {
 	if s.running < s.slots && len(s.queue) == 0 {
-		return 0
+		return s.timeToRate(now, 1)
 	}
-	return s.timeToStart(len(s.queue)+1+max(0, s.running-s.slots), rank)
+	return s.timeToStart(now, len(s.queue)+1+max(0, s.running-s.slots), rank)
 }
 
-// timeToStart returns the estimated time until n requests have got slots.
-func (s *Scheduler) timeToStart(n, rank int) time.Duration {
+// timeToStart returns the estimated time until n requests have got slots and the rate allows them.
+func (s *Scheduler) timeToStart(now time.Time, n, rank int) time.Duration {
+	return max(s.timeToSlot(n, rank), s.timeToRate(now, n))
+}
+
+// timeToSlot returns the estimated time until n requests have got slots.
+func (s *Scheduler) timeToSlot(n, rank int) time.Duration {
 	return s.meanTime(rank) * time.Duration(n) / time.Duration(s.slots)
 }
 
+// timeToRate returns the time until the rate allows n more requests to start.
+func (s *Scheduler) timeToRate(now time.Time, n int) time.Duration {
+	if s.rate == nil {
+		return 0
+	}
+	missing := max(0, float64(n)-s.rate.TokensAt(now))
+	return time.Duration(math.Ceil(missing / float64(s.rate.Limit()) * float64(time.Second)))
+}
+
 // meanTime returns the mean service time of a rank, or that of another rank if no request of the
 // rank has ended yet.
 func (s *Scheduler) meanTime(rank int) time.Duration {
@@ -106,14 +149,14 @@
 func (s *Scheduler) Submit(now time.Time, r *Request) []Decision {
 	s.lastSequence++
 	r.sequence = s.lastSequence
-	if s.running < s.slots && len(s.queue) == 0 {
+	if s.running < s.slots && len(s.queue) == 0 && s.allowStart(now) {
 		return []Decision{s.start(r)}
 	}
 	ahead := s.countAhead(r)
-	start := now.Add(s.timeToStart(ahead+1, r.Rank))
+	start := now.Add(s.timeToStart(now, ahead+1, r.Rank))
 	if start.After(s.latestStart(r)) {
 		r.late = true
-		if !s.hasRoomForLate() || now.Add(s.timeToStart(len(s.queue)+1, r.Rank)).After(s.lateLimit(r)) {
+		if !s.hasRoomForLate() || now.Add(s.timeToStart(now, len(s.queue)+1, r.Rank)).After(s.lateLimit(r)) {
 			return []Decision{s.refuse(now, r)}
 		}
 	}
@@ -192,7 +235,7 @@
 	out := s.refuseExpired(now)
 	for s.running < s.slots {
 		r := s.next()
-		if r == nil {
+		if r == nil || !s.allowStart(now) {
 			break
 		}
 		s.remove(r)
@@ -273,9 +316,13 @@
 	return Decision{Request: r, Started: true}
 }
 
+// allowStart reports whether the rate allows another request to start now, and counts it.
+func (s *Scheduler) allowStart(now time.Time) bool { return s.rate == nil || s.rate.AllowN(now, 1) }
+
 // refuse returns the refusal of a request. Its retry time is when the queue is expected to be
-// short enough.
+// short enough and the rate to allow another request.
 func (s *Scheduler) refuse(now time.Time, r *Request) Decision {
-	wait := s.timeToStart(max(1, len(s.queue)-s.slots), r.Rank)
-	return Decision{Request: r, RetryAt: now.Add(max(minRetryDelay, wait))}
+	slotWait := max(minRetryDelay, s.timeToSlot(max(1, len(s.queue)-s.slots), r.Rank))
+	rateWait := s.timeToRate(now, len(s.queue)+1)
+	return Decision{Request: r, RetryAt: now.Add(max(slotWait, rateWait)), OverRate: rateWait > slotWait}
 }
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -184,7 +184,7 @@
 	var out []addressedReply
 	for _, d := range decisions {
 		id := d.Request.Tag.(requestID)
-		r := reply{number: id.number, started: d.Started, wait: s.scheduler.ExpectedWait(d.Request.Rank)}
+		r := reply{number: id.number, started: d.Started, wait: s.scheduler.ExpectedWait(now, d.Request.Rank)}
 		if !d.Started {
 			delete(a.requests, id)
 			r.retry = max(0, d.RetryAt.Sub(now))
