slots: keep to the request limits of servers in their allocators

The only bound on what processes send together is the number of slots, kept by the allocator of each server; a limit over time had no place there. The class: a bound that is summed over all processes and has nobody who counts.

Every send needs a slot from the allocator, so the allocator counts. It learns of the limit with the slot that the answered request returns. Every message about a server carries the latest statement that its sender knows, so the next allocator knows the limit from the first slot requested by a process that was told, and starts with nothing saved up. A process that has to use another allocator than the regular one, which may still serve others, gets half of the limit there; without any allocator it uses its part among the members. A server that takes none gets one request in 4 s, because only an answer can end the limit.

--- a/entry/internal/dispatch/limiter.go
+++ b/entry/internal/dispatch/limiter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
 // Limiter limits the requests that run on each server at a time to the slots of the server.
@@ -38,6 +39,9 @@
 type RefusalError struct {
 	// RetryAt is when a slot may be requested again.
 	RetryAt time.Time
+	// OverRate is true if the server takes no more requests in a second; Limit is then what it has named.
+	OverRate bool
+	Limit    requestlimit.Limit
 }
 
 // Error implements error.
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -27,11 +27,14 @@
 }
 
 // dumpLimits returns the request limits of servers that the process knows of, with the time in ms since
-// a response last named them.
+// a response last named them and the requests that this process has refused as an allocator.
 func (p *Process) dumpLimits(now time.Time) map[string]any {
 	limits := make(map[string]any)
+	refused := p.allocator.OverRate()
 	for inst, l := range p.limits.InForce(now) {
-		limits[inst.ID] = map[string]any{"incarnation": inst.Incarnation, "rate": l.PerSecond, "age": now.Sub(l.HeardAt).Milliseconds()}
+		limits[inst.ID] = map[string]any{
+			"incarnation": inst.Incarnation, "rate": l.PerSecond, "age": now.Sub(l.HeardAt).Milliseconds(), "refused": refused[inst],
+		}
 	}
 	return limits
 }
--- a/entry/internal/requestlimit/limit.go
+++ b/entry/internal/requestlimit/limit.go
@@ -16,6 +16,26 @@
 	HeardAt time.Time
 }
 
+const (
+	// minRate is the rate in requests a second to a server that takes fewer or none, because only the
+	// response to a request shows that the server takes more again.
+	minRate = 0.25
+	// currentTime is how long after the last response that named it a limit guides the choice of servers.
+	// A server that is avoided for longer is tried again.
+	currentTime = 10 * time.Second
+)
+
+// Rate returns the requests a second that may be sent to a server with the limit.
+func (l Limit) Rate() float64 { return max(l.PerSecond, minRate) }
+
+// IsCurrent reports whether the limit is in force and was named not long ago.
+func (l Limit) IsCurrent(now time.Time) bool { return l.InForce && now.Sub(l.HeardAt) < currentTime }
+
+// Interval returns the mean time between two requests to a server with the limit.
+func (l Limit) Interval() time.Duration {
+	return time.Duration(float64(time.Second) / l.Rate())
+}
+
 // Reading is what one response says about the request limit of its server.
 type Reading struct {
 	// PerSecond is the limit if Named is true.
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -7,9 +7,13 @@
 // allocator fails, no request is lost: the requests that wait there wait at the next one instead. If
 // that can't be reached either, each process uses a fixed share of the slots, and the limit is not exact.
 //
+// The allocator also keeps to the request limit that a server names in its responses. Every message about
+// a server carries the latest such statement that its sender knows, so that the allocator learns of it
+// with the slot that is returned, and the next allocator with the first slot that is requested.
+//
 // # Usage
 //
-//	allocator := slots.NewAllocator()
+//	allocator := slots.NewAllocator(limits)
 //	limiter := slots.New(ctx, self, allocator, peers, members, limits, logger)
 //	slot, err := limiter.Acquire(ctx, slotRequest)
 //	defer slot.Release(outcome)
@@ -22,6 +26,7 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/admission"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
 const (
@@ -35,8 +40,10 @@
 // concurrent use; replies are sent without holding its lock.
 type Allocator struct {
 	// wake tells Run that a request has begun to wait.
-	wake chan struct{}
+	wake   chan struct{}
+	limits *requestlimit.Table
 
+	// mu is locked before the lock of limits.
 	mu       sync.Mutex
 	servers  map[registry.Instance]*serverState
 	requests map[requestID]activeRequest
@@ -52,8 +59,28 @@
 type serverState struct {
 	scheduler *admission.Scheduler
 	lastUsed  time.Time
+	// share is the part of the server's request limit that this allocator gives out until shareEnd: the
+	// largest that a process has asked for lately.
+	share    float64
+	shareEnd time.Time
+	// overRate counts the requests that were refused because of the request limit.
+	overRate int
+}
+
+// updateShare records the share that a process asks for. An invalid one counts as the
+// smallest.
+func (s *serverState) updateShare(now time.Time, share float64) {
+	if !(share >= minShare && share <= 1) {
+		share = minShare
+	}
+	if share >= s.share || now.After(s.shareEnd) {
+		s.share, s.shareEnd = share, now.Add(exclusionTime)
+	}
 }
 
+// minShare is the smallest part of a request limit that an allocator gives out.
+const minShare = 0.001
+
 // requestID identifies a request of a process.
 type requestID struct {
 	requester *requester
@@ -66,8 +93,8 @@
 }
 
 // NewAllocator returns an allocator without servers.
-func NewAllocator() *Allocator {
-	return &Allocator{wake: make(chan struct{}, 1), servers: make(map[registry.Instance]*serverState), requests: make(map[requestID]activeRequest)}
+func NewAllocator(t *requestlimit.Table) *Allocator {
+	return &Allocator{wake: make(chan struct{}, 1), limits: t, servers: make(map[registry.Instance]*serverState), requests: make(map[requestID]activeRequest)}
 }
 
 // Run refuses requests that have waited too long, until the context ends. It sleeps while
@@ -136,7 +163,7 @@
 	case acquire:
 		replies = a.acquire(now, from, m)
 	case release:
-		replies = a.release(now, requestID{from, m.number}, m.instance, m.serviceTime)
+		replies = a.release(now, requestID{from, m.number}, m)
 	}
 	a.mu.Unlock()
 	sendAll(replies)
@@ -151,6 +178,8 @@
 	}
 	s.lastUsed = now
 	s.scheduler.SetSlots(m.slots)
+	s.updateShare(now, m.share)
+	a.applyLimit(now, s, m)
 	r := &admission.Request{
 		Rank: m.rank, Arrived: m.arrived, Objective: m.objective, Deadline: m.deadline,
 		Tag: requestID{from, m.number},
@@ -166,16 +195,28 @@
 	return out
 }
 
+// applyLimit records the statement of a server that a message carries and limits its requests by the
+// latest one. The lock is held.
+func (a *Allocator) applyLimit(now time.Time, s *serverState, m message) {
+	a.limits.Merge(now, m.instance, m.limit)
+	if l := a.limits.Get(now, m.instance); l.InForce {
+		s.scheduler.SetRate(now, l.Rate()*s.share)
+		return
+	}
+	s.scheduler.ClearRate()
+}
+
 // release frees the slot of a request, or withdraws a request that waits. The lock is held.
-func (a *Allocator) release(now time.Time, id requestID, inst registry.Instance, serviceTime time.Duration) []addressedReply {
+func (a *Allocator) release(now time.Time, id requestID, m message) []addressedReply {
 	r, ok := a.requests[id]
-	s := a.servers[inst]
+	s := a.servers[m.instance]
 	if !ok || s == nil {
 		return nil
 	}
 	delete(a.requests, id)
 	s.lastUsed = now
-	return a.toReplies(now, s, s.scheduler.Finish(now, r.request, serviceTime))
+	a.applyLimit(now, s, m)
+	return a.toReplies(now, s, s.scheduler.Finish(now, r.request, m.serviceTime))
 }
 
 // toReplies turns the decisions of a scheduler into replies and removes the refused requests. The
@@ -184,16 +225,35 @@
 	var out []addressedReply
 	for _, d := range decisions {
 		id := d.Request.Tag.(requestID)
-		r := reply{number: id.number, started: d.Started, wait: s.scheduler.ExpectedWait(now, d.Request.Rank)}
+		r := reply{
+			number: id.number, started: d.Started, wait: s.scheduler.ExpectedWait(now, d.Request.Rank),
+			limit: a.limits.Get(now, a.requests[id].server),
+		}
 		if !d.Started {
 			delete(a.requests, id)
-			r.retry = max(0, d.RetryAt.Sub(now))
+			r.retry, r.overRate = max(0, d.RetryAt.Sub(now)), d.OverRate
+			if d.OverRate {
+				s.overRate++
+			}
 		}
 		out = append(out, addressedReply{id.requester, r})
 	}
 	return out
 }
 
+// OverRate returns how many requests were refused because of the request limits of servers, by server.
+func (a *Allocator) OverRate() map[registry.Instance]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counts := make(map[registry.Instance]int)
+	for inst, s := range a.servers {
+		if s.overRate > 0 {
+			counts[inst] = s.overRate
+		}
+	}
+	return counts
+}
+
 // Counts returns the number of servers with a scheduler, and the numbers of their running and
 // waiting requests.
 func (a *Allocator) Counts() map[string]int {
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/dispatch"
@@ -49,7 +48,9 @@
 	excluded map[string]time.Time
 	// allocators has the allocators by data centre, selected from knownMembers. It is nil if
 	// they must be selected anew.
-	allocators    map[string][]election.Member
+	allocators map[string][]election.Member
+	// regular has the allocators that are selected while none has failed.
+	regular       map[string][]election.Member
 	knownMembers  []election.Member
 	waitEstimates map[registry.Instance]waitEstimate
 	// pending has a channel for each local request without a reply, by its number.
@@ -77,7 +78,7 @@
 	lm := &Limiter{
 		ctx: ctx, self: self, allocator: a, peers: p, members: m, limits: t, logger: logger, links: make(map[string]*linkEntry),
 		excluded: make(map[string]time.Time), waitEstimates: make(map[registry.Instance]waitEstimate),
-		pending: make(map[uint64]chan reply), fallback: NewAllocator(),
+		pending: make(map[uint64]chan reply), fallback: NewAllocator(t),
 	}
 	lm.localRequester = &requester{reply: lm.deliverLocal}
 	return lm
@@ -86,15 +87,20 @@
 // Run runs the allocator that is used while another one has failed, until the context ends.
 func (lm *Limiter) Run(ctx context.Context) { lm.fallback.Run(ctx) }
 
-// ExpectedWait implements dispatch.Limiter.
+// ExpectedWait implements dispatch.Limiter. Without a recent estimate, a server that limits its requests
+// is expected to take the next one after the mean time between two, because other processes send to it too.
 func (lm *Limiter) ExpectedWait(r dispatch.SlotRequest) time.Duration {
+	now := time.Now()
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	e := lm.waitEstimates[r.Server.Instance]
-	if time.Since(e.at) > estimateLifetime {
-		return 0
+	if now.Sub(e.at) <= estimateLifetime {
+		return e.wait
+	}
+	if l := lm.limits.Get(now, r.Server.Instance); l.IsCurrent(now) {
+		return l.Interval()
 	}
-	return e.wait
+	return 0
 }
 
 // Acquire implements dispatch.Limiter.
@@ -104,7 +110,12 @@
 		arrived: r.Arrived, objective: r.Objective, deadline: r.Deadline,
 	}
 	for range maxAllocatorAttempts {
-		name, member := lm.allocatorOf(time.Now(), r.Server)
+		now := time.Now()
+		name, member, substitute := lm.allocatorOf(now, r.Server)
+		m.limit, m.share = lm.limits.Get(now, r.Server.Instance), 1
+		if substitute {
+			m.share = substituteShare
+		}
 		if name == lm.self.Name {
 			return lm.acquireLocal(ctx, lm.allocator, m)
 		}
@@ -117,6 +128,7 @@
 		}
 	}
 	m.slots = max(1, m.slots/fallbackDivisor)
+	m.share = 1 / float64(max(1, len(lm.members.Members())))
 	return lm.acquireLocal(ctx, lm.fallback, m)
 }
 
@@ -125,14 +137,19 @@
 // be sent to the server at once and wait there.
 const maxAllocatorAttempts = 2
 
+// substituteShare is the part of a server's request limit that an allocator gives out while it replaces
+// the regular one, which may still serve other processes. Servers bear one and a half times their limit.
+const substituteShare = 0.5
+
 // fallbackDivisor divides a server's slots into the shares that each process uses while there is
 // no allocator. Of the ten processes of a deployment, two or three send requests to the same server
 // at a time.
 const fallbackDivisor = 2
 
 // allocatorOf returns the process that allocates the slots of a server: one of the allocators of
-// the server's data centre, selected by rendezvous hashing. The name is empty if there is none.
-func (lm *Limiter) allocatorOf(now time.Time, s registry.Server) (string, election.Member) {
+// the server's data centre, selected by rendezvous hashing. The name is empty if there is none. The third
+// result is true if it replaces one that has failed.
+func (lm *Limiter) allocatorOf(now time.Time, s registry.Server) (string, election.Member, bool) {
 	members := lm.members.Members()
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
@@ -143,20 +160,10 @@
 		}
 	}
 	if lm.allocators == nil || !slices.Equal(members, lm.knownMembers) {
-		lm.knownMembers, lm.allocators = members, selectAllocators(members, lm.excluded)
-	}
-	candidates, ok := lm.allocators[s.DataCentre]
-	if !ok {
-		candidates = lm.allocators[allDataCentres]
-	}
-	var best election.Member
-	var highest uint64
-	for _, m := range candidates {
-		if score := xxhash.Sum64String(m.Name + "\x00" + s.ID); best.Name == "" || score > highest {
-			best, highest = m, score
-		}
+		lm.knownMembers, lm.allocators, lm.regular = members, selectAllocators(members, lm.excluded), selectAllocators(members, nil)
 	}
-	return best.Name, best
+	selected := selectAllocator(lm.allocators, s)
+	return selected.Name, selected, len(lm.excluded) > 0 && selected.Name != selectAllocator(lm.regular, s).Name
 }
 
 // acquireRemote requests a slot from an allocator in another process. It returns errLinkLost if
@@ -231,8 +238,9 @@
 	}
 	lm.waitEstimates[m.instance] = waitEstimate{wait: r.wait, at: now}
 	lm.mu.Unlock()
+	lm.limits.Merge(now, m.instance, r.limit)
 	if !r.started {
-		return nil, &dispatch.RefusalError{RetryAt: now.Add(r.retry)}
+		return nil, &dispatch.RefusalError{RetryAt: now.Add(r.retry), OverRate: r.overRate, Limit: r.limit}
 	}
 	return &slot{message: m, granted: now, limits: lm.limits, release: release}, nil
 }
@@ -302,6 +310,6 @@
 		s.limits.ObserveInvalid(now, s.message.instance, o.LimitErr)
 	}
 	s.limits.Observe(now, s.message.instance, s.granted, o.Limit)
-	s.message.serviceTime = o.ServiceTime
+	s.message.serviceTime, s.message.limit = o.ServiceTime, s.limits.Get(now, s.message.instance)
 	s.release(s.message)
 }
--- a/entry/internal/slots/link.go
+++ b/entry/internal/slots/link.go
@@ -85,7 +85,7 @@
 			return
 		}
 		overdue.Reset(heartbeatTimeout)
-		l.deliver(decodeReply(&w))
+		l.deliver(decodeReply(time.Now(), &w))
 	}
 }
 
--- a/entry/internal/slots/messages.go
+++ b/entry/internal/slots/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
 // action is what a process requests from an allocator.
@@ -28,6 +29,10 @@
 	objective   time.Time
 	deadline    time.Time
 	serviceTime time.Duration
+	// limit is the latest statement of the server that the process knows.
+	limit requestlimit.Limit
+	// share is the part of the server's request limit that the allocator may give out, from 0 to 1.
+	share float64
 }
 
 // reply goes from an allocator to a process. A reply with number 0 is a heartbeat.
@@ -38,6 +43,10 @@
 	retry time.Duration
 	// wait is the expected wait of another request for the server.
 	wait time.Duration
+	// limit is the latest statement of the server that the allocator knows, and overRate whether the
+	// request was refused because of it.
+	limit    requestlimit.Limit
+	overRate bool
 }
 
 type wireMessage struct {
@@ -52,6 +61,17 @@
 	Objective   int64
 	Deadline    int64
 	ServiceTime int64
+	Share       float64
+	Limit       wireLimit
+}
+
+// wireLimit is the statement of a server with its age. Known is false if there is none.
+type wireLimit struct {
+	_         struct{} `cbor:",toarray"`
+	Known     bool
+	InForce   bool
+	PerSecond float64
+	Age       int64
 }
 
 type wireReply struct {
@@ -60,6 +80,9 @@
 	Started bool
 	Retry   int64
 	Wait    int64
+	// OverRate is true for a refusal because of Limit.
+	OverRate bool
+	Limit    wireLimit
 }
 
 // encodeMessage returns a message as it is sent now.
@@ -67,6 +90,7 @@
 	return &wireMessage{
 		Action: uint8(m.action), Number: m.number, ID: m.instance.ID, Instance: m.instance.Incarnation, Slots: m.slots, Rank: m.rank,
 		Waited: now.Sub(m.arrived).Microseconds(), Objective: m.objective.Sub(now).Microseconds(), Deadline: m.deadline.Sub(now).Microseconds(), ServiceTime: m.serviceTime.Microseconds(),
+		Share: m.share, Limit: encodeLimit(now, m.limit),
 	}
 }
 
@@ -75,15 +99,38 @@
 	return message{
 		action: action(w.Action), number: w.Number, instance: registry.Instance{ID: w.ID, Incarnation: w.Instance}, slots: w.Slots, rank: w.Rank,
 		arrived: now.Add(-microseconds(w.Waited)), objective: now.Add(microseconds(w.Objective)), deadline: now.Add(microseconds(w.Deadline)), serviceTime: microseconds(w.ServiceTime),
+		share: w.Share, limit: decodeLimit(now, w.Limit),
+	}
+}
+
+// encodeReply returns a reply as it is sent now.
+func encodeReply(now time.Time, r reply) *wireReply {
+	return &wireReply{
+		Number: r.number, Started: r.started, Retry: r.retry.Microseconds(), Wait: r.wait.Microseconds(),
+		OverRate: r.overRate, Limit: encodeLimit(now, r.limit),
 	}
 }
 
-func encodeReply(r reply) *wireReply {
-	return &wireReply{Number: r.number, Started: r.started, Retry: r.retry.Microseconds(), Wait: r.wait.Microseconds()}
+// decodeReply returns a reply that has been received now.
+func decodeReply(now time.Time, w *wireReply) reply {
+	return reply{
+		number: w.Number, started: w.Started, retry: microseconds(w.Retry), wait: microseconds(w.Wait),
+		overRate: w.OverRate, limit: decodeLimit(now, w.Limit),
+	}
 }
 
-func decodeReply(w *wireReply) reply {
-	return reply{number: w.Number, started: w.Started, retry: microseconds(w.Retry), wait: microseconds(w.Wait)}
+func encodeLimit(now time.Time, l requestlimit.Limit) wireLimit {
+	if l.HeardAt.IsZero() {
+		return wireLimit{}
+	}
+	return wireLimit{Known: true, InForce: l.InForce, PerSecond: l.PerSecond, Age: now.Sub(l.HeardAt).Microseconds()}
+}
+
+func decodeLimit(now time.Time, w wireLimit) requestlimit.Limit {
+	if !w.Known {
+		return requestlimit.Limit{}
+	}
+	return requestlimit.Limit{InForce: w.InForce, PerSecond: w.PerSecond, HeardAt: now.Add(-microseconds(w.Age))}
 }
 
 // microseconds converts a time of a message, which is in microseconds.
--- a/entry/internal/slots/selectallocators.go
+++ b/entry/internal/slots/selectallocators.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/election"
 )
 
@@ -21,6 +22,22 @@
 	allDataCentres = ""
 )
 
+// selectAllocator returns the allocator of a server by rendezvous hashing. It has no name if there is none.
+func selectAllocator(allocators map[string][]election.Member, s registry.Server) election.Member {
+	candidates, ok := allocators[s.DataCentre]
+	if !ok {
+		candidates = allocators[allDataCentres]
+	}
+	var best election.Member
+	var highest uint64
+	for _, m := range candidates {
+		if score := xxhash.Sum64String(m.Name + "\x00" + s.ID); best.Name == "" || score > highest {
+			best, highest = m, score
+		}
+	}
+	return best
+}
+
 // selectAllocators returns the allocators by data centre. Processes that know the same members
 // select the same allocators, and a member that joins or leaves changes at most one of them per
 // data centre.
--- a/entry/internal/slots/server.go
+++ b/entry/internal/slots/server.go
@@ -30,7 +30,7 @@
 	write := func(r reply) {
 		mu.Lock()
 		defer mu.Unlock()
-		if err := stream.MsgSend(encodeReply(r), rpc.Encoding{}); err != nil {
+		if err := stream.MsgSend(encodeReply(time.Now(), r), rpc.Encoding{}); err != nil {
 			cancel()
 		}
 	}
