dispatch: refuse requests over a server's limit with a reason of their own

A request that a limited server does not take was refused like one without a slot. The reason is now "over limit", and the line of a request has the limit and its age. For a service that is not sharded, the other servers are tried; if all are limited, the Retry-After is that of the one that takes a request first, instead of a fixed 200 ms. For a sharded service it is at most a second, because the keys are moved by then.

TestOverLimit, TestLimitInAnswer.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -22,6 +22,7 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/origin"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/suspect"
 	"bramleystand.org/entry/internal/view"
 )
@@ -45,6 +46,9 @@
 	// refusalRetryDelay is the time after which a client may try again when all servers were
 	// unreachable or had no slot.
 	refusalRetryDelay = 200 * time.Millisecond
+	// limitMoveTime is the time in which keys move away from a server that gets more requests than it
+	// takes: the load must be reported, a plan made, stored and carried out.
+	limitMoveTime = time.Second
 )
 
 // Budgets limits how often the requests of a service are sent again.
@@ -119,6 +123,11 @@
 	tried map[registry.Instance]bool
 	// fallback is the result if no further attempt succeeds.
 	fallback *Result
+	// overLimit is the refusal of the server that takes another request first, of those that were
+	// refused because of a request limit.
+	overLimit *Result
+	// full is true if a server had no slot.
+	full bool
 	// server is the last server that the request was sent to.
 	server      string
 	fingerprint suspect.Fingerprint
@@ -140,6 +149,9 @@
 	waitCtx, cancel := d.withWaits(ctx)
 	defer cancel()
 	r := d.tryServers(ctx, waitCtx, p)
+	if r.Response != nil && r.Response.Limit.Named {
+		r.Limit = requestlimit.Limit{PerSecond: r.Response.Limit.PerSecond, InForce: true, HeardAt: time.Now()}
+	}
 	r.Attempts, r.Server, r.Steps, r.TableRevision, r.OwnerWait = p.attempts, p.server, p.steps, p.tableRevision, p.ownerWait
 	return r
 }
@@ -154,6 +166,9 @@
 		p.call.SetPhase(AwaitsOwner, "")
 		b, refusal := d.selectBackend(waitCtx, p)
 		if refusal != nil {
+			if p.overLimit != nil && !p.full && refusal.Reason == NoServer {
+				refusal = p.overLimit
+			}
 			return p.finalResult(refusal)
 		}
 		begin := time.Now()
@@ -233,17 +248,29 @@
 }
 
 // handleNoSlot returns the result of an attempt that got no slot in time. If the service is not
-// sharded, another server may have a slot.
+// sharded, another server may have a slot. If it is, the coordinator moves keys away from a server that
+// limits its requests, which may be sooner than the server takes another one.
 func (d *Dispatcher) handleNoSlot(ctx context.Context, p *progress, b *backend, err error) (*Result, bool) {
 	if ctx.Err() != nil {
 		return d.contextDone(ctx, p), false
 	}
-	retryAt := time.Now().Add(refusalRetryDelay)
-	if refusal, ok := errors.AsType[*RefusalError](err); ok {
-		retryAt = refusal.RetryAt
-	}
 	p.tried[b.server.Instance] = true
-	return refusedResult(NoSlot, retryAt, err), !d.isSharded(p.call)
+	result := refusedResult(NoSlot, time.Now().Add(refusalRetryDelay), err)
+	refusal, ok := errors.AsType[*RefusalError](err)
+	if ok {
+		result.RetryAt = refusal.RetryAt
+	}
+	if ok && refusal.OverRate {
+		result.Reason, result.Limit = OverLimit, refusal.Limit
+		if d.isSharded(p.call) {
+			result.RetryAt = earlier(refusal.RetryAt, time.Now().Add(limitMoveTime))
+		}
+		if p.overLimit == nil || result.RetryAt.Before(p.overLimit.RetryAt) {
+			p.overLimit = result
+		}
+	}
+	p.full = p.full || result.Reason == NoSlot
+	return result, !d.isSharded(p.call)
 }
 
 // contextDone returns the result of a call whose deadline has passed, whose client has disconnected or
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -20,6 +20,7 @@
 	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/ownership"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/retry"
 	"bramleystand.org/entry/internal/suspect"
 	"bramleystand.org/entry/internal/view"
@@ -549,3 +550,86 @@
 	must.Eq(t, now.Add(100*time.Millisecond), r.Objective)
 	must.Eq(t, now.Add(100*time.Millisecond), r.Deadline)
 }
+
+// limitedSlots is a limiter that has no slot of some servers because of their request limits.
+type limitedSlots struct {
+	unlimited
+	retryAt  map[string]time.Time
+	outcomes chan dispatch.Outcome
+}
+
+func (l limitedSlots) Acquire(_ context.Context, r dispatch.SlotRequest) (dispatch.Slot, error) {
+	at, ok := l.retryAt[r.Server.ID]
+	if !ok {
+		return outcomeSlot(l), nil
+	}
+	return nil, &dispatch.RefusalError{RetryAt: at, OverRate: true, Limit: requestlimit.Limit{PerSecond: 3, InForce: true}}
+}
+
+// outcomeSlot records the outcome with which it is returned.
+type outcomeSlot limitedSlots
+
+func (s outcomeSlot) Release(o dispatch.Outcome) { s.outcomes <- o }
+
+// Guards against a request that is refused although another server takes it, against a Retry-After after
+// which the servers still refuse it, and against one of a sharded service that is longer than it takes to
+// move the key.
+func TestOverLimit(t *testing.T) {
+	soon, later := time.Now().Add(2*time.Second), time.Now().Add(4*time.Second)
+	for _, c := range []struct {
+		name    string
+		sharded bool
+		retryAt map[string]time.Time
+		status  int
+		latest  time.Duration
+	}{
+		{"another server", false, map[string]time.Time{"a": soon}, 200, 0},
+		{"all limited", false, map[string]time.Time{"a": later, "b": soon}, 503, 2 * time.Second},
+		{"sharded", true, map[string]time.Time{"a": soon}, 503, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newServer(t, "a", handleOK), newServer(t, "b", handleOK)
+			f := newFixture(t, c.sharded, limitedSlots{retryAt: c.retryAt, outcomes: make(chan dispatch.Outcome, 1)}, ampleBudget, a, b)
+			f.setOwner(a, false)
+			r := f.call(traffic.NonIdempotent)
+			must.Eq(t, c.status, r.Status)
+			if c.status == 200 {
+				return
+			}
+			must.Eq(t, dispatch.OverLimit, r.Reason)
+			must.Eq(t, 3, r.Limit.PerSecond)
+			must.Eq(t, 0, r.Attempts)
+			must.Between(t, c.latest-100*time.Millisecond, time.Until(r.RetryAt), c.latest)
+		})
+	}
+}
+
+// Guards against an answer whose limit is not noticed, and against one that seems to end a limit although
+// the server has not run the request.
+func TestLimitInAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handle  func(int, http.ResponseWriter, *http.Request)
+		reading requestlimit.Reading
+	}{
+		{"served", handleOK, requestlimit.Reading{Silent: true}},
+		{"status 500", handleError, requestlimit.Reading{Silent: true}},
+		{"rejected", handleNotRun, requestlimit.Reading{}},
+		{"closed", handleAbort, requestlimit.Reading{}},
+		{"without proof", func(_ int, w http.ResponseWriter, _ *http.Request) { w.Header().Set("Limit", "9") }, requestlimit.Reading{}},
+		{"limited", func(n int, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Limit", "2.5")
+			handleOK(n, w, r)
+		}, requestlimit.Reading{Named: true, PerSecond: 2.5}},
+		{"rejected, limited", func(n int, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Limit", "0")
+			handleNotRun(n, w, r)
+		}, requestlimit.Reading{Named: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := limitedSlots{outcomes: make(chan dispatch.Outcome, 1)}
+			newFixture(t, false, l, ampleBudget, newServer(t, "a", c.handle)).call(traffic.NonIdempotent)
+			must.Eq(t, c.reading, (<-l.outcomes).Limit)
+		})
+	}
+}
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -15,6 +15,8 @@
 	Unreachable Reason = "unreachable"
 	// NoSlot means that the wait for a slot would be too long.
 	NoSlot Reason = "full"
+	// OverLimit means that the server takes no more requests in a second than it has got.
+	OverLimit Reason = "over limit"
 	// NotRun means that the servers stated that they did not run the request.
 	NotRun Reason = "not run by server"
 	// UnusableResponse means that a server sent no valid response.
--- a/entry/internal/dispatch/result.go
+++ b/entry/internal/dispatch/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleystand.org/entry/internal/origin"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
 // Result is the final response to a call.
@@ -29,6 +30,9 @@
 	TableRevision uint64
 	// OwnerWait is the time that the call waited for its key to get an owner.
 	OwnerWait time.Duration
+	// Limit is the request limit of the server that answered or refused the call, as it has last named
+	// it; not in force if it names none.
+	Limit requestlimit.Limit
 }
 
 // Step is one attempt to send a call to a server.
--- a/entry/internal/gateway/log.go
+++ b/entry/internal/gateway/log.go
@@ -31,6 +31,9 @@
 	if len(r.Steps) > 1 {
 		fields["steps"] = formatSteps(r.Steps)
 	}
+	if r.Limit.InForce {
+		fields["rate"], fields["heard"] = r.Limit.PerSecond, time.Since(r.Limit.HeardAt).Milliseconds()
+	}
 	if r.Cause != nil {
 		fields["error"] = r.Cause
 	}
