coordinator: give servers no more load than their request limits bear

Callers saw refusals for as long as a server limits its requests: 107 of 241 requests of two servers, one with a limit of 3 a second, 503 "over limit". The allocators keep to the limit, but the planner of the keys knew slots and speeds only, so half of the keys stayed with the server.

Processes report the limits that responses have stated lately, and the planner takes the requests that a server takes in a second as a bound of its capacity: limit times mean service time. A limit that has not been named for 10 s no longer counts here, so that a server whose keys have all gone gets some again.

--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, crashTracker, dialer, logger)
+//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, crashTracker, dialer, logger)
 //	go n.Run(ctx)
 //	defer n.Resign(ctx)
 package cluster
@@ -26,6 +26,7 @@
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
@@ -70,7 +71,7 @@
 )
 
 // Node is this process as a member of the cluster. It is safe for concurrent use. mu must be locked
-// before the locks of view and replica.
+// before the locks of view, replica and limits.
 type Node struct {
 	self          election.Member
 	cores         float64
@@ -80,6 +81,7 @@
 	view          *view.View
 	replica       *replica.Replica
 	loadCollector *LoadCollector
+	limits        *requestlimit.Table
 	crashes       *crashes.Tracker
 	dialer        Dialer
 	logger        log.Interface
@@ -129,12 +131,12 @@
 }
 
 // New returns a node that does nothing until Run. cores is the processor time of the VM in cores.
-func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, t *crashes.Tracker, dialer Dialer, logger log.Interface) *Node {
+func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, t *crashes.Tracker, dialer Dialer, logger log.Interface) *Node {
 	now := time.Now()
 	e := election.New(self, now, rand.N(maxJitter))
 	e.SetTakeoverDelay(takeoverDelay(cores, 0))
 	return &Node{
-		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, crashes: t, dialer: dialer, logger: logger,
+		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, crashes: t, dialer: dialer, logger: logger,
 		election: e, reporters: make(map[string]reporter),
 		members: []election.Member{self}, watchers: make(map[string]StoreWatcher), received: make(map[string]*ownership.Table), orders: make(map[string]int),
 	}
@@ -349,7 +351,10 @@
 		return
 	}
 	loads, samples := n.loadCollector.TakeUnreported()
-	r := report.Report{From: n.self, Cores: n.cores, Loads: loads, Samples: samples, Crashes: n.crashes.TakeUnreported()}
+	r := report.Report{
+		From: n.self, Cores: n.cores, Loads: loads, Samples: samples,
+		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()),
+	}
 	if holding {
 		n.Report(time.Now(), r)
 		return
@@ -378,6 +383,9 @@
 	n.reporters[r.From.Name] = reporter{member: r.From, cores: r.Cores, lastReport: now}
 	n.executor.addReport(now, r)
 	n.crashes.AddReported(now, r.Crashes)
+	for inst, l := range r.Limits {
+		n.limits.Merge(now, inst, l)
+	}
 	n.members = n.members[:0:0]
 	largest := 0.0
 	for name, p := range n.reporters {
--- a/entry/internal/coordinator/demand.go
+++ b/entry/internal/coordinator/demand.go
@@ -12,6 +12,8 @@
 	// the number of requests counted. SteadyLoad returns the same over some seconds.
 	RecentLoad(now time.Time) ([]float64, float64)
 	SteadyLoad(now time.Time) ([]float64, float64)
+	// MaxLoad returns the load that a server bears because of its request limit, or false if it has none.
+	MaxLoad(now time.Time, inst registry.Instance) (float64, bool)
 	// Speed returns the speed of a server; 1 is the mean of the service.
 	Speed(inst registry.Instance) float64
 }
--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -133,7 +133,8 @@
 }
 
 // Speed implements coordinator.Demand.
-func (sim *simulation) Speed(registry.Instance) float64 { return 1 }
+func (sim *simulation) Speed(registry.Instance) float64                      { return 1 }
+func (sim *simulation) MaxLoad(time.Time, registry.Instance) (float64, bool) { return 0, false }
 
 func (sim *simulation) registerAll() {
 	sim.registered = nil
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -115,6 +115,9 @@
 			speed *= warmupSpeed
 		}
 		servers[i].Capacity = float64(s.Slots) * speed
+		if load, ok := d.MaxLoad(now, l.Instance); ok {
+			servers[i].Capacity = min(servers[i].Capacity, load)
+		}
 	}
 	return eligible, servers
 }
--- a/entry/internal/demand/service.go
+++ b/entry/internal/demand/service.go
@@ -5,6 +5,7 @@
 
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/requestlimit"
 )
 
 const (
@@ -19,15 +20,27 @@
 type Service struct {
 	recent, steady *Histogram
 	speeds         *Speeds
+	limits         Limits
+	// meanServiceTime is the latest mean service time of a request in seconds; zero if there is none.
+	meanServiceTime float64
+}
+
+// Limits has the request limits of servers.
+type Limits interface {
+	// Get returns what is known of the request limit of a server.
+	Get(now time.Time, inst registry.Instance) requestlimit.Limit
 }
 
 // NewService returns the demand of a service without any requests.
-func NewService(now time.Time) *Service {
-	return &Service{recent: NewHistogram(now, recentWindow), steady: NewHistogram(now, steadyWindow), speeds: NewSpeeds()}
+func NewService(now time.Time, l Limits) *Service {
+	return &Service{limits: l, recent: NewHistogram(now, recentWindow), steady: NewHistogram(now, steadyWindow), speeds: NewSpeeds()}
 }
 
 // AddRequests counts requests for keys. meanServiceTime is the mean service time of a request in seconds.
 func (s *Service) AddRequests(now time.Time, keys []keyspace.Key, meanServiceTime float64) {
+	if meanServiceTime > 0 {
+		s.meanServiceTime = meanServiceTime
+	}
 	s.recent.Add(now, keys, meanServiceTime)
 	s.steady.Add(now, keys, meanServiceTime)
 }
@@ -44,5 +57,15 @@
 // SteadyLoad returns the same over the last seconds.
 func (s *Service) SteadyLoad(now time.Time) ([]float64, float64) { return s.steady.PrefixLoads(now) }
 
+// MaxLoad returns the load at which a server gets as many requests as it takes in a second, or false if
+// it names no limit.
+func (s *Service) MaxLoad(now time.Time, inst registry.Instance) (float64, bool) {
+	l := s.limits.Get(now, inst)
+	if !l.IsCurrent(now) || s.meanServiceTime == 0 {
+		return 0, false
+	}
+	return l.Rate() * s.meanServiceTime, true
+}
+
 // Speed returns the speed of a server; 1 is the mean of the service.
 func (s *Service) Speed(inst registry.Instance) float64 { return s.speeds.Speed(inst) }
--- a/entry/internal/gatewayprocess/limit_test.go
+++ b/entry/internal/gatewayprocess/limit_test.go
@@ -42,6 +42,23 @@
 	return statuses
 }
 
+// startLimitTest starts processes and two servers, and returns one of the servers when all keys are served.
+func startLimitTest(t *testing.T, names []string) ([]*testProcess, *fakeBackend) {
+	s := newFakeStore(t)
+	a, b := newFakeBackend(t, "a"), newFakeBackend(t, "b")
+	s.put("config", "main", fmt.Sprintf(configurationFormat, 1))
+	s.put("servers", "a", a.registryEntry("ready"))
+	s.put("servers", "b", b.registryEntry("ready"))
+	var processes []*testProcess
+	for _, name := range names {
+		processes = append(processes, startProcess(t, s, name))
+	}
+	for _, p := range processes {
+		eventually(t, 10*time.Second, "all keys are served", func() bool { return p.servesAllKeys(t.Name()) })
+	}
+	return processes, b
+}
+
 // Guards against a server that gets more requests from all processes together than the limit it names.
 func TestServerLimitAcrossProcesses(t *testing.T) {
 	t.Parallel()
@@ -60,18 +77,7 @@
 	} {
 		t.Run(fmt.Sprint(len(c.names), c.path, c.limit), func(t *testing.T) {
 			t.Parallel()
-			s := newFakeStore(t)
-			a, b := newFakeBackend(t, "a"), newFakeBackend(t, "b")
-			s.put("config", "main", fmt.Sprintf(configurationFormat, 1))
-			s.put("servers", "a", a.registryEntry("ready"))
-			s.put("servers", "b", b.registryEntry("ready"))
-			var processes []*testProcess
-			for _, name := range c.names {
-				processes = append(processes, startProcess(t, s, name))
-			}
-			for _, p := range processes {
-				eventually(t, 10*time.Second, "all keys are served", func() bool { return p.servesAllKeys(t.Name()) })
-			}
+			processes, b := startLimitTest(t, c.names)
 			sendSteadily(t, processes, c.path, 60, time.Now().Add(2*time.Second), time.Time{})
 			b.setLimit(c.limit)
 			named := time.Now()
@@ -82,3 +88,25 @@
 		})
 	}
 }
+
+// Guards against requests that are refused although other servers have room for the keys of a server that
+// limits its requests, and against a server that gets no keys after its limit has ended.
+func TestKeysLeaveLimitedServer(t *testing.T) {
+	t.Parallel()
+	const perSecond = 60
+	processes, b := startLimitTest(t, []string{"first", "second"})
+	b.setLimit("3")
+	named := time.Now()
+	statuses := sendSteadily(t, processes, "/get/x", perSecond, named.Add(limitStable+limitWindow), named.Add(limitStable))
+	t.Logf("responses while the limit is in force: %v", statuses)
+	must.Greater(t, 9*statuses[503], statuses[200])
+	b.setLimit("")
+	ended := time.Now()
+	statuses = sendSteadily(t, processes, "/get/y", perSecond, ended.Add(2*limitWindow), ended.Add(limitWindow))
+	got := b.maxArrivals(ended.Add(limitWindow), ended.Add(limitWindow), limitWindow)
+	t.Logf("after the limit: %v, of these %d at the server that had named it", statuses, got)
+	must.Greater(t, 9*statuses[503], statuses[200])
+	// The two servers are equal, and keys are moved from the one to the other until the load of each is
+	// within a factor of the mean that is below two.
+	must.Greater(t, perSecond*limitWindow.Seconds()/4, float64(got))
+}
--- a/entry/internal/place/plan_test.go
+++ b/entry/internal/place/plan_test.go
@@ -193,3 +193,31 @@
 		place.Plan(servers, ranges, hot, recentLimits(0.38))
 	}
 }
+
+// Guards against a server with almost no capacity, because it limits its requests, that keeps its keys or
+// stops the balancing of the others.
+func TestLimitedServer(t *testing.T) {
+	const n = 10
+	prefix := prefixLoads(func(int) float64 { return 0.5 * 4 * n / keyspace.KeyCount })
+	servers := make([]place.Server, n)
+	var ranges []place.Range
+	for i := range servers {
+		servers[i].Capacity = 4
+		first := keyspace.Key(i * keyspace.KeyCount / n)
+		ranges = append(ranges, place.Range{Range: keyspace.Range{First: first, Last: keyspace.Key((i+1)*keyspace.KeyCount/n - 1)}, Owner: i})
+	}
+	for _, capacity := range []float64{0.001, 0.05, 0.6} {
+		servers[3].Capacity = capacity
+		current := ranges
+		for range 3 {
+			current = applyMoves(t, current, place.Plan(servers, current, prefix, recentLimits(0.1)))
+		}
+		loads := make([]float64, n)
+		for _, r := range current {
+			loads[r.Owner] += prefix[int(r.Last)+1] - prefix[r.First]
+		}
+		for i, s := range servers {
+			must.LessEq(t, 1, loads[i]/s.Capacity, must.Sprintf("server %d with capacity %v", i, s.Capacity))
+		}
+	}
+}
--- a/entry/internal/report/client.go
+++ b/entry/internal/report/client.go
@@ -58,7 +58,7 @@
 // Report sends a report to the coordinator.
 func (c *Client) Report(ctx context.Context, to netip.AddrPort, r Report) (Response, error) {
 	var w wireResponse
-	if err := c.invoke(ctx, to, reportMethod, encodeReport(r), &w); err != nil {
+	if err := c.invoke(ctx, to, reportMethod, encodeReport(time.Now(), r), &w); err != nil {
 		return Response{}, err
 	}
 	return decodeResponse(&w), nil
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -7,6 +7,7 @@
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/suspect"
 )
 
@@ -19,6 +20,8 @@
 	Loads   []Load
 	Samples []Sample
 	Crashes []crashes.Crash
+	// Limits are the request limits of servers as responses to the process have stated them lately.
+	Limits map[registry.Instance]requestlimit.Limit
 }
 
 // Load lists the requests for keys of a service since the last report.
--- a/entry/internal/report/server.go
+++ b/entry/internal/report/server.go
@@ -78,7 +78,7 @@
 func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
 	switch method {
 	case reportMethod:
-		return rpc.HandleUnary(stream, decodeReport, s.handler.Report, encodeResponse)
+		return rpc.HandleUnary(stream, func(w *wireReport) Report { return decodeReport(time.Now(), w) }, s.handler.Report, encodeResponse)
 	case snapshotMethod:
 		return rpc.HandleUnary(stream, decodeSnapshotRequest, s.handler.Snapshot, encodeObjects)
 	case stepDownMethod:
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -8,6 +8,7 @@
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/suspect"
 )
 
@@ -45,6 +46,17 @@
 	Loads   []wireLoad
 	Samples []wireSample
 	Crashes []wireCrash
+	Limits  []wireLimit
+}
+
+// wireLimit has the age of the statement in microseconds, because the clocks of two VMs differ.
+type wireLimit struct {
+	_         struct{} `cbor:",toarray"`
+	ID        string
+	Instance  int64
+	InForce   bool
+	PerSecond float64
+	Age       int64
 }
 
 type wireCrash struct {
@@ -116,7 +128,8 @@
 	return election.Member{Name: w.Name, Incarnation: w.Instance, DataCentre: w.Centre, Address: w.Address}
 }
 
-func encodeReport(r Report) *wireReport {
+// encodeReport returns a report as it is sent now.
+func encodeReport(now time.Time, r Report) *wireReport {
 	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores}
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
@@ -127,10 +140,14 @@
 	for _, c := range r.Crashes {
 		w.Crashes = append(w.Crashes, wireCrash{Fingerprint: uint64(c.Fingerprint), ID: c.Server.ID, Instance: c.Server.Incarnation, Cleared: c.Cleared})
 	}
+	for inst, l := range r.Limits {
+		w.Limits = append(w.Limits, wireLimit{ID: inst.ID, Instance: inst.Incarnation, InForce: l.InForce, PerSecond: l.PerSecond, Age: now.Sub(l.HeardAt).Microseconds()})
+	}
 	return w
 }
 
-func decodeReport(w *wireReport) Report {
+// decodeReport returns a report that has been received now.
+func decodeReport(now time.Time, w *wireReport) Report {
 	r := Report{From: decodeMember(w.From), Cores: w.Cores}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
@@ -143,6 +160,12 @@
 			Fingerprint: suspect.Fingerprint(c.Fingerprint), Server: registry.Instance{ID: c.ID, Incarnation: c.Instance}, Cleared: c.Cleared,
 		})
 	}
+	r.Limits = make(map[registry.Instance]requestlimit.Limit, len(w.Limits))
+	for _, l := range w.Limits {
+		r.Limits[registry.Instance{ID: l.ID, Incarnation: l.Instance}] = requestlimit.Limit{
+			InForce: l.InForce, PerSecond: l.PerSecond, HeardAt: now.Add(-time.Duration(l.Age) * time.Microsecond),
+		}
+	}
 	return r
 }
 
--- a/entry/internal/requestlimit/table.go
+++ b/entry/internal/requestlimit/table.go
@@ -34,6 +34,8 @@
 	pruneInterval = 10 * time.Second
 	// loggedChange is the factor by which a limit must have changed since the last log line about it.
 	loggedChange = 1.25
+	// reportTime is how long an own observation is reported, so that a lost report does not hide it.
+	reportTime = 1500 * time.Millisecond
 	// invalidLogInterval is the time between two log lines about unusable limits.
 	invalidLogInterval = 10 * time.Second
 )
@@ -157,6 +159,19 @@
 	return t.invalid
 }
 
+// Observed returns the statements that responses to this process have made lately.
+func (t *Table) Observed(now time.Time) map[registry.Instance]Limit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[registry.Instance]Limit)
+	for inst, e := range t.entries {
+		if now.Sub(e.observedAt) < reportTime {
+			out[inst] = e.limit
+		}
+	}
+	return out
+}
+
 // InForce returns the limits in force.
 func (t *Table) InForce(now time.Time) map[registry.Instance]Limit {
 	t.mu.Lock()
