slots: give out half of a request limit while the members are out of date

A process that has just started, or is cut off from the coordinator, is the allocator of every server by its own list of members, while the others use another one. Both gave out the whole limit of a server that names one. Found by reading; TestOutdatedMembersGivePartOfLimit: 15 starts in 4 s at a limit of 4 a second before, 8 after. With the other side's whole limit this makes one and a half times the limit, which servers bear.

--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -92,7 +92,9 @@
 	executor        *executor
 	era             storeEra
 	members         []election.Member
-	reporters       map[string]reporter
+	// membersAt is when the coordinator last confirmed the members; zero if it never did.
+	membersAt time.Time
+	reporters map[string]reporter
 	// lastUpdate is when the coordinator last reported that it has all changes. It is zero if the
 	// last update said that changes may be missing.
 	lastUpdate time.Time
@@ -365,7 +367,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.members = response.Members
+	n.members, n.membersAt = response.Members, time.Now()
 	n.election.SetTakeoverDelay(takeoverDelay(n.cores, response.Cores))
 	if response.Confirmed {
 		n.election.RecordHolderAlive(time.Now(), response.Term)
@@ -386,7 +388,7 @@
 	for inst, l := range r.Limits {
 		n.limits.Merge(now, inst, l)
 	}
-	n.members = n.members[:0:0]
+	n.members, n.membersAt = n.members[:0:0], now
 	largest := 0.0
 	for name, p := range n.reporters {
 		if now.Sub(p.lastReport) > memberLifetime {
@@ -424,6 +426,13 @@
 	return n.members
 }
 
+// MembersConfirmed reports whether the coordinator has confirmed the members lately.
+func (n *Node) MembersConfirmed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.membersAt) < memberLifetime
+}
+
 // Resign gives up the coordinator's role, so that another process takes it at once. It returns
 // false if the store can't be reached: no other process could take the role then, and the keys
 // would have no owner once their grants have expired, so this process continues to renew them.
--- a/entry/internal/slots/limit_internal_test.go
+++ b/entry/internal/slots/limit_internal_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/requestlimit"
 )
@@ -143,3 +145,33 @@
 	must.Eq(t, regular, again)
 	must.False(t, substitute)
 }
+
+// outdatedMembers are members that no coordinator confirms.
+type outdatedMembers struct{ fixedMembers }
+
+func (outdatedMembers) MembersConfirmed() bool { return false }
+
+// Guards against two sides of a partition, or a process that has just started, that each give out the whole
+// limit of a server that they all reach.
+func TestOutdatedMembersGivePartOfLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		limits := requestlimit.NewTable(logger)
+		self := election.Member{Name: "a", DataCentre: "x"}
+		lm := New(ctx, self, NewAllocator(limits), silentPeers{}, outdatedMembers{fixedMembers{self}}, limits, logger)
+		now := time.Now()
+		limits.Merge(now, limitedServer, requestlimit.Limit{PerSecond: 4, InForce: true, HeardAt: now})
+		started := 0
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			server := registry.Server{Instance: limitedServer, Slots: 4, DataCentre: "x"}
+			slot, err := lm.Acquire(ctx, dispatch.SlotRequest{Server: server, Arrived: time.Now(), Objective: time.Now(), Deadline: time.Now()})
+			if err == nil {
+				started++
+				slot.Release(dispatch.Outcome{})
+			}
+		}
+		must.Between(t, 7, started, 8)
+	})
+}
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -25,6 +25,8 @@
 // Members lists the processes that are alive.
 type Members interface {
 	Members() []election.Member
+	// MembersConfirmed reports whether the coordinator has confirmed the members lately.
+	MembersConfirmed() bool
 }
 
 // Limiter implements dispatch.Limiter with the allocators of all processes. It is safe for
@@ -113,7 +115,7 @@
 		now := time.Now()
 		name, member, substitute := lm.allocatorOf(now, r.Server)
 		m.limit, m.share = lm.limits.Get(now, r.Server.Instance), 1
-		if substitute {
+		if substitute || !lm.members.MembersConfirmed() {
 			m.share = substituteShare
 		}
 		if name == lm.self.Name {
@@ -137,8 +139,9 @@
 // be sent to the server at once and wait there.
 const maxAllocatorAttempts = 2
 
-// substituteShare is the part of a server's request limit that an allocator gives out while it replaces
-// the regular one, which may still serve other processes. Servers bear one and a half times their limit.
+// substituteShare is the part of a server's request limit that an allocator gives out while another one may
+// give out the limit too: it replaces the regular one, or the members are out of date, as they are after a
+// start or a partition. Servers bear one and a half times their limit.
 const substituteShare = 0.5
 
 // fallbackDivisor divides a server's slots into the shares that each process uses while there is
--- a/entry/internal/slots/limiter_internal_test.go
+++ b/entry/internal/slots/limiter_internal_test.go
@@ -52,6 +52,7 @@
 type fixedMembers []election.Member
 
 func (m fixedMembers) Members() []election.Member { return m }
+func (m fixedMembers) MembersConfirmed() bool     { return true }
 
 // Guards against a wait for a slot that begins anew, with the whole time of the request, after the
 // allocator has failed.
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -33,6 +33,8 @@
 	return l.all
 }
 
+func (l *memberList) MembersConfirmed() bool { return true }
+
 // noReports is a handler of report.Server that ignores all calls, so that only slots are served.
 type noReports struct{}
 
