origin: send a request again on a connection that has not carried it

Report of other operators: a server sent a second copy of an answer, late, on a connection in use again. Here, responses are matched by the request's identifier, so another caller gets none of them. But a request that a server rejects with 421 is sent to it again under the same identifier, on the same connection: a second copy of the 421 was taken for the answer to the second try, and the caller was told 503, not run, while the server ran the request.

A request that a server has been sent before now gets a new connection. TestRepeatedRejection, before: expected 200, got 503 with one run.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -121,6 +121,8 @@
 	attempts int
 	// tried holds the servers that are not selected again for this call.
 	tried map[registry.Instance]bool
+	// sent holds the servers that the request has been sent to.
+	sent map[registry.Instance]bool
 	// fallback is the result if no further attempt succeeds.
 	fallback *Result
 	// overLimit is the refusal of the server that takes another request first, of those that were
@@ -145,7 +147,7 @@
 		return refusedResult(CrashesServers, time.Time{}, nil)
 	}
 	d.budgets.Deposit(c.Arrived, c.Service)
-	p := &progress{call: c, tried: make(map[registry.Instance]bool), fingerprint: f}
+	p := &progress{call: c, tried: make(map[registry.Instance]bool), sent: make(map[registry.Instance]bool), fingerprint: f}
 	waitCtx, cancel := d.withWaits(ctx)
 	defer cancel()
 	r := d.tryServers(ctx, waitCtx, p)
@@ -226,8 +228,9 @@
 	response, err := b.client.Do(requestCtx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
 		ID: c.ID, Server: b.server.ID, Deadline: c.Deadline.Add(-responseMargin), Fresh: !c.Route.Kind.Retryable(),
-		Memory: c.Memory,
+		Repeated: p.sent[b.server.Instance], Memory: c.Memory,
 	})
+	p.sent[b.server.Instance] = true
 	now := time.Now()
 	serviceTime := now.Sub(begin)
 	failure, _ := errors.AsType[*origin.Error](err)
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -633,3 +634,56 @@
 		})
 	}
 }
+
+// Guards against a second copy of a rejection that is taken for the answer to the request when it is sent
+// again: the caller would be told that the request was not run while it runs.
+func TestRepeatedRejection(t *testing.T) {
+	const rejected = "HTTP/1.1 421 Misdirected Request\r\nId: id\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	var mu sync.Mutex
+	requests, ran := 0, 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for onConnection := 1; ; onConnection++ {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					mu.Lock()
+					requests++
+					first := requests == 1
+					if !first {
+						ran++
+					}
+					mu.Unlock()
+					answer := rejected
+					if !first {
+						answer = "HTTP/1.1 200 OK\r\nId: id\r\nProof: s\r\nContent-Length: 6\r\n\r\nserved"
+						if onConnection > 1 {
+							answer = rejected + answer
+						}
+					}
+					_, _ = io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	s := &testServer{}
+	s.ID, s.Incarnation, s.Service, s.Slots, s.DataCentre = "a", 1, "svc", 4, "x"
+	s.Address = netip.MustParseAddrPort(l.Addr().String())
+	f := newFixture(t, true, unlimited{}, ampleBudget, s)
+	f.setOwner(s, false)
+	r := f.call(traffic.NonIdempotent)
+	mu.Lock()
+	defer mu.Unlock()
+	must.Eq(t, 1, ran)
+	must.Eq(t, http.StatusOK, r.Status)
+}
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -130,7 +130,7 @@
 // Do sends a request and returns the complete response. An error is always an *Error. When the
 // context ends, the connection is closed, so that the server can abort its work.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	k, err := c.getConn(ctx, r.Fresh)
+	k, err := c.getConn(ctx, r)
 	if err != nil {
 		return nil, &Error{Unreachable: !errors.Is(err, errConnectionLimit), Cause: err}
 	}
@@ -323,23 +323,39 @@
 	return nil
 }
 
+// takeIdle returns the idle connection that was used last, or nil if none can be used. It closes the others
+// that it finds. The lock is held.
+func (c *Client) takeIdle(now time.Time, fresh bool) *conn {
+	for len(c.idle) > 0 {
+		last := len(c.idle) - 1
+		k := c.idle[last]
+		c.idle = c.idle[:last]
+		if k.isReusable(now, fresh) {
+			return k
+		}
+		_ = k.Close()
+		c.open--
+	}
+	return nil
+}
+
 // getConn returns an idle connection or opens one.
-func (c *Client) getConn(ctx context.Context, fresh bool) (*conn, error) {
+func (c *Client) getConn(ctx context.Context, r *Request) (*conn, error) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
 		return nil, errClosed
 	}
 	now := time.Now()
-	for len(c.idle) > 0 {
-		last := len(c.idle) - 1
-		k := c.idle[last]
-		c.idle = c.idle[:last]
-		if k.isReusable(now, fresh) {
+	if !r.Repeated {
+		if k := c.takeIdle(now, r.Fresh); k != nil {
 			c.mu.Unlock()
 			return k, nil
 		}
-		_ = k.Close()
+	}
+	if c.open >= c.maxOpen && len(c.idle) > 0 {
+		_ = c.idle[0].Close()
+		c.idle = c.idle[1:]
 		c.open--
 	}
 	if c.open >= c.maxOpen {
--- a/entry/internal/origin/request.go
+++ b/entry/internal/origin/request.go
@@ -27,6 +27,10 @@
 	// Fresh requires a connection that is new or has been idle for a short time only. It is meant
 	// for requests that must not run twice, because they can't be sent again after a failure.
 	Fresh bool
+	// Repeated requires a new connection, because the server has been sent a request with the same ID
+	// before. On a connection that carried it, a second copy of the earlier response can't be told from
+	// the response to this request.
+	Repeated bool
 	// Memory is where the memory for a response body above 64 KiB is reserved, until the caller closes
 	// it; nil for no limit. A response for which too little is left is an error.
 	Memory *bodybudget.Account
