platform: give orders that decide about ownership connections of their own

Report of other operators: a server sent a second copy of an answer, late, on a connection in use again. Responses to grants and releases have no identifier. A second copy of the 200 to a grant was taken for the answer to the release that followed on the connection, so the keys would have gone to another server while the first one still worked on them.

Releases and grants that a server has not accepted before now use a connection that carries nothing else. Renewals, most of the calls, still share connections: their copies say the same.

--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -138,7 +138,7 @@
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, platform.NewGrantClient(newClient(&dialer.ResetOnClose{Dialer: d})), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, d, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, d, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
@@ -157,10 +157,21 @@
 
 // newClient returns an HTTP client for calls to the store and for grants to backend servers.
 func newClient(d cluster.Dialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: newTransport(d)}
+}
+
+func newTransport(d cluster.Dialer) *http.Transport {
+	return &http.Transport{
 		DialContext: d.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 3 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
+}
+
+// newGrantClient returns a client for orders to backend servers.
+func newGrantClient(d cluster.Dialer) *platform.GrantClient {
+	single := newTransport(d)
+	single.DisableKeepAlives = true
+	return platform.NewGrantClient(&http.Client{Transport: single}, newClient(d))
 }
 
 func (p *Process) openListeners() error {
