report: end only the call when its handler panics

Such a call now ends with an error and a log line with the stack, as net/http does for the requests of clients. The allocator of slots releases its lock with defer, so that a panic leaves none locked.

--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -145,7 +145,7 @@
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
-	p.peerServer = report.NewServer(p.node, p.allocator)
+	p.peerServer = report.NewServer(p.node, p.allocator, logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -157,16 +157,20 @@
 
 // handle handles a message of a process.
 func (a *Allocator) handle(now time.Time, from *requester, m message) {
+	sendAll(a.decide(now, from, m))
+}
+
+// decide returns the replies to a message.
+func (a *Allocator) decide(now time.Time, from *requester, m message) []addressedReply {
 	a.mu.Lock()
-	var replies []addressedReply
+	defer a.mu.Unlock()
 	switch m.action {
 	case acquire:
-		replies = a.acquire(now, from, m)
+		return a.acquire(now, from, m)
 	case release:
-		replies = a.release(now, requestID{from, m.number}, m)
+		return a.release(now, requestID{from, m.number}, m)
 	}
-	a.mu.Unlock()
-	sendAll(replies)
+	return nil
 }
 
 // acquire submits a request to the scheduler of its server. The lock is held.
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -69,7 +69,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { allocator.Run(ctx) })
 	group.Go(func() { m.limiter.Run(ctx) })
-	group.Go(func() { _ = report.NewServer(noReports{}, allocator).Serve(ctx, l) })
+	group.Go(func() { _ = report.NewServer(noReports{}, allocator, logger).Serve(ctx, l) })
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
