replica: start from the latest copy of several peers in an outage

Report of other operators: after a restart of a process, a server that had left was in use again. A process that starts while the store can't be read took the objects of the first seed that answered, each half second anew. A seed that had been cut off has an old copy: a server that all others knew to have left was in use again until the store was back.

All seeds are asked, and a copy of configuration or servers that is behind the one that the process has is ignored. A copy that lacks the entry with the highest revision can't be told from an older one; that is left.

TestLoadSnapshotOfOutdatedProcess, before: [a b] instead of [b].

--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -281,7 +281,8 @@
 	p.runInBackground(p.watchMembers)
 }
 
-// loadFromPeers loads the objects of the store from peers until the store itself has been read.
+// loadFromPeers loads the objects of the store from peers until the store itself has been read. It asks all
+// of them, because one may have been cut off and have an old copy.
 func (p *Process) loadFromPeers(ctx context.Context) {
 	for {
 		select {
@@ -300,10 +301,7 @@
 			if err != nil {
 				continue
 			}
-			if len(objects) > 0 {
-				p.replica.LoadSnapshot(time.Now(), objects)
-				break
-			}
+			p.replica.LoadSnapshot(time.Now(), objects)
 		}
 	}
 }
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -118,7 +118,7 @@
 }
 
 // LoadSnapshot takes over the objects of another process, except those of kinds that this process has
-// already read from the store.
+// already read from the store or of which it has a later copy.
 func (r *Replica) LoadSnapshot(now time.Time, objects []report.Object) {
 	byKind := make(map[string][]platform.Object)
 	for _, o := range objects {
@@ -127,7 +127,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for kind, list := range byKind {
-		if !r.listed[kind] {
+		// The view orders tables by their terms.
+		outdated := kind != KindTables && versionOf(kind, list).Behind(r.copyVersion(kind))
+		if !r.listed[kind] && !outdated {
 			r.reset(now, kind, list)
 		}
 	}
@@ -141,14 +143,25 @@
 func (r *Replica) CopyVersion(kind string) report.CopyVersion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m, ok := r.copyVersions[kind]; ok {
-		return m
+	return r.copyVersion(kind)
+}
+
+// copyVersion is CopyVersion with the lock held.
+func (r *Replica) copyVersion(kind string) report.CopyVersion {
+	m, ok := r.copyVersions[kind]
+	if !ok {
+		m = versionOf(kind, slices.Collect(maps.Values(r.objects[kind])))
+		r.copyVersions[kind] = m
 	}
-	m := report.CopyVersion{Kind: kind, Count: len(r.objects[kind])}
-	for _, o := range r.objects[kind] {
+	return m
+}
+
+// versionOf returns the version of a copy with the given objects.
+func versionOf(kind string, objects []platform.Object) report.CopyVersion {
+	m := report.CopyVersion{Kind: kind, Count: len(objects)}
+	for _, o := range objects {
 		m.Revision = max(m.Revision, o.Revision)
 	}
-	r.copyVersions[kind] = m
 	return m
 }
 
--- a/entry/internal/replica/replica_test.go
+++ b/entry/internal/replica/replica_test.go
@@ -134,3 +134,21 @@
 	must.True(t, outdated.CopyVersion(platform.KindServers).Behind(updated.CopyVersion(platform.KindServers)))
 	must.False(t, updated.CopyVersion(platform.KindServers).Behind(outdated.CopyVersion(platform.KindServers)))
 }
+
+// Guards against a process that starts during an outage and takes a server that has left from the copy of a
+// process that has not noticed it, in whatever order they answer.
+func TestLoadSnapshotOfOutdatedProcess(t *testing.T) {
+	_, outdated := newReplica()
+	outdated.Sink(platform.KindServers).Reset(startTime, []platform.Object{serverEntry("a", 1, "ready"), serverEntry("b", 2, "ready")})
+	_, deleted := newReplica()
+	deleted.Sink(platform.KindServers).Reset(startTime, []platform.Object{serverEntry("b", 2, "ready")})
+	_, updated := newReplica()
+	updated.Sink(platform.KindServers).Reset(startTime, []platform.Object{serverEntry("b", 5, "ready")})
+	for _, order := range [][]*replica.Replica{{outdated, deleted}, {deleted, outdated}, {outdated, updated}, {updated, outdated}} {
+		v, fresh := newReplica()
+		for _, r := range order {
+			fresh.LoadSnapshot(startTime, r.AllObjects())
+		}
+		must.Eq(t, []string{"b"}, serverIDs(v))
+	}
+}
