dispatch: share the idle connections of a server among all processes

With 14 processes or more they can take all 110, and the server resets the next ones with the requests on them; a request that must not run twice then ends with 502. Each process now keeps its part of three quarters of the connections, at least one and at most eight as before, by the largest number of members of the last ten minutes, as for the retries. Nothing changes for the 9 and 10 processes of today; beyond 110 processes even one each is too many, which is left.

TestIdleConnectionsOfAllProcesses, before: 120 connections are open, 40 accepted.

--- a/entry/internal/dispatch/backends.go
+++ b/entry/internal/dispatch/backends.go
@@ -13,6 +13,23 @@
 // about 110 from all processes together.
 const maxConnections = 24
 
+const (
+	// maxIdle is the largest number of idle connections that one process keeps to a server.
+	maxIdle = 8
+	// idlePercent is the percentage of a server's connections that may be idle, of all processes together.
+	// The rest is left for requests that open a new one.
+	idlePercent = 75
+)
+
+// idleShare returns the idle connections to a server that each process may keep, at least one: a server
+// has as many connections as its service states, or an unlimited number if that is zero.
+func idleShare(connections, processes int) int {
+	if connections == 0 || processes == 0 {
+		return maxIdle
+	}
+	return min(max(1, connections*idlePercent/100/processes), maxIdle)
+}
+
 // backends holds one backend for each known server.
 type backends struct {
 	dialer origin.Dialer
@@ -28,9 +45,9 @@
 	return &backends{dialer: d, fields: f, byInstance: make(map[registry.Instance]*backend)}
 }
 
-// get returns the backend of a server. When the list of servers has changed since the last
+// get returns the backend of a server, which keeps at most the given number of idle connections. When the list of servers has changed since the last
 // call, it first closes and removes the backends of servers that are no longer known.
-func (b *backends) get(servers *view.Servers, s registry.Server) *backend {
+func (b *backends) get(servers *view.Servers, s registry.Server, idle int) *backend {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.pruned != servers {
@@ -47,6 +64,7 @@
 		k = &backend{server: s, client: origin.New(s.Address, maxConnections, b.dialer, b.fields)}
 		b.byInstance[s.Instance] = k
 	}
+	k.client.SetMaxIdle(idle)
 	return k
 }
 
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -94,6 +94,8 @@
 	dataCentre   string
 	observer     Observer
 	crashTracker CrashTracker
+	// processes is the number of entry processes.
+	processes atomic.Int64
 	// shutdown is nil while the process does not stop.
 	shutdown atomic.Pointer[Shutdown]
 	// waits ends at the last start of a shutdown.
@@ -114,6 +116,9 @@
 	}
 }
 
+// SetProcesses sets the number of entry processes, which share the connections of the servers.
+func (d *Dispatcher) SetProcesses(n int) { d.processes.Store(int64(n)) }
+
 // progress is the state of a call between its attempts.
 type progress struct {
 	call *Call
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/registry"
@@ -687,3 +688,76 @@
 	must.Eq(t, 1, ran)
 	must.Eq(t, http.StatusOK, r.Status)
 }
+
+// Guards against idle connections of all processes together that take the connections of a server, which
+// resets the next ones with the requests on them.
+func TestIdleConnectionsOfAllProcesses(t *testing.T) {
+	const processes, concurrent, connections = 30, 4, 40
+	var mu sync.Mutex
+	open := make(map[net.Conn]bool)
+	var running sync.WaitGroup
+	h := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// All requests of a process run at the same time, so that each has a connection of its own.
+		running.Done()
+		running.Wait()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		handleOK(0, w, r)
+	}))
+	h.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch state {
+		case http.StateNew:
+			open[c] = true
+		case http.StateClosed:
+			delete(open, c)
+		}
+	}
+	h.Start()
+	t.Cleanup(h.Close)
+	s := &testServer{}
+	s.ID, s.Incarnation, s.Service, s.Slots, s.DataCentre = "a", 1, "svc", 4, "x"
+	s.Address = netip.MustParseAddrPort(h.Listener.Addr().String())
+	for range processes {
+		f := newFixture(t, false, unlimited{}, ampleBudget, s)
+		c, err := traffic.New(2, []traffic.Route{{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: time.Second, WeightedServices: []traffic.WeightedService{{Service: "svc", Weight: 1}}}},
+			map[string]traffic.Service{"svc": {Name: "svc", Connections: connections}}, traffic.Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: 1, IdleTimeout: 1})
+		must.NoError(t, err)
+		f.view.SetConfiguration(c)
+		f.dispatcher.SetProcesses(processes)
+		running.Add(concurrent)
+		var group sync.WaitGroup
+		for range concurrent {
+			group.Go(func() { must.Eq(t, 200, f.call(traffic.Idempotent).Status) })
+		}
+		group.Wait()
+	}
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.Gap(10*time.Millisecond), wait.BoolFunc(func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(open) <= connections
+	})), must.Func(func() string { return fmt.Sprint(len(open), " connections are open") }))
+}
+
+// Guards against a request that is given up or sent again because its server, which still works on it, is
+// missing from the list of servers for a while.
+func TestUnregisteredServerKeepsRunningRequest(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	a := newServer(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-finish
+		handleOK(n, w, r)
+	})
+	b := newServer(t, "b", handleOK)
+	f := newFixture(t, false, unlimited{}, ampleBudget, a)
+	result := make(chan *dispatch.Result, 1)
+	go func() { result <- f.call(traffic.Idempotent) }()
+	<-started
+	f.view.SetServers(time.Now(), []registry.Server{b.Server})
+	must.Eq(t, http.StatusOK, f.call(traffic.Idempotent).Status)
+	close(finish)
+	r := <-result
+	must.Eq(t, http.StatusOK, r.Status)
+	must.Eq(t, "a", r.Server)
+	must.Eq(t, 1, b.requests())
+}
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -21,6 +21,15 @@
 	return configuration != nil && configuration.Services[c.Service].Sharded
 }
 
+// backend returns the backend of a server.
+func (d *Dispatcher) backend(servers *view.Servers, s registry.Server) *backend {
+	connections := 0
+	if configuration := d.view.Configuration(); configuration != nil {
+		connections = configuration.Services[s.Service].Connections
+	}
+	return d.backends.get(servers, s, idleShare(connections, int(d.processes.Load())))
+}
+
 // selectBackend returns the server for the next attempt, or a refusal if there is none.
 func (d *Dispatcher) selectBackend(ctx context.Context, p *progress) (*backend, *Result) {
 	if d.isSharded(p.call) {
@@ -35,7 +44,7 @@
 		if p.tried[s.Instance] {
 			continue
 		}
-		b := d.backends.get(servers, s)
+		b := d.backend(servers, s)
 		if until, inBackoff := b.backoff(now); inBackoff {
 			retryAt = until
 			continue
@@ -82,7 +91,7 @@
 		}
 		s, ok := d.lookupOwner(now, servers, p.call)
 		if ok {
-			b := d.backends.get(servers, s)
+			b := d.backend(servers, s)
 			until, inBackoff := b.backoff(now)
 			if !inBackoff {
 				return b, nil
@@ -146,7 +155,7 @@
 		if !ok {
 			continue
 		}
-		if _, inBackoff := d.backends.get(servers, s).backoff(now); inBackoff {
+		if _, inBackoff := d.backend(servers, s).backoff(now); inBackoff {
 			return true
 		}
 	}
--- a/entry/internal/gatewayprocess/reload.go
+++ b/entry/internal/gatewayprocess/reload.go
@@ -62,7 +62,7 @@
 		p.logger.Warn("settings: a changed name or address takes effect after a restart")
 	}
 	p.retrySettings.Store(&s.RetryBudget)
-	p.updateRetryLimit()
+	p.updateShares()
 	p.logger.Info("settings read")
 }
 
@@ -70,12 +70,13 @@
 // that many may join before the limits are recalculated.
 const headroomDivisor = 4
 
-// watchMembers adjusts this process's share of the retries to the number of entry processes.
+// watchMembers adjusts this process's share of the retries and of the servers' connections to the number of
+// entry processes.
 func (p *Process) watchMembers(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		p.updateRetryLimit()
+		p.updateShares()
 		select {
 		case <-ctx.Done():
 			return
@@ -84,12 +85,13 @@
 	}
 }
 
-// updateRetryLimit recalculates this process's share of the retries.
-func (p *Process) updateRetryLimit() {
+// updateShares recalculates this process's share of the retries and of the servers' connections.
+func (p *Process) updateShares() {
 	r := p.retrySettings.Load()
 	p.fleetSizeMu.Lock()
 	members := p.fleetSize.Observe(time.Now(), len(p.node.Members()))
 	p.fleetSizeMu.Unlock()
+	p.dispatcher.SetProcesses(members)
 	p.retryBudgets.SetLimit(retryLimit(*r, members+members/headroomDivisor))
 }
 
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -58,8 +58,8 @@
 	// maxResponses is the number of responses that are read for one request, while those to other
 	// requests are skipped.
 	maxResponses = 3
-	// maxIdleConnections bounds the idle connections that are kept for a server.
-	maxIdleConnections = 8
+	// defaultMaxIdle is the number of idle connections that are kept for a server unless SetMaxIdle changes it.
+	defaultMaxIdle = 8
 	// sweepInterval is the time between two checks of the idle connections.
 	sweepInterval = time.Second
 )
@@ -95,23 +95,24 @@
 	// open is the number of open connections, idle ones and those being opened included.
 	open    int
 	maxOpen int
+	maxIdle int
 	closed  bool
 }
 
 // New returns a client that opens at most maxConnections connections to the address, when they are
 // needed.
 func New(address netip.AddrPort, maxConnections int, d Dialer, f HeaderFields) *Client {
-	c := &Client{address: address, maxOpen: max(1, maxConnections), dialer: d, fields: f}
+	c := &Client{address: address, maxOpen: max(1, maxConnections), maxIdle: defaultMaxIdle, dialer: d, fields: f}
 	c.sweeper = time.AfterFunc(sweepInterval, c.closeUnusable)
 	c.sweeper.Stop()
 	return c
 }
 
-// SetMaxConnections changes the limit of open connections.
-func (c *Client) SetMaxConnections(n int) {
+// SetMaxIdle changes the number of idle connections that are kept from the next response on.
+func (c *Client) SetMaxIdle(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.maxOpen = max(1, n)
+	c.maxIdle = n
 }
 
 // Close closes the idle connections. Those in use are closed after their request.
@@ -380,7 +381,7 @@
 func (c *Client) putConn(k *conn, reusable bool, r *Response) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if reusable && !c.closed && len(c.idle) < maxIdleConnections {
+	if reusable && !c.closed && len(c.idle) < c.maxIdle {
 		k.markIdle(time.Now(), r.Header)
 		c.idle = append(c.idle, k)
 		c.scheduleSweep()
