rpc: end only the call when a handler of the product's own interface panics

The same as for the calls between gateway processes: a panic in a handler of package peer would have ended the process. The recovery is in one place now, for both servers. TestPanicEndsOnlyTheCall covers it.

--- a/entry/internal/peer/server.go
+++ b/entry/internal/peer/server.go
@@ -65,7 +65,7 @@
 // NewServer returns a server. It accepts no connections until Serve is called.
 func NewServer(handler RequestHandler, controlHandler ControlHandler, logger log.Interface) *Server {
 	s := &Server{handler: handler, controlHandler: controlHandler, logger: logger}
-	s.drpc = drpcserver.NewWithOptions(s, drpcserver.Options{Manager: rpc.Manager})
+	s.drpc = drpcserver.NewWithOptions(rpc.Recovering{Handler: s, Logger: logger}, drpcserver.Options{Manager: rpc.Manager})
 	return s
 }
 
--- a/entry/internal/report/server.go
+++ b/entry/internal/report/server.go
@@ -20,11 +20,9 @@
 	"errors"
 	"fmt"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
@@ -58,15 +56,14 @@
 type Server struct {
 	handler  Handler
 	fallback RPCHandler
-	logger   log.Interface
 	drpc     *drpcserver.Server
 }
 
 // NewServer returns a server that accepts no connections until Serve. RPC methods of other packages are
 // passed to the fallback.
 func NewServer(h Handler, fallback RPCHandler, logger log.Interface) *Server {
-	s := &Server{handler: h, fallback: fallback, logger: logger}
-	s.drpc = drpcserver.NewWithOptions(s, drpcserver.Options{Manager: rpc.Manager})
+	s := &Server{handler: h, fallback: fallback}
+	s.drpc = drpcserver.NewWithOptions(rpc.Recovering{Handler: s, Logger: logger}, drpcserver.Options{Manager: rpc.Manager})
 	return s
 }
 
@@ -78,20 +75,8 @@
 	return nil
 }
 
-// HandleRPC implements drpc.Handler. A panic ends the call with an error, as it does in net/http, because
-// drpc would let it end the process.
-func (s *Server) HandleRPC(stream drpc.Stream, method string) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = eris.Errorf("report: panic in RPC method %q: %v", method, r)
-			s.logger.WithError(err).WithField("stack", string(debug.Stack())).Error("call of another process failed")
-		}
-	}()
-	return s.dispatch(stream, method)
-}
-
-// dispatch calls the handler of a method.
-func (s *Server) dispatch(stream drpc.Stream, method string) error {
+// HandleRPC implements drpc.Handler.
+func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
 	switch method {
 	case reportMethod:
 		return rpc.HandleUnary(stream, func(w *wireReport) Report { return decodeReport(time.Now(), w) }, s.handler.Report, encodeResponse)
--- a/entry/internal/report/server_test.go
+++ b/entry/internal/report/server_test.go
@@ -42,7 +42,7 @@
 	defer client.Close()
 	to := netip.MustParseAddrPort(l.Addr().String())
 	_, err = client.Report(t.Context(), to, report.Report{})
-	must.ErrorContains(t, err, "panic in RPC method")
+	must.ErrorContains(t, err, "panic in method")
 	objects, err := client.Snapshot(t.Context(), to)
 	must.NoError(t, err)
 	must.Len(t, 1, objects)
