backend: recognise late copies of responses by their number

Report of other operators: a server sent a second copy of an answer, late, on a connection in use again; the next caller got an answer that was not its own. On the product's own interface it can happen: a second copy that arrives before the next request is sent makes the connection unusable (TestCrossedAnswer), but one that arrives after it was taken for the answer to that request, also for grants and releases.

Requests have their number on the connection in Bramley-Exchange, backendd repeats it in every answer, and an answer with another number ends the connection with the outcome unknown. Servers that do not repeat it are served as before.

TestLateSecondResponse, before: the second caller got "first".

--- a/backendd/internal/server/header.go
+++ b/backendd/internal/server/header.go
@@ -4,6 +4,7 @@
 const (
 	headerClock       = "Bramley-Clock"
 	headerCrash       = "Bramley-Crash"
+	headerExchange    = "Bramley-Exchange"
 	headerFence       = "Bramley-Fence"
 	headerIncarnation = "Bramley-Incarnation"
 	headerRank        = "Bramley-Rank"
--- a/backendd/internal/server/server.go
+++ b/backendd/internal/server/server.go
@@ -96,6 +96,9 @@
 // ServeHTTP answers control requests at once. All other requests wait while the
 // server is frozen.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if number := r.Header.Get(headerExchange); number != "" {
+		w.Header().Set(headerExchange, number)
+	}
 	if strings.HasPrefix(r.URL.EscapedPath(), pathKeys) {
 		s.serveKey(w, r)
 		return
--- a/backendd/internal/server/server_test.go
+++ b/backendd/internal/server/server_test.go
@@ -126,8 +126,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				ts := newTestServer(t, nil)
 				ts.grant(t, 7, time.Second)
-				w := ts.request(t, "GET", "/keys/a", "", c.headers...)
+				w := ts.request(t, "GET", "/keys/a", "", append(c.headers, "Bramley-Exchange: 9")...)
 				must.Eq(t, "not-run", w.Header().Get("Bramley-Outcome"))
+				must.Eq(t, "9", w.Header().Get("Bramley-Exchange"))
 				must.NotEq(t, "", w.Header().Get("Bramley-Clock"))
 				must.Eq(t, []string{c.want}, ts.results(t))
 			})
--- a/entry/internal/backend/client_test.go
+++ b/entry/internal/backend/client_test.go
@@ -432,3 +432,22 @@
 		r.Body.Close()
 	}
 }
+
+// Guards against a second copy of a response, which arrives after the next request was sent on the
+// connection, that is taken as the response to that request.
+func TestLateSecondResponse(t *testing.T) {
+	client, dialer := newClient(t, 3)
+	done := startRequest(t.Context(), client, newGetRequest())
+	server := <-dialer.accepted
+	first, _ := server.readRequest(t)
+	copied := fmt.Sprintf("HTTP/1.1 200 OK\r\nBramley-Exchange: %s\r\nContent-Length: 5\r\n\r\nfirst", first.Header.Get("Bramley-Exchange"))
+	server.writeResponse(t, copied)
+	must.Eq(t, "first", (<-done).body)
+	done = startRequest(t.Context(), client, newGetRequest())
+	server.readRequest(t)
+	go func() { _, _ = io.WriteString(server, copied) }()
+	result := <-done
+	must.NotEq(t, "first", result.body)
+	must.Error(t, result.err)
+	must.Eq(t, 0, client.Counts().Open)
+}
--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,8 @@
 var (
 	bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, bufferSize); return &b }}
 	// pastTime is a deadline that interrupts all reads and writes of a connection.
-	pastTime = time.Unix(1, 0)
+	pastTime         = time.Unix(1, 0)
+	errOtherExchange = eris.New("backend: read response: it belongs to another request")
 	// headRequest makes http.ReadResponse expect a response without a body.
 	headRequest = &http.Request{Method: http.MethodHead}
 )
@@ -66,7 +68,8 @@
 			bufferPool.Put(buffer)
 		}
 	}()
-	streamed, err := c.encodeRequest(ctx, buffer, path, r)
+	cn.exchanges++
+	streamed, err := c.encodeRequest(ctx, buffer, path, r, cn.exchanges)
 	if err != nil {
 		p.put(cn, true)
 		return nil, notRunError(err)
@@ -97,12 +100,13 @@
 	return &x.Response, nil
 }
 
-// encodeRequest fills the buffer with the head and, if it is small, the body of a request.
+// encodeRequest fills the buffer with the head and, if it is small, the body of the request with the given
+// number on its connection.
 // It reports whether the body must be streamed, or why the request must not be sent.
-func (c *Client) encodeRequest(ctx context.Context, buffer *[]byte, path string, r *Request) (bool, error) {
+func (c *Client) encodeRequest(ctx context.Context, buffer *[]byte, path string, r *Request, number uint64) (bool, error) {
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
-	b, err := appendRequestHead((*buffer)[:0], c.address, path, r, deadline, now)
+	b, err := appendRequestHead((*buffer)[:0], c.address, path, r, number, deadline, now)
 	*buffer = b
 	if err != nil {
 		return false, err
@@ -150,6 +154,10 @@
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
+		if number := r.Header.Get(headerExchange); number != "" && number != strconv.FormatUint(x.conn.exchanges, 10) {
+			return errOtherExchange
+		}
+		r.Header.Del(headerExchange)
 		x.Status, x.Header, x.BodyLength, x.bodyReader = r.StatusCode, r.Header, r.ContentLength, r.Body
 		if method == http.MethodHead {
 			x.BodyLength = 0
--- a/entry/internal/backend/headers.go
+++ b/entry/internal/backend/headers.go
@@ -7,6 +7,7 @@
 // Header fields that the client sets or reads.
 const (
 	headerClock       = "Bramley-Clock"
+	headerExchange    = "Bramley-Exchange"
 	headerFence       = "Bramley-Fence"
 	headerIncarnation = "Bramley-Incarnation"
 	headerShard       = "Bramley-Shard"
@@ -28,6 +29,7 @@
 	"Trailer":             true,
 	"Transfer-Encoding":   true,
 	"Upgrade":             true,
+	headerExchange:        true,
 	headerFence:           true,
 	headerShard:           true,
 	headerStartBefore:     true,
--- a/entry/internal/backend/requesthead.go
+++ b/entry/internal/backend/requesthead.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// appendRequestHead appends the request line and the header fields of a request to b. A
-// zero deadline stands for none.
-func appendRequestHead(b []byte, host, path string, r *Request, deadline, now time.Time) ([]byte, error) {
+// appendRequestHead appends the request line and the header fields of a request to b. number is that of
+// the request on its connection. A zero deadline stands for none.
+func appendRequestHead(b []byte, host, path string, r *Request, number uint64, deadline, now time.Time) ([]byte, error) {
 	if !isValidToken(r.Method) || !isValidQuery(r.Query) {
 		return b, fmt.Errorf("%w: method %q, query %q", ErrInvalid, r.Method, r.Query)
 	}
@@ -35,6 +35,7 @@
 			b = appendHeader(b, name, v)
 		}
 	}
+	b = appendNumericHeader(b, headerExchange, number)
 	if path == keysPath {
 		b = appendNumericHeader(b, headerFence, uint64(r.Fence))
 		b = appendNumericHeader(b, headerShard, uint64(r.Shard))
