requestlimit: take statements from the future as made now

A message of another process whose age is negative put a statement into the future. No answer was newer then, so the limit, or its end, stayed for good: one malformed message that stops decisions. TestMergeFromFuture failed before: the limit stays in force after an answer without it.

--- a/entry/internal/requestlimit/table.go
+++ b/entry/internal/requestlimit/table.go
@@ -96,10 +96,14 @@
 	t.store(now, inst, after).observedAt = now
 }
 
-// Merge records the statement of a server that another process knows, if it is newer.
+// Merge records the statement of a server that another process knows, if it is newer. One that would be from
+// the future counts as made now.
 func (t *Table) Merge(now time.Time, inst registry.Instance, l Limit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if l.HeardAt.After(now) {
+		l.HeardAt = now
+	}
 	if !l.HeardAt.After(t.get(now, inst).HeardAt) || !IsValid(l.PerSecond) {
 		return
 	}
