bramleyctl: explain requests over a limit and those given up

`explain` called the reason "over limit", which is new, and "given up", which it had missed since planned stops have it, unknown. TestExplain shows both.

--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -102,6 +102,8 @@
 	switch r.Text("reason") {
 	case "full":
 		return r.explainNoSlot()
+	case "over limit":
+		return r.explainOverLimit()
 	case "no owner":
 		return r.explainNoOwner()
 	case "no server":
@@ -118,6 +120,8 @@
 		return r.explainUnanswered(fmt.Sprintf("the client closed its connection after %d ms; %s", r.numberOrZero("ms"), r.describeProgress()))
 	case "crashes servers":
 		return "the same request has crashed three servers and is refused for ten minutes", true
+	case "given up":
+		return r.explainUnanswered("its process ended before the answer came; " + r.describeProgress())
 	case "stopping":
 		return fmt.Sprintf("its process stops and had not sent it to a server after %d ms", r.numberOrZero("ms")), true
 	}
@@ -192,6 +196,14 @@
 	return fmt.Sprintf("no slot of %s in time, after %d ms; %s", server, r.numberOrZero("ms"), r.describeContention()), server != ""
 }
 
+// explainOverLimit explains a request that would have exceeded the request limit of its server.
+func (r *request) explainOverLimit() (string, bool) {
+	server := lastServer(r.Line)
+	rate, known := r.Fields()["rate"].(float64)
+	r.addRelated(r.ownershipEvents()...)
+	return fmt.Sprintf("%s takes %v requests a second from all processes together, as it had named %d ms before, and had got as many", server, rate, r.numberOrZero("heard")), known && server != ""
+}
+
 // describeContention counts the other requests of the service around this one that found no slot
 // and those that were served, which tells a single full server from a service without free slots.
 func (r *request) describeContention() string {
--- a/entry/internal/slots/limitsoak_internal_test.go
+++ b/entry/internal/slots/limitsoak_internal_test.go
@@ -93,8 +93,8 @@
 }
 func (s *soak) MembersConfirmed() bool { return true }
 
-// link returns the key of the link between two processes.
-func link2(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+// linkKey returns the key of the link between two processes.
+func linkKey(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
 
 // soakPeers opens the links of one process.
 type soakPeers struct {
@@ -108,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	target := s.processes[to.Port()]
-	key := link2(p.from, target.self.Name)
+	key := linkKey(p.from, target.self.Name)
 	if s.cut[key] || target.ctx.Err() != nil {
 		return nil, errCut
 	}
@@ -180,7 +180,7 @@
 		time.AfterFunc(soakMembersDelay, s.updateMembers)
 		time.AfterFunc(2*soakMembersDelay+time.Second, s.updateMembers)
 	default:
-		key := link2(p.self.Name, s.processes[other].self.Name)
+		key := linkKey(p.self.Name, s.processes[other].self.Name)
 		s.cut[key] = true
 		for _, c := range s.conns[key] {
 			_ = c.Close()
