--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -268,7 +268,7 @@
 	if ok {
 		result.RetryAt = refusal.RetryAt
 	}
-	if ok && refusal.OverRate {
+	if ok && refusal.OverLimit {
 		result.Reason, result.Limit = OverLimit, refusal.Limit
 		if d.isSharded(p.call) {
 			result.RetryAt = earlier(refusal.RetryAt, time.Now().Add(limitMoveTime))
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -565,7 +565,7 @@
 	if !ok {
 		return outcomeSlot(l), nil
 	}
-	return nil, &dispatch.RefusalError{RetryAt: at, OverRate: true, Limit: requestlimit.Limit{PerSecond: 3, InForce: true}}
+	return nil, &dispatch.RefusalError{RetryAt: at, OverLimit: true, Limit: requestlimit.Limit{PerSecond: 3, InForce: true}}
 }
 
 // outcomeSlot records the outcome with which it is returned.
--- a/entry/internal/dispatch/limiter.go
+++ b/entry/internal/dispatch/limiter.go
@@ -39,9 +39,9 @@
 type RefusalError struct {
 	// RetryAt is when a slot may be requested again.
 	RetryAt time.Time
-	// OverRate is true if the server takes no more requests in a second; Limit is then what it has named.
-	OverRate bool
-	Limit    requestlimit.Limit
+	// OverLimit is true if the server takes no more requests in a second; Limit is then what it has named.
+	OverLimit bool
+	Limit     requestlimit.Limit
 }
 
 // Error implements error.
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -30,7 +30,7 @@
 // a response last named them and the requests that this process has refused as an allocator.
 func (p *Process) dumpLimits(now time.Time) map[string]any {
 	limits := make(map[string]any)
-	refused := p.allocator.OverRate()
+	refused := p.allocator.OverLimit()
 	for inst, l := range p.limits.InForce(now) {
 		limits[inst.ID] = map[string]any{
 			"incarnation": inst.Incarnation, "rate": l.PerSecond, "age": now.Sub(l.HeardAt).Milliseconds(), "refused": refused[inst],
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -63,8 +63,8 @@
 	// largest that a process has asked for lately.
 	share    float64
 	shareEnd time.Time
-	// overRate counts the requests that were refused because of the request limit.
-	overRate int
+	// overLimit counts the requests that were refused because of the request limit.
+	overLimit int
 }
 
 // updateShare records the share that a process asks for. An invalid one counts as the
@@ -235,9 +235,9 @@
 		}
 		if !d.Started {
 			delete(a.requests, id)
-			r.retry, r.overRate = max(0, d.RetryAt.Sub(now)), d.OverRate
+			r.retry, r.overLimit = max(0, d.RetryAt.Sub(now)), d.OverRate
 			if d.OverRate {
-				s.overRate++
+				s.overLimit++
 			}
 		}
 		out = append(out, addressedReply{id.requester, r})
@@ -245,14 +245,14 @@
 	return out
 }
 
-// OverRate returns how many requests were refused because of the request limits of servers, by server.
-func (a *Allocator) OverRate() map[registry.Instance]int {
+// OverLimit returns how many requests were refused because of the request limits of servers, by server.
+func (a *Allocator) OverLimit() map[registry.Instance]int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	counts := make(map[registry.Instance]int)
 	for inst, s := range a.servers {
-		if s.overRate > 0 {
-			counts[inst] = s.overRate
+		if s.overLimit > 0 {
+			counts[inst] = s.overLimit
 		}
 	}
 	return counts
--- a/entry/internal/slots/limit_internal_test.go
+++ b/entry/internal/slots/limit_internal_test.go
@@ -69,7 +69,7 @@
 	a.handle(l.now, l.from, m)
 	must.Between(t, 11, l.count(a, 4*time.Second, 1, requestlimit.Limit{}), 12)
 	must.Eq(t, 3, l.last.limit.PerSecond)
-	must.MapContainsKey(t, a.OverRate(), limitedServer)
+	must.MapContainsKey(t, a.OverLimit(), limitedServer)
 }
 
 // Guards against a new allocator that starts with a burst, knows nothing of a limit that the first process
@@ -108,9 +108,9 @@
 	m := decodeMessage(received, encodeMessage(sent, message{limit: limit, share: 0.5}))
 	must.Eq(t, requestlimit.Limit{PerSecond: 2.5, InForce: true, HeardAt: received.Add(-3 * time.Second)}, m.limit)
 	must.Eq(t, 0.5, m.share)
-	r := decodeReply(received, encodeReply(sent, reply{limit: limit, overRate: true}))
+	r := decodeReply(received, encodeReply(sent, reply{limit: limit, overLimit: true}))
 	must.Eq(t, m.limit, r.limit)
-	must.True(t, r.overRate)
+	must.True(t, r.overLimit)
 	must.Eq(t, requestlimit.Limit{}, decodeLimit(received, encodeLimit(sent, requestlimit.Limit{})))
 }
 
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -243,7 +243,7 @@
 	lm.mu.Unlock()
 	lm.limits.Merge(now, m.instance, r.limit)
 	if !r.started {
-		return nil, &dispatch.RefusalError{RetryAt: now.Add(r.retry), OverRate: r.overRate, Limit: r.limit}
+		return nil, &dispatch.RefusalError{RetryAt: now.Add(r.retry), OverLimit: r.overLimit, Limit: r.limit}
 	}
 	return &slot{message: m, granted: now, limits: lm.limits, release: release}, nil
 }
--- a/entry/internal/slots/messages.go
+++ b/entry/internal/slots/messages.go
@@ -43,10 +43,10 @@
 	retry time.Duration
 	// wait is the expected wait of another request for the server.
 	wait time.Duration
-	// limit is the latest statement of the server that the allocator knows, and overRate whether the
+	// limit is the latest statement of the server that the allocator knows, and overLimit whether the
 	// request was refused because of it.
-	limit    requestlimit.Limit
-	overRate bool
+	limit     requestlimit.Limit
+	overLimit bool
 }
 
 type wireMessage struct {
@@ -80,9 +80,9 @@
 	Started bool
 	Retry   int64
 	Wait    int64
-	// OverRate is true for a refusal because of Limit.
-	OverRate bool
-	Limit    wireLimit
+	// OverLimit is true for a refusal because of Limit.
+	OverLimit bool
+	Limit     wireLimit
 }
 
 // encodeMessage returns a message as it is sent now.
@@ -107,7 +107,7 @@
 func encodeReply(now time.Time, r reply) *wireReply {
 	return &wireReply{
 		Number: r.number, Started: r.started, Retry: r.retry.Microseconds(), Wait: r.wait.Microseconds(),
-		OverRate: r.overRate, Limit: encodeLimit(now, r.limit),
+		OverLimit: r.overLimit, Limit: encodeLimit(now, r.limit),
 	}
 }
 
@@ -115,7 +115,7 @@
 func decodeReply(now time.Time, w *wireReply) reply {
 	return reply{
 		number: w.Number, started: w.Started, retry: microseconds(w.Retry), wait: microseconds(w.Wait),
-		overRate: w.OverRate, limit: decodeLimit(now, w.Limit),
+		overLimit: w.OverLimit, limit: decodeLimit(now, w.Limit),
 	}
 }
 
