platform: only releases have connections of their own

Grants that a server had not accepted before used a connection of their own too, so that no copy of an earlier answer could count as theirs.

A false answer to a grant is corrected by the next renewal, and routes no key to two servers: a server that has not taken the grant answers 421. A false answer to a release gives keys away that are still worked on; that stays impossible. TestRepeatedGrantResponse is unchanged in what it checks.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -354,10 +354,6 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		if o.Renewal {
-			r.Err = s.node.grants.Renew(bounded, address, o.Keys, uint64(o.Fence), hold)
-			break
-		}
 		r.Err = s.node.grants.Grant(bounded, address, o.Keys, uint64(o.Fence), hold, o.Handover)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
--- a/entry/internal/cluster/grants.go
+++ b/entry/internal/cluster/grants.go
@@ -11,7 +11,5 @@
 // Grants sends grants and releases of keys to servers.
 type Grants interface {
 	Grant(ctx context.Context, to netip.AddrPort, keys keyspace.Range, fence uint64, hold time.Duration, handover string) error
-	// Renew repeats a grant that the server has accepted.
-	Renew(ctx context.Context, to netip.AddrPort, keys keyspace.Range, fence uint64, hold time.Duration) error
 	Release(ctx context.Context, to netip.AddrPort, keys keyspace.Range, fence uint64) (string, error)
 }
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -207,10 +207,6 @@
 	return nil
 }
 
-func (g *recordedGrants) Renew(ctx context.Context, to netip.AddrPort, keys keyspace.Range, f uint64, hold time.Duration) error {
-	return g.Grant(ctx, to, keys, f, hold, "")
-}
-
 func (g *recordedGrants) Release(_ context.Context, to netip.AddrPort, keys keyspace.Range, _ uint64) (string, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/internal/cluster/settled_internal_test.go
+++ b/entry/internal/cluster/settled_internal_test.go
@@ -38,10 +38,6 @@
 	return g.recordedGrants.Grant(ctx, to, keys, f, hold, handover)
 }
 
-func (g lossyGrants) Renew(ctx context.Context, to netip.AddrPort, keys keyspace.Range, f uint64, hold time.Duration) error {
-	return g.Grant(ctx, to, keys, f, hold, "")
-}
-
 func (g lossyGrants) Release(ctx context.Context, to netip.AddrPort, keys keyspace.Range, f uint64) (string, error) {
 	if to == g.lost {
 		return "", errUnreachable
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -261,15 +261,14 @@
 
 // grantOrder returns an order that grants the keys of a range to a server.
 func (c *Coordinator) grantOrder(now time.Time, s *rangeState, h *holder, handover string) Order {
-	renewal := h.fenceAccepted
-	if !renewal {
+	if !h.fenceAccepted {
 		h.fence = c.nextFence()
 	}
 	before := h.heldUntil
 	h.heldUntil = maxTime(before, now.Add(MaxGrantLifetime()))
 	h.inherited = false
 	h.nextCall = now.Add(renewInterval)
-	o := c.issueOrder(now, s, h, Order{Renewal: renewal, Server: h.server, Keys: s.keys, Fence: h.fence, Handover: handover})
+	o := c.issueOrder(now, s, h, Order{Server: h.server, Keys: s.keys, Fence: h.fence, Handover: handover})
 	p := c.pending[o.Number]
 	p.heldBefore = before
 	c.pending[o.Number] = p
--- a/entry/internal/coordinator/order.go
+++ b/entry/internal/coordinator/order.go
@@ -15,11 +15,9 @@
 	Release bool
 	// FenceOnly grants expire at once and only raise the server's fence.
 	FenceOnly bool
-	// Renewal grants repeat a grant that the server has accepted.
-	Renewal bool
-	Server  ownership.Server
-	Keys    keyspace.Range
-	Fence   fence.Fence
+	Server    ownership.Server
+	Keys      keyspace.Range
+	Fence     fence.Fence
 	// Handover is the data that the last holder returned with its release for the next one.
 	Handover string
 	// SendBy is the latest time at which the order may be sent. A grant sent later would run for
