--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -64,6 +64,7 @@
 	wake          chan struct{}
 
 	services map[string]*serviceState
+	workload workload
 }
 
 // serviceState holds the coordinator of one service and the state of its calls.
@@ -111,6 +112,7 @@
 	if configuration == nil {
 		return
 	}
+	s.workload.steps++
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
 	servers := s.node.view.Servers().Registered()
@@ -139,6 +141,7 @@
 		s.probeSilentServers(ctx, group, now, state)
 		s.logEvents(name, state)
 	}
+	s.logWorkload(now)
 }
 
 // logEvents logs the changes in the ownership of a service's keys.
@@ -267,6 +270,7 @@
 			// table.
 			s.recheckRole(state)
 		case err == nil:
+			s.workload.tables++
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
 			state.coordinator.MarkStored(time.Now(), generation, o.Revision)
@@ -370,6 +374,9 @@
 	if r.Err != nil {
 		s.node.orders[orderKind(o)+" failed"]++
 	}
+	if r.Expired {
+		s.workload.expired++
+	}
 	state.coordinator.HandleResult(time.Now(), r)
 	s.wakeNode()
 }
@@ -422,6 +429,7 @@
 
 // addReport adds a report to the demand of its services.
 func (s *executor) addReport(now time.Time, r report.Report) {
+	s.workload.reports++
 	for _, m := range r.Loads {
 		if state := s.services[m.Service]; state != nil {
 			state.demand.AddRequests(now, m.Keys, m.MeanServiceTime)
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -72,6 +72,7 @@
 	serversSince   time.Time
 	nextPlan       time.Time
 	nextSteadyPlan time.Time
+	plans          int
 	events         []Event
 }
 
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -34,6 +34,7 @@
 		return
 	}
 	c.nextPlan = now.Add(planInterval)
+	c.plans++
 	eligible, servers := c.candidates(now, d)
 	if len(servers) == 0 {
 		return
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -14,6 +14,7 @@
 		"store":         func(time.Time) any { return p.store.Counts() },
 		"era":           func(time.Time) any { return p.store.Era() },
 		"orders":        func(time.Time) any { return p.node.Orders() },
+		"coordinator":   func(now time.Time) any { return p.node.Workload(now) },
 		"term":          func(time.Time) any { return p.node.CoordinatorTerm() },
 		"members":       func(time.Time) any { return len(p.node.Members()) },
 		"age":           func(now time.Time) any { return p.copyAges(now) },
