slots: heartbeats only while requests wait

A process notices a failed allocator only through a request that waits there, so heartbeats are sent only then, and the time-out of 600 ms runs only then.

A process of an earlier version that is connected to one of this version loses its idle connections each 600 ms during an upgrade.

--- a/entry/internal/slots/link.go
+++ b/entry/internal/slots/link.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// heartbeatTimeout is the time without a reply or heartbeat after which an allocator counts
-	// as failed.
+	// heartbeatTimeout is the time without a reply or heartbeat after which an allocator at which a
+	// request waits counts as failed.
 	heartbeatTimeout = 600 * time.Millisecond
 	// connectTimeout bounds connecting to an allocator.
 	connectTimeout = 250 * time.Millisecond
@@ -45,6 +45,11 @@
 	pending  map[uint64]chan reply
 	lost     bool
 	lastUsed time.Time
+	// overdue closes the link when the allocator has been silent for too long. It runs while a request
+	// is pending.
+	overdue *time.Timer
+	// unused closes the link when it has not been used for idleLinkTimeout.
+	unused *time.Timer
 }
 
 // connect opens a link and receives replies until the link is lost; then it calls onLost with the
@@ -64,8 +69,13 @@
 		return nil, fmt.Errorf("slots: open stream to %s: %w", to, err)
 	}
 	l := &link{cancel: cancel, stream: stream, pending: make(map[uint64]chan reply), lastUsed: time.Now()}
+	l.overdue = time.AfterFunc(heartbeatTimeout, cancel)
+	l.overdue.Stop()
+	l.unused = time.AfterFunc(idleLinkTimeout, l.closeUnused)
 	go func() {
 		l.receive()
+		l.overdue.Stop()
+		l.unused.Stop()
 		cancel()
 		_ = conn.Close()
 		onLost(l.markLost())
@@ -74,21 +84,36 @@
 	return l, nil
 }
 
-// receive delivers replies until the stream ends or the allocator has been silent for
-// heartbeatTimeout.
+// receive delivers replies until the stream ends or is cancelled.
 func (l *link) receive() {
-	overdue := time.AfterFunc(heartbeatTimeout, l.cancel)
-	defer overdue.Stop()
 	for {
 		var w wireReply
 		if err := l.stream.MsgRecv(&w, rpc.Encoding{}); err != nil {
 			return
 		}
-		overdue.Reset(heartbeatTimeout)
 		l.deliver(decodeReply(time.Now(), &w))
 	}
 }
 
+// closeUnused closes the link if it has not been used for idleLinkTimeout, and otherwise checks it again
+// when that time would end.
+func (l *link) closeUnused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost {
+		return
+	}
+	left := idleLinkTimeout - time.Since(l.lastUsed)
+	if len(l.pending) == 0 && left <= 0 {
+		l.cancel()
+		return
+	}
+	if left <= 0 {
+		left = idleLinkTimeout
+	}
+	l.unused.Reset(left)
+}
+
 // markLost makes further requests fail and returns the number of pending ones.
 func (l *link) markLost() int {
 	l.mu.Lock()
@@ -107,21 +132,25 @@
 	}
 }
 
-// deliver passes a reply to its request. On a heartbeat, it closes a link that has not been used
-// for idleLinkTimeout.
+// deliver passes a reply to its request. A heartbeat only shows that the allocator is alive.
 func (l *link) deliver(r reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.number == 0 {
-		if len(l.pending) == 0 && time.Since(l.lastUsed) > idleLinkTimeout {
-			l.cancel()
-		}
-		return
-	}
 	if c, ok := l.pending[r.number]; ok {
 		delete(l.pending, r.number)
 		c <- r
 	}
+	l.expectReply()
+}
+
+// expectReply lets the allocator be silent for heartbeatTimeout from now if a request is pending, and
+// for any time otherwise. The lock is held.
+func (l *link) expectReply() {
+	if len(l.pending) == 0 {
+		l.overdue.Stop()
+		return
+	}
+	l.overdue.Reset(heartbeatTimeout)
 }
 
 // acquire requests a slot and returns the number of the request. The reply comes on the channel,
@@ -136,6 +165,9 @@
 	m.action, m.number = acquire, l.lastNumber
 	c := make(chan reply, 1)
 	l.pending[m.number] = c
+	if len(l.pending) == 1 {
+		l.expectReply()
+	}
 	l.lastUsed = time.Now()
 	l.mu.Unlock()
 	return m.number, c, l.write(m)
@@ -145,6 +177,9 @@
 func (l *link) release(m message) {
 	l.mu.Lock()
 	delete(l.pending, m.number)
+	if len(l.pending) == 0 {
+		l.overdue.Stop()
+	}
 	l.lastUsed = time.Now()
 	l.mu.Unlock()
 	m.action = release
--- a/entry/internal/slots/server.go
+++ b/entry/internal/slots/server.go
@@ -16,7 +16,7 @@
 // slotsMethod is the name of the RPC method between a process and an allocator.
 const slotsMethod = "/bramleystand/slots"
 
-// heartbeatInterval is the time between two heartbeats of an allocator.
+// heartbeatInterval is the time between two heartbeats of an allocator at which requests wait.
 const heartbeatInterval = 200 * time.Millisecond
 
 // HandleRPC serves the stream of a process that requests slots. It implements report.RPCHandler.
@@ -24,30 +24,22 @@
 	if method != slotsMethod {
 		return eris.Errorf("slots: RPC method %q is unknown", method)
 	}
-	ctx, cancel := context.WithCancel(stream.Context())
-	defer cancel()
 	var mu sync.Mutex
+	var beats *heartbeats
 	write := func(r reply) {
 		mu.Lock()
 		defer mu.Unlock()
 		if err := stream.MsgSend(encodeReply(time.Now(), r), rpc.Encoding{}); err != nil {
-			cancel()
+			beats.stop()
 		}
 	}
-	from := &requester{reply: write}
+	beats = newHeartbeats(func() { write(reply{}) })
+	defer beats.stop()
+	from := &requester{reply: func(r reply) {
+		beats.ended(r.number)
+		write(r)
+	}}
 	defer func() { a.releaseAll(time.Now(), from) }()
-	go func() {
-		ticker := time.NewTicker(heartbeatInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				write(reply{})
-			}
-		}
-	}()
 	for {
 		var w wireMessage
 		if err := stream.MsgRecv(&w, rpc.Encoding{}); err != nil {
@@ -57,6 +49,13 @@
 			return fmt.Errorf("slots: receive: %w", err)
 		}
 		now := time.Now()
-		a.handle(now, from, decodeMessage(now, &w))
+		m := decodeMessage(now, &w)
+		if m.action == acquire {
+			beats.requested(m.number)
+		} else {
+			beats.ended(m.number)
+		}
+		a.handle(now, from, m)
+		beats.start()
 	}
 }
