--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -271,6 +271,7 @@
 			s.recheckRole(state)
 		case err == nil:
 			s.workload.tables++
+			s.workload.written = time.Since(now)
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
 			state.coordinator.MarkStored(time.Now(), generation, o.Revision)
@@ -279,6 +280,7 @@
 			// The response to a write of this process was lost, or another coordinator has written.
 			s.resolveConflict(ctx, group, name, state)
 		default:
+			s.node.logger.WithError(err).WithFields(log.Fields{"service": name, "ms": time.Since(now).Milliseconds(), "bytes": len(data)}).Warn("table not written")
 			state.nextStoreCall = time.Now().Add(150 * time.Millisecond)
 		}
 	})
--- a/entry/internal/cluster/workload.go
+++ b/entry/internal/cluster/workload.go
@@ -17,7 +17,9 @@
 	// steps counts the executor's steps, tables the writes of a table that the store accepted, expired
 	// the orders that were not sent in time, and reports the reports of other processes.
 	steps, tables, expired, reports int
-	nextLog                         time.Time
+	// written is how long the latest write of a table took.
+	written time.Duration
+	nextLog time.Time
 }
 
 // Workload returns what the coordinator does and has done in its term, by service, or nil in another
@@ -45,7 +47,7 @@
 	w := &s.workload
 	return log.Fields{
 		"ranges": sum.Ranges, "moving": sum.Moving, "unowned": sum.Unowned, "pending": sum.Pending, "silent": sum.Silent, "plans": sum.Plans,
-		"delay": sum.Delay.Milliseconds(), "steps": w.steps, "tables": w.tables, "expired": w.expired, "reports": w.reports,
+		"delay": sum.Delay.Milliseconds(), "steps": w.steps, "tables": w.tables, "expired": w.expired, "reports": w.reports, "written": w.written.Milliseconds(),
 		"grants": s.node.orders["grant"], "failed": s.node.orders["grant failed"], "releases": s.node.orders["release"],
 	}
 }
