--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -17,6 +17,7 @@
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
 
@@ -69,7 +70,9 @@
 
 // serviceState holds the coordinator of one service and the state of its calls.
 type serviceState struct {
-	coordinator   *coordinator.Coordinator
+	coordinator *coordinator.Coordinator
+	// servers is the list that the coordinator has got.
+	servers       *view.Servers
 	demand        *demand.Service
 	readPending   bool
 	writePending  bool
@@ -115,7 +118,7 @@
 	s.workload.steps++
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
-	servers := s.node.view.Servers().Registered()
+	servers := s.node.view.Servers()
 	for name, service := range configuration.Services {
 		if !service.Sharded {
 			continue
@@ -129,7 +132,10 @@
 			s.loadTable(ctx, group, name, state)
 			continue
 		}
-		state.coordinator.SetServers(now, servers)
+		if state.servers != servers {
+			state.servers = servers
+			state.coordinator.SetServers(now, servers.Registered())
+		}
 		s.writeTable(ctx, group, now, name, state)
 		if now.Sub(confirmed) > coordinator.MaxOfflineRenewal {
 			continue
@@ -217,6 +223,7 @@
 			state.nextStoreCall = now.Add(restoredTableInterval)
 			return
 		}
+		state.servers = nil
 		state.coordinator = coordinator.New(name, s.term, table, time.Now(), s.inheritedUntil)
 		s.wakeNode()
 	})
