cluster: steps of the coordinator do not grow with its orders

Results that arrive within 10 ms now share a step.

Before: TestStepsDoNotGrowWithOrders, steps_internal_test.go:43, 2798 steps in 10 s, 1200 allowed.

--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -42,6 +42,9 @@
 	reportInterval = 400 * time.Millisecond
 	// tickInterval is the time between two checks for work that is due.
 	tickInterval = 50 * time.Millisecond
+	// minStepInterval is the time between two steps of a coordinator. Each step looks at all ranges, and
+	// the results of hundreds of orders a second share one.
+	minStepInterval = 10 * time.Millisecond
 	// storeTimeout bounds a call to the store that a decision waits for.
 	storeTimeout = 900 * time.Millisecond
 	// maxJitter bounds the random delay that keeps candidates from taking the lock at the same
@@ -197,12 +200,18 @@
 		n.replica.RemoveMissingServers(time.Now())
 		n.checkUpdates(time.Now())
 		n.runElection(ctx, &group)
+		stepped := time.Now()
 		n.coordinate(ctx, &group)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-n.executorWake():
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(stepped.Add(minStepInterval))):
+			}
 		}
 	}
 }
