--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -71,6 +71,7 @@
 	// serversSince is when a service without a table began to wait for more servers.
 	serversSince   time.Time
 	nextPlan       time.Time
+	nextUrgentPlan time.Time
 	nextSteadyPlan time.Time
 	plans          int
 	events         []Event
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -30,10 +30,14 @@
 		c.createInitialRange(now)
 	}
 	unowned := c.anyNeedsOwner(now)
-	if len(c.ranges) == 0 || !unowned && now.Before(c.nextPlan) || c.IsIsolated(now) {
+	next := c.nextPlan
+	if unowned {
+		next = c.nextUrgentPlan
+	}
+	if len(c.ranges) == 0 || now.Before(next) || c.IsIsolated(now) {
 		return
 	}
-	c.nextPlan = now.Add(planInterval)
+	c.nextPlan, c.nextUrgentPlan = now.Add(planInterval), now.Add(urgentPlanInterval)
 	c.plans++
 	eligible, servers := c.candidates(now, d)
 	if len(servers) == 0 {
--- a/entry/internal/coordinator/timing.go
+++ b/entry/internal/coordinator/timing.go
@@ -23,6 +23,9 @@
 	propagationDelay = 25 * time.Millisecond
 	// planInterval is the time between two plans by the load of the last second.
 	planInterval = 400 * time.Millisecond
+	// urgentPlanInterval is the time between two plans while a range has no usable owner. Such a range may
+	// stay so for as long as an order to its holder is unanswered.
+	urgentPlanInterval = 100 * time.Millisecond
 	// steadyPlanInterval is the time between two plans by the load of the last seconds.
 	steadyPlanInterval = 2 * time.Second
 	// initialAssignmentDelay is how long a service without a table waits for more servers to
