Failing tests: grants that reach another instance at a server's address

Three processes, two servers of one sharded service, 100 requests/s. Six times a server ends, and another instance listens at its address at once or 0.3 s later; its entry follows 0, 1 or 2.5 s after that. The servers answer 421 to any call, orders included, whose Expect-Instance is not theirs. One test has a new id each time, the other a new life of the same id.

Both fail on this code, e.g. owner_test.go:200: 4397 ms: other-3 (born 3) gets keys 32768 to 65535 with fence 1.8, other-1 (born 2) had them with fence 1.8 owner_test.go:211: 2472 ms: server-0 (born 3) gets keys 0 to 32767 with fence 1.5, server-0 (born 2) had them with fence 1.5

--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -265,7 +265,11 @@
 // fakeBackend is a backend server that runs only requests for keys that it has been granted.
 type fakeBackend struct {
 	id      string
+	born    int64
 	address netip.AddrPort
+	server  *http.Server
+	// grants records the accepted grants of all servers of a test, if it is set.
+	grants *grantRecord
 	// slow is the number of requests run whose identifier begins with "slow-". They end when
 	// finishSlow is closed.
 	slow       atomic.Int32
@@ -306,14 +310,33 @@
 }
 
 func newFakeBackend(t *testing.T, id string) *fakeBackend {
-	b := &fakeBackend{id: id, executions: make(map[string]int), finishSlow: make(chan struct{})}
+	b := &fakeBackend{id: id, born: 1, executions: make(map[string]int), finishSlow: make(chan struct{})}
 	b.address = serve(t, b)
 	return b
 }
 
+// newFakeBackendAt returns an instance that listens at an address where another one may have ended.
+func newFakeBackendAt(t *testing.T, id string, born int64, address netip.AddrPort, grants *grantRecord) *fakeBackend {
+	b := &fakeBackend{id: id, born: born, address: address, grants: grants, executions: make(map[string]int), finishSlow: make(chan struct{})}
+	l, err := net.Listen("tcp", address.String())
+	must.NoError(t, err)
+	b.server = &http.Server{Handler: b}
+	go func() { _ = b.server.Serve(l) }()
+	t.Cleanup(func() { _ = b.server.Close() })
+	return b
+}
+
+// end ends the instance as a crash does: its listener and all connections are closed.
+func (b *fakeBackend) end(t *testing.T) {
+	must.NoError(t, b.server.Close())
+	if b.grants != nil {
+		b.grants.end(b)
+	}
+}
+
 // registryEntry returns the server's entry in the store.
 func (b *fakeBackend) registryEntry(state string) string {
-	return fmt.Sprintf(`{"service":"keyed","address":%q,"zone":"x","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":1,"born":1}`, b.address, state)
+	return fmt.Sprintf(`{"service":"keyed","address":%q,"zone":"x","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":1,"born":%d}`, b.address, state, b.born)
 }
 
 // ServeHTTP implements http.Handler.
@@ -322,6 +345,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.URL.Path == "/v1/grant" || r.URL.Path == "/v1/release" {
+		if expected := r.Header.Get("Bramleystand-Expect-Instance"); expected != "" && expected != b.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		b.handleOrder(w, r.URL.Path == "/v1/release", body)
 		return
 	}
@@ -371,6 +398,9 @@
 		}
 		b.fences[k], b.expiries[k] = o.Fence, time.Now().Add(time.Duration(o.HoldMs)*time.Millisecond)
 	}
+	if b.grants != nil {
+		b.grants.add(b, release, o.From, o.Target, o.Fence, time.Duration(o.HoldMs)*time.Millisecond)
+	}
 	w.Header().Set("Bramleystand-Handover", "token")
 }
 
