Orders name the instance that they are meant for

An order went to an address, whichever process listens there. The coordinator renews until the store shows that the instance has ended, and a refused connection leaves fence and order as they are, so the next instance at the address got the renewal.

Grants, fence-only grants and releases now carry Bramleystand-Expect-Instance, and GrantClient returns ErrMisdirected for 421. An instance keeps its address as long as it runs, so 421 proves that it has ended: the coordinator treats its keys as free at once, sends it nothing more, and doesn't take a 421 for a release. The same holds when an instance with another id registers at the address; only the next life of the same id can have taken the orders, and is still asked to release.

Left: a next life with the same id (TestNewLifeAtAddress), and coordinators of older builds that still renew.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -337,13 +337,14 @@
 func (s *executor) execute(ctx context.Context, state *serviceState, o coordinator.Order) {
 	r := coordinator.Result{Number: o.Number}
 	address, err := netip.ParseAddrPort(o.Server.Address)
+	to := platform.Recipient{ID: o.Server.ID, Address: address}
 	switch {
 	case err != nil:
 		r.Err, r.Unsent = err, true
 	case o.Release:
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		r.Handover, r.Err = s.node.grants.Release(bounded, address, o.Keys, uint64(o.Fence))
+		r.Handover, r.Err = s.node.grants.Release(bounded, to, o.Keys, uint64(o.Fence))
 	case time.Now().After(o.SendBy) || !s.isActive():
 		// The process was short of processor time, or is no longer the coordinator.
 		r.Err, r.Expired = errOrderExpired, true
@@ -354,14 +355,15 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		r.Err = s.node.grants.Grant(bounded, address, o.Keys, uint64(o.Fence), hold, o.Handover)
+		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), hold, o.Handover)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
+	r.Misdirected = errors.Is(r.Err, platform.ErrMisdirected)
 	r.Unsent = r.Unsent || errors.Is(r.Err, platform.ErrNotSent)
 	if r.Err != nil {
 		s.node.logger.WithError(r.Err).WithFields(log.Fields{
 			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
-			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent,
+			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected,
 		}).Info("order failed")
 	}
 	s.node.mu.Lock()
--- a/entry/internal/cluster/grants.go
+++ b/entry/internal/cluster/grants.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"bramleystand.org/common/keyspace"
+	"bramleystand.org/platform"
 )
 
-// Grants sends grants and releases of keys to servers.
+// Grants sends grants and releases of keys to servers. platform.GrantClient implements it and states the
+// errors.
 type Grants interface {
-	Grant(ctx context.Context, to netip.AddrPort, keys keyspace.Range, fence uint64, hold time.Duration, handover string) error
-	Release(ctx context.Context, to netip.AddrPort, keys keyspace.Range, fence uint64) (string, error)
+	Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string) error
+	Release(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64) (string, error)
 }
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -185,9 +185,10 @@
 	return g
 }
 
-func (g *recordedGrants) Grant(_ context.Context, to netip.AddrPort, keys keyspace.Range, f uint64, hold time.Duration, _ string) error {
+func (g *recordedGrants) Grant(_ context.Context, recipient platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, _ string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	to := recipient.Address
 	sent := sentGrant{at: time.Now(), to: to, keys: keys, hold: hold, fence: fence.Fence(f)}
 	for _, earlier := range g.grants {
 		sent.highest = max(sent.highest, earlier.fence)
@@ -207,12 +208,12 @@
 	return nil
 }
 
-func (g *recordedGrants) Release(_ context.Context, to netip.AddrPort, keys keyspace.Range, _ uint64) (string, error) {
+func (g *recordedGrants) Release(_ context.Context, recipient platform.Recipient, keys keyspace.Range, _ uint64) (string, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for k, holders := range g.heldUntil {
 		if keys.Contains(k) {
-			delete(holders, to)
+			delete(holders, recipient.Address)
 		}
 	}
 	return "handover", nil
@@ -360,7 +361,7 @@
 		n := newTestNode("n", store, grants, 2)
 		n.replica.UpdateTable(moved(1, 5, revision.New(1, 40), 1))
 		// The lost coordinator has granted the keys just before.
-		must.NoError(t, grants.Grant(t.Context(), backendAddress(1), keyspace.Range{Last: keyspace.Last}, 5, coordinator.HoldDuration, ""))
+		must.NoError(t, grants.Grant(t.Context(), platform.Recipient{ID: backend(1).ID, Address: backendAddress(1)}, keyspace.Range{Last: keyspace.Last}, 5, coordinator.HoldDuration, ""))
 		started := time.Now().Add(time.Millisecond)
 		defer run(t, n)()
 		time.Sleep(5 * time.Second)
--- a/entry/internal/cluster/settled_internal_test.go
+++ b/entry/internal/cluster/settled_internal_test.go
@@ -16,6 +16,7 @@
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/platform"
 )
 
 // stoppedPeers is a network in which the former coordinator has stopped.
@@ -31,15 +32,15 @@
 	lost netip.AddrPort
 }
 
-func (g lossyGrants) Grant(ctx context.Context, to netip.AddrPort, keys keyspace.Range, f uint64, hold time.Duration, handover string) error {
-	if to == g.lost {
+func (g lossyGrants) Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, handover string) error {
+	if to.Address == g.lost {
 		return errUnreachable
 	}
 	return g.recordedGrants.Grant(ctx, to, keys, f, hold, handover)
 }
 
-func (g lossyGrants) Release(ctx context.Context, to netip.AddrPort, keys keyspace.Range, f uint64) (string, error) {
-	if to == g.lost {
+func (g lossyGrants) Release(ctx context.Context, to platform.Recipient, keys keyspace.Range, f uint64) (string, error) {
+	if to.Address == g.lost {
 		return "", errUnreachable
 	}
 	return g.recordedGrants.Release(ctx, to, keys, f)
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -140,7 +140,7 @@
 		if s.Incarnation > c.latestAtAddress[s.Address].Incarnation {
 			c.latestAtAddress[s.Address] = s.Instance
 		}
-		if s.Service != c.service {
+		if s.Service != c.service || c.hasEnded(s.Instance) {
 			continue
 		}
 		c.servers[s.Instance] = s
@@ -197,9 +197,9 @@
 			continue
 		}
 		status := c.statusOf(h.server)
-		if status == addressReassigned || !h.callPending && !now.Before(h.heldUntil) {
+		if status == ended || !h.callPending && !now.Before(h.heldUntil) {
 			h.keysReleased = true
-			c.recordLoss(s, h, status == addressReassigned)
+			c.recordLoss(s, h, status == ended)
 			continue
 		}
 		waiting = true
@@ -218,10 +218,10 @@
 	return append(orders, c.grantOrder(now, s, s.target, s.handover))
 }
 
-// releaseAtSuccessor orders the release of keys whose holder has ended and was replaced by another
-// instance of the same service at its address. Grants meant for the old instance may have reached
-// the new one, and an unanswered one must expire first. The new instance has seen no fence and must
-// receive one before it can refuse the grants of earlier coordinators.
+// releaseAtSuccessor orders the release of keys whose holder has ended and started again with the same
+// ID. Grants meant for the former life may have reached the new one, and an unanswered one must expire
+// first. The new life has seen no fence and must receive one before it can refuse the grants of earlier
+// coordinators.
 func (c *Coordinator) releaseAtSuccessor(now time.Time, s *rangeState, h *holder, orders []Order) []Order {
 	if !h.fenceAccepted || h.releaseAnswered && !s.othersReleased(h) {
 		return orders
@@ -310,6 +310,10 @@
 		h.heldUntil, h.nextCall = p.heldBefore, now
 		return
 	}
+	if r.Misdirected {
+		c.handleMisdirected(now, s, h, p)
+		return
+	}
 	if !p.order.Release && !p.order.FenceOnly && !r.Unsent && !r.Fenced {
 		// The grant runs from its arrival, which may have been as late as the response to it.
 		h.heldUntil = maxTime(h.heldUntil, now.Add(MaxGrantLifetime()))
@@ -343,6 +347,19 @@
 	}
 }
 
+// handleMisdirected processes an order that another instance at the server's address has refused. The
+// server has ended, and only its next life with the same ID could have accepted orders meant for it.
+func (c *Coordinator) handleMisdirected(now time.Time, s *rangeState, h *holder, p pending) {
+	h.heldUntil = p.heldBefore
+	if health := c.health[h.server.Instance]; health != nil {
+		health.ended = true
+	}
+	delete(c.servers, h.server.Instance)
+	if h == s.target {
+		c.dropUnresponsiveTarget(now, s)
+	}
+}
+
 // recordLoss records that a holder has lost the keys of a range without a release.
 func (c *Coordinator) recordLoss(s *rangeState, h *holder, instanceEnded bool) {
 	kind := EventLapsed
@@ -447,25 +464,33 @@
 const (
 	// possiblyRunning means that the instance may run, even if its entry is missing.
 	possiblyRunning instanceStatus = iota
-	// replaced means that the instance has ended, and that another instance of the service may have
-	// received its grants.
+	// replaced means that the instance has ended, and that a later life with the same ID may have
+	// accepted its grants.
 	replaced
-	// addressReassigned means that the instance has ended, and that a server of another service has
-	// its address.
-	addressReassigned
+	// ended means that the instance has ended, and that no other one has accepted its grants.
+	ended
 )
 
+// hasEnded reports whether another instance has refused an order at the address of a server.
+func (c *Coordinator) hasEnded(inst registry.Instance) bool {
+	h := c.health[inst]
+	return h != nil && h.ended
+}
+
 // statusOf returns whether an instance of a server has ended, which is known when a newer instance
-// has its ID or address.
+// has its ID or address, or has refused an order at the address.
 func (c *Coordinator) statusOf(s ownership.Server) instanceStatus {
 	if _, ok := c.servers[s.Instance]; ok {
 		return possiblyRunning
 	}
+	if c.hasEnded(s.Instance) {
+		return ended
+	}
 	if address, err := netip.ParseAddrPort(s.Address); err == nil && c.latestAtAddress[address].Incarnation > s.Incarnation {
-		if _, sameService := c.servers[c.latestAtAddress[address]]; sameService {
+		if c.latestAtAddress[address].ID == s.ID {
 			return replaced
 		}
-		return addressReassigned
+		return ended
 	}
 	for inst := range c.servers {
 		if inst.ID == s.ID && inst.Incarnation > s.Incarnation {
--- a/entry/internal/coordinator/health.go
+++ b/entry/internal/coordinator/health.go
@@ -7,4 +7,6 @@
 	lastResponse time.Time
 	failures     int
 	probing      bool
+	// ended is true once another instance has refused an order at the server's address.
+	ended bool
 }
--- a/entry/internal/coordinator/order.go
+++ b/entry/internal/coordinator/order.go
@@ -31,6 +31,8 @@
 	Handover string
 	// Fenced is true if the server has seen a higher fence.
 	Fenced bool
+	// Misdirected is true if another instance listens at the server's address and has refused the order.
+	Misdirected bool
 	// Unsent is true if the server can't have received the order.
 	Unsent bool
 	// Expired is true if the order was not sent in time. It says nothing about the server.
