--- /dev/null
+++ b/entry/internal/gatewayprocess/cut_test.go
@@ -0,0 +1,157 @@
+package gatewayprocess_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// cutStable is the time from which on a partitioned process must serve its clients.
+	cutStable = 3 * time.Second
+	// cutObserved is for how long the requests are counted after that.
+	cutObserved = 5 * time.Second
+	// maxUnserved and maxUnservedShare bound the first tries that fail: 10 and one in 50 of all.
+	maxUnserved      = 10
+	maxUnservedShare = 50
+)
+
+// firstTries counts the first tries of clients at a process.
+type firstTries struct {
+	sent, served int
+	statuses     map[string]int
+}
+
+// cutTest is a deployment whose processes can be partitioned from the servers.
+type cutTest struct {
+	store     *fakeStore
+	servers   []*fakeBackend
+	relays    []*cutRelay
+	processes []*testProcess
+}
+
+// newCutTest starts three servers and four processes. The first process is the coordinator.
+func newCutTest(t *testing.T) *cutTest {
+	d := &cutTest{store: newFakeStore(t)}
+	d.store.put("config", "main", fmt.Sprintf(configurationFormat, 1))
+	for _, id := range []string{"a", "b", "c"} {
+		b := newFakeBackend(t, id)
+		r := newCutRelay(t, b.address)
+		d.servers, d.relays = append(d.servers, b), append(d.relays, r)
+		d.store.put("servers", id, strings.Replace(b.registryEntry("ready"), b.address.String(), r.address.String(), 1))
+	}
+	for _, name := range []string{"first", "second", "third", "fourth"} {
+		p := startProcess(t, d.store, name)
+		d.processes = append(d.processes, p)
+		eventually(t, 10*time.Second, name+" serves", func() bool { return p.servesAllKeys("start") })
+	}
+	return d
+}
+
+// cut begins or ends a partition of a process from all servers.
+func (d *cutTest) cut(t *testing.T, p *testProcess, kind cutKind) {
+	for _, r := range d.relays {
+		r.set(t, p.settings.ClientAddress.Addr(), kind)
+	}
+}
+
+// sendFirstTries sends requests for spread keys to all processes in turn, 100 a second, until the time is
+// over, and counts those that were sent after since, by process.
+func (d *cutTest) sendFirstTries(path string, until, since time.Time) []firstTries {
+	const interval = 10 * time.Millisecond
+	var mu sync.Mutex
+	tries := make([]firstTries, len(d.processes))
+	var group sync.WaitGroup
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for i := 0; time.Now().Before(until); i++ {
+		<-ticker.C
+		sent := time.Now()
+		group.Go(func() {
+			n := i % len(d.processes)
+			id := fmt.Sprintf("%s-%d-%d", strings.Trim(path, "/"), since.UnixNano(), i)
+			status, body := d.processes[n].send(path, id, i*9973%65536)
+			mu.Lock()
+			defer mu.Unlock()
+			if !sent.After(since) {
+				return
+			}
+			c := &tries[n]
+			c.sent++
+			if c.statuses == nil {
+				c.statuses = make(map[string]int)
+			}
+			if status == http.StatusOK && body == "body of "+id {
+				c.served++
+			}
+			c.statuses[fmt.Sprint(status, " ", strings.TrimSpace(body[:min(len(body), 5)]))]++
+		})
+	}
+	group.Wait()
+	return tries
+}
+
+// mustServe checks the rule for partitioned processes: their clients are served at least two thirds as
+// often as those of the others, or few tries fail. The others lose no service because of the partition.
+func mustServe(t *testing.T, tries []firstTries, isCut func(n int) bool) {
+	t.Helper()
+	var cut, others firstTries
+	for n, c := range tries {
+		sum := &others
+		if isCut(n) {
+			sum = &cut
+		}
+		sum.sent += c.sent
+		sum.served += c.served
+		t.Logf("process %d, cut off %v: %d of %d served; %v", n, isCut(n), c.served, c.sent, c.statuses)
+	}
+	must.Positive(t, cut.sent)
+	must.Positive(t, others.sent)
+	allowed := maxUnserved + (cut.sent+others.sent)/maxUnservedShare
+	must.LessEq(t, allowed, others.sent-others.served, must.Sprint("failures at the other processes"))
+	if cut.sent-cut.served > allowed {
+		must.GreaterEq(t, 2*others.served*cut.sent, 3*cut.served*others.sent, must.Sprint("served at the partitioned processes"))
+	}
+}
+
+// Guards against clients that are not served because their process reaches no server, and against other
+// processes that lose service because of it.
+func TestProcessesCutFromServers(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		kind cutKind
+		path string
+		// cut is the number of processes that are partitioned; the coordinator is not one of them.
+		cut int
+	}{
+		{cutReset, "/get/x", 3},
+		{cutReset, "/final/x", 1},
+		{cutReset, "/final/x", 3},
+		{cutSilent, "/get/x", 1},
+		{cutSilent, "/get/x", 3},
+		{cutSilent, "/final/x", 1},
+		{cutNew, "/get/x", 1},
+		{cutNew, "/final/x", 2},
+		{cutUnanswered, "/get/x", 1},
+	} {
+		t.Run(fmt.Sprint(c.kind, c.path, c.cut), func(t *testing.T) {
+			t.Parallel()
+			d := newCutTest(t)
+			isCut := func(n int) bool { return n > 0 && n <= c.cut }
+			d.sendFirstTries(c.path, time.Now().Add(time.Second), time.Now())
+			for n, p := range d.processes {
+				if isCut(n) {
+					d.cut(t, p, c.kind)
+				}
+			}
+			begin := time.Now()
+			tries := d.sendFirstTries(c.path, begin.Add(cutStable+cutObserved), begin.Add(cutStable))
+			mustServe(t, tries, isCut)
+		})
+	}
+}
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -394,8 +394,7 @@
 // port before a process listens on it.
 func unusedAddress(t *testing.T) netip.AddrPort {
 	pid, n := os.Getpid(), lastAddress.Add(1)
-	must.Less(t, 255, n)
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%254), byte(pid), byte(n)})
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + (pid>>8+int(n>>8))%254), byte(pid), byte(n)})
 	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	must.NoError(t, err)
 	defer l.Close()
