--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, crashTracker, dialer, logger)
+//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, crashTracker, reachability, dialer, logger)
 //	go n.Run(ctx)
 //	defer n.Resign(ctx)
 package cluster
@@ -83,6 +83,7 @@
 	loadCollector *LoadCollector
 	limits        *requestlimit.Table
 	crashes       *crashes.Tracker
+	reachability  Reachability
 	dialer        Dialer
 	logger        log.Interface
 
@@ -94,7 +95,9 @@
 	members         []election.Member
 	// membersAt is when the coordinator last confirmed the members; zero if it never did.
 	membersAt time.Time
-	reporters map[string]reporter
+	// cutOffMembers has the names of the members that reach no server.
+	cutOffMembers map[string]bool
+	reporters     map[string]reporter
 	// lastUpdate is when the coordinator last reported that it has all changes. It is zero if the
 	// last update said that changes may be missing.
 	lastUpdate time.Time
@@ -130,15 +133,22 @@
 	member     election.Member
 	cores      float64
 	lastReport time.Time
+	// cutOff is true if the process reaches no server.
+	cutOff bool
+}
+
+// Reachability tells whether this process reaches the servers.
+type Reachability interface {
+	CutOff(now time.Time) bool
 }
 
 // New returns a node that does nothing until Run. cores is the processor time of the VM in cores.
-func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, t *crashes.Tracker, dialer Dialer, logger log.Interface) *Node {
+func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, t *crashes.Tracker, reach Reachability, dialer Dialer, logger log.Interface) *Node {
 	now := time.Now()
 	e := election.New(self, now, rand.N(maxJitter))
 	e.SetTakeoverDelay(takeoverDelay(cores, 0))
 	return &Node{
-		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, crashes: t, dialer: dialer, logger: logger,
+		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, crashes: t, reachability: reach, dialer: dialer, logger: logger,
 		election: e, reporters: make(map[string]reporter),
 		members: []election.Member{self}, watchers: make(map[string]StoreWatcher), received: make(map[string]*ownership.Table), orders: make(map[string]int),
 	}
@@ -355,7 +365,7 @@
 	loads, samples := n.loadCollector.TakeUnreported()
 	r := report.Report{
 		From: n.self, Cores: n.cores, Loads: loads, Samples: samples,
-		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()),
+		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
 	}
 	if holding {
 		n.Report(time.Now(), r)
@@ -368,6 +378,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members, n.membersAt = response.Members, time.Now()
+	n.setCutOffMembers(response.CutOff)
 	n.election.SetTakeoverDelay(takeoverDelay(n.cores, response.Cores))
 	if response.Confirmed {
 		n.election.RecordHolderAlive(time.Now(), response.Term)
@@ -382,7 +393,7 @@
 	if !holding || n.executor == nil {
 		return report.Response{}
 	}
-	n.reporters[r.From.Name] = reporter{member: r.From, cores: r.Cores, lastReport: now}
+	n.reporters[r.From.Name] = reporter{member: r.From, cores: r.Cores, lastReport: now, cutOff: r.CutOff}
 	n.executor.addReport(now, r)
 	n.crashes.AddReported(now, r.Crashes)
 	for inst, l := range r.Limits {
@@ -390,6 +401,7 @@
 	}
 	n.members, n.membersAt = n.members[:0:0], now
 	largest := 0.0
+	var cutOff []string
 	for name, p := range n.reporters {
 		if now.Sub(p.lastReport) > memberLifetime {
 			delete(n.reporters, name)
@@ -397,9 +409,13 @@
 		}
 		n.members = append(n.members, p.member)
 		largest = max(largest, p.cores)
+		if p.cutOff {
+			cutOff = append(cutOff, name)
+		}
 	}
+	n.setCutOffMembers(cutOff)
 	return report.Response{
-		Coordinator: true, Term: term, Members: n.members, Cores: largest,
+		Coordinator: true, Term: term, Members: n.members, Cores: largest, CutOff: cutOff,
 		Confirmed: now.Sub(n.election.Confirmed()) < confirmationTimeout,
 	}
 }
@@ -426,6 +442,22 @@
 	return n.members
 }
 
+// setCutOffMembers replaces the names of the members that reach no server. The node's lock is held.
+func (n *Node) setCutOffMembers(names []string) {
+	n.cutOffMembers = make(map[string]bool, len(names))
+	for _, name := range names {
+		n.cutOffMembers[name] = true
+	}
+}
+
+// CutOffMembers returns the names of the members that reach no server, as far as the coordinator knows. The
+// map must not be changed.
+func (n *Node) CutOffMembers() map[string]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cutOffMembers
+}
+
 // MembersConfirmed reports whether the coordinator has confirmed the members lately.
 func (n *Node) MembersConfirmed() bool {
 	n.mu.Lock()
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -280,7 +280,7 @@
 	}
 	v.SetServers(time.Now(), list)
 	self := election.Member{Name: name, Incarnation: time.Now().UnixNano()}
-	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(&log.Logger{Handler: discard.New()}), crashes.NewTracker(), noDialer{}, logger)
+	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(&log.Logger{Handler: discard.New()}), crashes.NewTracker(), fullyConnected{}, noDialer{}, logger)
 }
 
 // run runs a process and returns a function that ends it.
@@ -432,3 +432,8 @@
 		})
 	}
 }
+
+// fullyConnected is the reachability of a process that reaches all servers.
+type fullyConnected struct{}
+
+func (fullyConnected) CutOff(time.Time) bool { return false }
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker)
+//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker, reachability)
 //	result := d.Do(ctx, call)
 package dispatch
 
@@ -18,6 +18,7 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bramleystand.org/common/registry"
@@ -85,6 +86,19 @@
 	RecordResponse(f suspect.Fingerprint)
 }
 
+// Reachability records which servers this process reaches and tells whether it reaches them.
+type Reachability interface {
+	// RequestSent records that a request is sent to a server; the returned function records its end.
+	RequestSent(now time.Time, inst registry.Instance) (ended func())
+	// RecordReached records an answer on a new connection, RecordAnswer one on a connection that was open,
+	// RecordUnreached that no connection could be opened, and RecordReset that a new connection
+	// ended without a byte of an answer.
+	RecordReached(now time.Time, inst registry.Instance)
+	RecordAnswer(now time.Time, inst registry.Instance)
+	RecordUnreached(now time.Time, inst registry.Instance)
+	RecordReset(now time.Time, inst registry.Instance)
+}
+
 // Dispatcher sends requests to servers. It is safe for concurrent use.
 type Dispatcher struct {
 	view         *view.View
@@ -94,6 +108,7 @@
 	dataCentre   string
 	observer     Observer
 	crashTracker CrashTracker
+	reachability Reachability
 	// processes is the number of entry processes.
 	processes atomic.Int64
 	// shutdown is nil while the process does not stop.
@@ -107,11 +122,11 @@
 }
 
 // New returns a dispatcher for a process in the given data centre.
-func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker) *Dispatcher {
+func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, r Reachability) *Dispatcher {
 	waits, endWaits := context.WithCancelCause(context.Background())
 	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
-		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c,
+		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, reachability: r,
 		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
 	}
 }
@@ -226,6 +241,7 @@
 	}
 	begin := time.Now()
 	b.requestStarted()
+	ended := d.reachability.RequestSent(begin, b.server.Instance)
 	p.server = b.server.ID
 	c.SetPhase(AwaitsResponse, b.server.ID)
 	requestCtx, cancel := d.withRequest(ctx, c)
@@ -236,9 +252,11 @@
 		Repeated: p.sent[b.server.Instance], Memory: c.Memory,
 	})
 	p.sent[b.server.Instance] = true
+	ended()
 	now := time.Now()
 	serviceTime := now.Sub(begin)
 	failure, _ := errors.AsType[*origin.Error](err)
+	d.recordReachability(requestCtx, now, b, response, failure)
 	b.requestEnded(now, serviceTime, failure == nil || failure.Sent)
 	ran := err == nil && !response.NotRun
 	if !ran {
@@ -255,6 +273,24 @@
 	return d.handleResponse(waitCtx, p, b, response)
 }
 
+// recordReachability records what an attempt has shown about the network between this process and a server.
+// A failure shows nothing if the request was given up, or if the server closed a connection that was open
+// before.
+func (d *Dispatcher) recordReachability(ctx context.Context, now time.Time, b *backend, r *origin.Response, f *origin.Error) {
+	inst := b.server.Instance
+	switch {
+	case r != nil && !r.Reused:
+		d.reachability.RecordReached(now, inst)
+	case r != nil || f.Sent && !f.Unanswered:
+		d.reachability.RecordAnswer(now, inst)
+	case ctx.Err() != nil:
+	case f.Unreachable, errors.Is(f.Cause, syscall.ETIMEDOUT):
+		d.reachability.RecordUnreached(now, inst)
+	case f.Sent && !f.Reused:
+		d.reachability.RecordReset(now, inst)
+	}
+}
+
 // handleNoSlot returns the result of an attempt that got no slot in time. If the service is not
 // sharded, another server may have a slot. If it is, the coordinator moves keys away from a server that
 // limits its requests, which may be sooner than the server takes another one.
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -120,13 +120,19 @@
 	return nil, &dispatch.RefusalError{RetryAt: time.Now().Add(time.Second)}
 }
 
-// noTracking is an observer that ignores everything and a crash tracker that blocks no request.
+// noTracking is an observer that ignores everything, a crash tracker that blocks no request and a
+// reachability that takes no server for unreached.
 type noTracking struct{}
 
 func (noTracking) AttemptEnded(dispatch.Observation)                  {}
 func (noTracking) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noTracking) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noTracking) RecordResponse(suspect.Fingerprint)                 {}
+func (noTracking) RequestSent(time.Time, registry.Instance) func()    { return func() {} }
+func (noTracking) RecordReached(time.Time, registry.Instance)         {}
+func (noTracking) RecordAnswer(time.Time, registry.Instance)          {}
+func (noTracking) RecordUnreached(time.Time, registry.Instance)       {}
+func (noTracking) RecordReset(time.Time, registry.Instance)           {}
 
 // fixture is a dispatcher with its view of the configuration, the servers and their keys.
 type fixture struct {
@@ -147,7 +153,7 @@
 		list = append(list, s.Server)
 	}
 	v.SetServers(time.Now(), list)
-	return &fixture{t: t, view: v, dispatcher: dispatch.New(v, l, retry.New(limit), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{})}
+	return &fixture{t: t, view: v, dispatcher: dispatch.New(v, l, retry.New(limit), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, noTracking{})}
 }
 
 // setOwner makes a server the owner of all keys, or marks all keys as moving to it.
@@ -355,7 +361,7 @@
 	}()
 	f := newFixture(t, false, unlimited{}, ampleBudget, s)
 	tracker := &fakeCrashTracker{crashes: make(map[suspect.Fingerprint]int)}
-	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker)
+	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker, noTracking{})
 	must.Eq(t, http.StatusBadGateway, f.call(traffic.NonIdempotent).Status)
 	r := f.call(traffic.NonIdempotent)
 	must.Eq(t, http.StatusServiceUnavailable, r.Status)
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -51,6 +51,11 @@
 func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noLimits) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noLimits) RecordResponse(suspect.Fingerprint)                 {}
+func (noLimits) RequestSent(time.Time, registry.Instance) func()    { return func() {} }
+func (noLimits) RecordReached(time.Time, registry.Instance)         {}
+func (noLimits) RecordAnswer(time.Time, registry.Instance)          {}
+func (noLimits) RecordUnreached(time.Time, registry.Instance)       {}
+func (noLimits) RecordReset(time.Time, registry.Instance)           {}
 
 // startGateway serves a handler whose requests are sent to a server that answers each with serve.
 func startGateway(t *testing.T, kind traffic.Kind, serve func(c net.Conn, id string)) *httptest.Server {
@@ -87,7 +92,7 @@
 		})
 	}
 	v.SetServers(time.Now(), servers)
-	d := dispatch.New(v, noLimits{}, retry.New(retry.Limit{Burst: 100, Initial: 100}), &net.Dialer{}, originFields{}, "x", noLimits{}, noLimits{})
+	d := dispatch.New(v, noLimits{}, retry.New(retry.Limit{Burst: 100, Initial: 100}), &net.Dialer{}, originFields{}, "x", noLimits{}, noLimits{}, noLimits{})
 	h := gateway.New(v, d, testHeaderFields{}, &fakeDispatcher{}, gateway.NewCounters(new(expvar.Map)), &log.Logger{Handler: discard.New()})
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
--- a/entry/internal/gatewayprocess/cut_test.go
+++ b/entry/internal/gatewayprocess/cut_test.go
@@ -1,6 +1,7 @@
 package gatewayprocess_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -155,3 +156,48 @@
 		})
 	}
 }
+
+// cutOffMembers returns the number of members that a process knows to be cut off, as its metric says.
+func (p *testProcess) cutOffMembers() (n int, self bool) {
+	var m struct{ CutOff, Members int }
+	if err := json.Unmarshal([]byte(p.metrics.Get("reachability").String()), &m); err != nil {
+		return 0, false
+	}
+	return m.Members, m.CutOff == 1
+}
+
+// Guards against a partition that the partitioned process or the others don't notice, and against its end
+// that they don't.
+func TestPartitionIsReported(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []cutKind{cutReset, cutSilent, cutUnanswered} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			d := newCutTest(t)
+			cut := d.processes[2]
+			for _, p := range d.processes {
+				n, self := p.cutOffMembers()
+				must.Eq(t, 0, n)
+				must.False(t, self)
+			}
+			send := func(until time.Time) { d.sendFirstTries("/get/x", until, until) }
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() { send(time.Now().Add(8 * time.Second)) })
+			d.cut(t, cut, kind)
+			for _, p := range d.processes {
+				eventually(t, cutStable, p.settings.Name+" knows of the partition", func() bool {
+					n, self := p.cutOffMembers()
+					return n == 1 && self == (p == cut)
+				})
+			}
+			d.cut(t, cut, connected)
+			for _, p := range d.processes {
+				eventually(t, cutStable, p.settings.Name+" knows of its end", func() bool {
+					n, self := p.cutOffMembers()
+					return n == 0 && !self
+				})
+			}
+		})
+	}
+}
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -22,6 +22,7 @@
 	}
 	d["tables"] = tables
 	d["servers"] = p.view.Servers().Registered()
+	d["reachability"] = p.reachabilityCounts(time.Now())
 	d["limits"] = p.dumpLimits(time.Now())
 	return d
 }
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -18,12 +18,23 @@
 		"members":       func(time.Time) any { return len(p.node.Members()) },
 		"age":           func(now time.Time) any { return p.copyAges(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
+		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
 	} {
 		m.Set(name, expvar.Func(func() any { return value(time.Now()) }))
 	}
 }
 
+// reachabilityCounts returns whether the process is cut off from the backend servers (1 or 0), the number of
+// servers that it doesn't reach and the number of members that are cut off.
+func (p *Process) reachabilityCounts(now time.Time) map[string]int {
+	counts := map[string]int{"cutOff": 0, "servers": p.reachability.UnreachedServers(), "members": len(p.node.CutOffMembers())}
+	if p.reachability.CutOff(now) {
+		counts["cutOff"] = 1
+	}
+	return counts
+}
+
 // copyAges returns, for each copy of the store's objects, the time in ms since the store last
 // responded to its follower; -1 if it never has or the latest list failed.
 func (p *Process) copyAges(now time.Time) map[string]int64 {
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -31,6 +31,7 @@
 	"github.com/rotisserie/eris"
 
 	"bramleystand.org/common/gatewaysettings"
+	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/cluster"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/dialer"
@@ -40,10 +41,12 @@
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/operator"
+	"bramleystand.org/entry/internal/reachability"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/retry"
+	"bramleystand.org/entry/internal/serverprobe"
 	"bramleystand.org/entry/internal/slots"
 	"bramleystand.org/entry/internal/storemetrics"
 	"bramleystand.org/entry/internal/view"
@@ -97,9 +100,11 @@
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
 	limits     *requestlimit.Table
-	dispatcher *dispatch.Dispatcher
-	handler    *gateway.Handler
-	peerServer *report.Server
+	// reachability tells which servers this process reaches.
+	reachability *reachability.Monitor
+	dispatcher   *dispatch.Dispatcher
+	handler      *gateway.Handler
+	peerServer   *report.Server
 	// followers keep the copies of the store's objects up to date. The keys are the names of the
 	// copies in the metrics.
 	followers map[string]*follow.Follower
@@ -138,12 +143,13 @@
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, d, logger)
+	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, serverprobe.New(d, p.view), logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.peerServer = report.NewServer(p.node, p.allocator, logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
@@ -276,6 +282,7 @@
 	p.runInBackground(p.node.Run)
 	p.runInBackground(p.allocator.Run)
 	p.runInBackground(p.limiter.Run)
+	p.runInBackground(p.reachability.Run)
 	p.runInBackground(p.loadFromPeers)
 	p.runInBackground(p.watchSettings)
 	p.runInBackground(p.watchMembers)
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -133,8 +133,9 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	k, err := c.getConn(ctx, r)
 	if err != nil {
-		return nil, &Error{Unreachable: !errors.Is(err, errConnectionLimit), Cause: err}
+		return nil, &Error{Unreachable: !errors.Is(err, errConnectionLimit) && !errors.Is(err, errClosed), Cause: err}
 	}
+	reused := k.reused
 	stop := context.AfterFunc(ctx, k.abort)
 	response, reusable, err := c.roundTrip(k, r)
 	if !stop() {
@@ -145,8 +146,9 @@
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
-		return nil, &Error{Sent: true, Reused: k.reused, Cause: err}
+		return nil, &Error{Sent: true, Reused: reused, Unanswered: !k.answered(), Cause: err}
 	}
+	response.Reused = reused
 	return response, nil
 }
 
@@ -194,7 +196,7 @@
 
 // readResponse reads responses until the one that belongs to the request.
 func (c *Client) readResponse(k *conn, r *Request) (*Response, bool, error) {
-	for range maxResponses {
+	for k.heads = 0; k.heads < maxResponses; k.heads++ {
 		head, err := readHead(k, r.Method)
 		if err != nil {
 			return nil, false, err
--- a/entry/internal/origin/client_test.go
+++ b/entry/internal/origin/client_test.go
@@ -313,3 +313,38 @@
 	must.True(t, response.NotRun)
 	must.False(t, response.HasServerProof)
 }
+
+// Guards against a partition that can't be told from a server that fails while it answers, and against a
+// response whose connection is taken for a new one.
+func TestFailureTellsWhetherAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		partial    string
+		earlier    int
+		unanswered bool
+	}{
+		"new connection, nothing":    {"", 0, true},
+		"new connection, a byte":     {"H", 0, false},
+		"reused connection, nothing": {"", 1, true},
+		"reused connection, a byte":  {"H", 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startServer(t, func(_ int, k net.Conn, r *bufio.Reader) {
+				for range c.earlier {
+					id, _ := readRequest(r)
+					_, _ = io.WriteString(k, formatResponse(id, "", ""))
+				}
+				_, _ = readRequest(r)
+				_, _ = io.WriteString(k, c.partial)
+			})
+			for range c.earlier {
+				response, err := client.Do(t.Context(), request("earlier"))
+				must.NoError(t, err)
+				must.False(t, response.Reused)
+			}
+			_, err := client.Do(t.Context(), request("failing"))
+			failure := asFailure(t, err)
+			must.Eq(t, c.unanswered, failure.Unanswered)
+			must.Eq(t, c.earlier > 0, failure.Reused)
+		})
+	}
+}
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -33,6 +33,8 @@
 	// limited is the source of reader. Its limit is set before each part of a response is read.
 	limited *io.LimitedReader
 	reader  *bufio.Reader
+	// heads is the number of responses to other requests that were read for the present request.
+	heads int
 	// idleSince is when the connection became idle, and idleUntil when it must no longer be used.
 	idleSince time.Time
 	idleUntil time.Time
@@ -73,6 +75,9 @@
 	return err == nil && empty
 }
 
+// answered reports whether any byte of an answer to the present request has arrived.
+func (c *conn) answered() bool { return c.heads > 0 || c.limited.N != maxHeadBytes }
+
 // receivesHTTP reports whether the next bytes may begin a response. It decides at the first byte that
 // differs, because http.ReadResponse waits for the end of the line. A failed read is left to
 // http.ReadResponse, which returns the error.
--- a/entry/internal/origin/error.go
+++ b/entry/internal/origin/error.go
@@ -10,7 +10,9 @@
 	Unreachable bool
 	// Reused is true if the connection had been used for an earlier request.
 	Reused bool
-	Cause  error
+	// Unanswered is true if no byte of an answer arrived on the connection.
+	Unanswered bool
+	Cause      error
 }
 
 // Error implements error. It tells whether the request was sent. The text of the cause is cut off after
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -21,6 +21,8 @@
 	NotRun bool
 	// HasServerProof is true if the response carries the server's proof that it made the response.
 	HasServerProof bool
+	// Reused is true if the connection had been used for an earlier request.
+	Reused bool
 	// Limit is what the response says about the request limit of its server.
 	Limit Limit
 }
--- /dev/null
+++ b/entry/internal/reachability/monitor_test.go
@@ -0,0 +1,190 @@
+package reachability_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/reachability"
+)
+
+// fakeNetwork answers probes. A probe of a cut network fails after dialTimeout.
+type fakeNetwork struct {
+	mu sync.Mutex
+	// cut fails all probes, and mute only those that need an answer.
+	cut, mute bool
+	probes    int
+}
+
+const dialTimeout = 300 * time.Millisecond
+
+func (n *fakeNetwork) set(cut, mute bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut, n.mute = cut, mute
+}
+
+func (n *fakeNetwork) probeCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.probes
+}
+
+func (n *fakeNetwork) Probe(ctx context.Context, _ registry.Server, exchange bool) error {
+	n.mu.Lock()
+	n.probes++
+	fails := n.cut || n.mute && exchange
+	n.mu.Unlock()
+	if !fails {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(dialTimeout):
+	}
+	return errors.New("timeout")
+}
+
+// startMonitor returns a monitor of the given number of servers that runs until the end of the test.
+func startMonitor(t *testing.T, network *fakeNetwork, servers int) (*reachability.Monitor, []registry.Instance) {
+	var list []registry.Server
+	var instances []registry.Instance
+	for i := range servers {
+		s := registry.Server{Instance: registry.Instance{ID: fmt.Sprint("s", i), Incarnation: 1}}
+		list, instances = append(list, s), append(instances, s.Instance)
+	}
+	m := reachability.New(func() []registry.Server { return list }, network, &log.Logger{Handler: discard.New()})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { m.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return m, instances
+}
+
+// Guards against a process that takes slow or crashed servers for a partition of its own, and against one
+// that doesn't notice its partition.
+func TestCutOffBySeveralServers(t *testing.T) {
+	const unreached, reset, answer = "unreached", "reset", "answer"
+	type step struct {
+		server int
+		what   string
+	}
+	for name, c := range map[string]struct {
+		servers int
+		steps   []step
+		cutOff  bool
+	}{
+		"one server crashed":                     {3, []step{{0, unreached}, {0, unreached}, {0, unreached}}, false},
+		"all of three":                           {3, []step{{0, unreached}, {1, unreached}, {2, unreached}}, true},
+		"three of many":                          {9, []step{{0, unreached}, {4, unreached}, {7, unreached}}, true},
+		"three of many crashed, one answers":     {9, []step{{0, unreached}, {4, unreached}, {5, answer}, {7, unreached}}, false},
+		"both of two":                            {2, []step{{0, unreached}, {1, unreached}}, true},
+		"the only one":                           {1, []step{{0, unreached}, {0, unreached}}, false},
+		"one reset each, as by overloaded ones":  {3, []step{{0, reset}, {1, reset}, {2, reset}}, false},
+		"two resets each":                        {3, []step{{0, reset}, {1, reset}, {2, reset}, {0, reset}, {1, reset}, {2, reset}}, true},
+		"kept connections answer, new ones fail": {3, []step{{0, unreached}, {0, answer}, {1, unreached}, {1, answer}, {2, unreached}, {2, answer}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := &fakeNetwork{}
+				network.set(true, false)
+				m, instances := startMonitor(t, network, c.servers)
+				for _, s := range c.steps {
+					time.Sleep(10 * time.Millisecond)
+					switch now := time.Now(); s.what {
+					case unreached:
+						m.RecordUnreached(now, instances[s.server])
+					case reset:
+						m.RecordReset(now, instances[s.server])
+					case answer:
+						m.RecordAnswer(now, instances[s.server])
+					}
+				}
+				must.Eq(t, c.cutOff, m.CutOff(time.Now()))
+				must.Eq(t, c.cutOff, m.Connected().Err() != nil)
+			})
+		})
+	}
+}
+
+// Guards against a partition in which requests hang that is not noticed within about a second, and against
+// its end that is not.
+func TestSilenceIsProbed(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut, mute bool
+		within    time.Duration
+	}{
+		"connections hang":    {true, false, 1200 * time.Millisecond},
+		"nothing is answered": {false, true, 2200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := &fakeNetwork{}
+				network.set(c.cut, c.mute)
+				m, instances := startMonitor(t, network, 5)
+				for _, inst := range instances[:2] {
+					defer m.RequestSent(time.Now(), inst)()
+				}
+				connected := m.Connected()
+				begin := time.Now()
+				<-connected.Done()
+				must.LessEq(t, c.within, time.Since(begin))
+				must.True(t, m.CutOff(time.Now()))
+				must.True(t, m.Unreached(time.Now(), instances[4]))
+				time.Sleep(3 * time.Second)
+				must.True(t, m.CutOff(time.Now()))
+				network.set(false, false)
+				time.Sleep(time.Second)
+				must.False(t, m.CutOff(time.Now()))
+			})
+		})
+	}
+}
+
+// Guards against slow servers that are taken for a partition, and against more than a few probes of them.
+func TestSlowServersAreReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &fakeNetwork{}
+		m, instances := startMonitor(t, network, 5)
+		for _, inst := range instances {
+			defer m.RequestSent(time.Now(), inst)()
+		}
+		const observed = 20 * time.Second
+		time.Sleep(observed)
+		must.False(t, m.CutOff(time.Now()))
+		must.LessEq(t, 3*int(observed/time.Second), network.probeCount())
+	})
+}
+
+// Guards against probes of a server that is gone or that nobody asks for.
+func TestUnreachedServerIsProbedOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &fakeNetwork{}
+		network.set(true, false)
+		m, instances := startMonitor(t, network, 5)
+		m.RecordUnreached(time.Now(), instances[0])
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 0, network.probeCount())
+		must.True(t, m.Unreached(time.Now(), instances[0]))
+		must.False(t, m.Unreached(time.Now(), instances[1]))
+		time.Sleep(10 * time.Second)
+		must.Positive(t, network.probeCount())
+		must.LessEq(t, 5, network.probeCount())
+		network.set(false, false)
+		must.True(t, m.Unreached(time.Now(), instances[0]))
+		time.Sleep(time.Second)
+		must.False(t, m.Unreached(time.Now(), instances[0]))
+	})
+}
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -22,6 +22,8 @@
 	Crashes []crashes.Crash
 	// Limits are the request limits of servers as responses to the process have stated them lately.
 	Limits map[registry.Instance]requestlimit.Limit
+	// CutOff is true if the process reaches no backend server.
+	CutOff bool
 }
 
 // Load lists the requests for keys of a service since the last report.
@@ -54,6 +56,8 @@
 	Members   []election.Member
 	// Cores is the highest value of Report.Cores among the members.
 	Cores float64
+	// CutOff has the names of the members that reach no backend server.
+	CutOff []string
 }
 
 // Object is a process's copy of an object of the store, or a change of one.
--- a/entry/internal/report/server_test.go
+++ b/entry/internal/report/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"storj.io/drpc"
 
+	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/report"
 )
 
@@ -32,6 +34,32 @@
 }
 func (failingHandler) HandleRPC(drpc.Stream, string) error { return nil }
 
+// cutOffHandler answers a report with the name of its sender if it is cut off.
+type cutOffHandler struct{ failingHandler }
+
+func (cutOffHandler) Report(_ time.Time, r report.Report) report.Response {
+	if !r.CutOff {
+		return report.Response{}
+	}
+	return report.Response{CutOff: []string{r.From.Name}}
+}
+
+// Guards against members that don't learn which of them reach no server.
+func TestCutOffIsReported(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := report.NewServer(cutOffHandler{}, failingHandler{}, &log.Logger{Handler: discard.New()})
+	go func() { _ = server.Serve(t.Context(), l) }()
+	client := report.NewClient(&net.Dialer{})
+	defer client.Close()
+	to := netip.MustParseAddrPort(l.Addr().String())
+	for _, cutOff := range []bool{true, false} {
+		response, err := client.Report(t.Context(), to, report.Report{From: election.Member{Name: "a"}, CutOff: cutOff})
+		must.NoError(t, err)
+		must.Eq(t, cutOff, slices.Equal(response.CutOff, []string{"a"}))
+	}
+}
+
 // Guards against a panic in the call of one process that ends the process which handles it.
 func TestPanicEndsOnlyTheCall(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -47,6 +47,7 @@
 	Samples []wireSample
 	Crashes []wireCrash
 	Limits  []wireLimit
+	CutOff  bool
 }
 
 // wireLimit has the age of the statement in microseconds, because the clocks of two VMs differ.
@@ -74,6 +75,7 @@
 	Confirmed   bool
 	Members     []wireMember
 	Cores       float64
+	CutOff      []string
 }
 
 type wireObject struct {
@@ -130,7 +132,7 @@
 
 // encodeReport returns a report as it is sent now.
 func encodeReport(now time.Time, r Report) *wireReport {
-	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores}
+	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores, CutOff: r.CutOff}
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
 	}
@@ -148,7 +150,7 @@
 
 // decodeReport returns a report that has been received now.
 func decodeReport(now time.Time, w *wireReport) Report {
-	r := Report{From: decodeMember(w.From), Cores: w.Cores}
+	r := Report{From: decodeMember(w.From), Cores: w.Cores, CutOff: w.CutOff}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
 	}
@@ -170,7 +172,7 @@
 }
 
 func encodeResponse(r Response) *wireResponse {
-	w := &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Cores: r.Cores}
+	w := &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Cores: r.Cores, CutOff: r.CutOff}
 	for _, m := range r.Members {
 		w.Members = append(w.Members, encodeMember(m))
 	}
@@ -178,7 +180,7 @@
 }
 
 func decodeResponse(w *wireResponse) Response {
-	r := Response{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores}
+	r := Response{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores, CutOff: w.CutOff}
 	for _, m := range w.Members {
 		r.Members = append(r.Members, decodeMember(m))
 	}
