gatewayprocess: test of a coordinator that is cut off from all servers

With the coordinator cut off from all servers and nothing else disturbed, all grants lapse after 3 s and no process serves a key until the cut ends.

A socket filter of the test's own listener drops packets of one source address, so that a silent cut also leaves attempts to connect without an answer.

--- /dev/null
+++ b/entry/internal/gatewayprocess/coordinatorcut_test.go
@@ -0,0 +1,148 @@
+package gatewayprocess_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// maxUnserved is the longest time for which a key may stay without service while a process reaches its
+// server.
+const maxUnserved = 3 * time.Second
+
+// cutTest is a deployment of processes and servers in which processes can be cut off from servers.
+type cutTest struct {
+	store     *fakeStore
+	processes []*testProcess
+	backends  []*fakeBackend
+	listeners []*cutListener
+}
+
+// newCutTest starts four processes and three servers of four slots, and waits until all keys are served.
+func newCutTest(t *testing.T) *cutTest {
+	c := &cutTest{store: newFakeStore(t)}
+	c.store.put("config", "main", fmt.Sprintf(configurationFormat, 1))
+	for _, id := range []string{"a", "b", "c"} {
+		b := &fakeBackend{id: id, executions: make(map[string]int), finishSlow: make(chan struct{})}
+		l := serveCuttable(t, b)
+		b.address = netip.MustParseAddrPort(l.Addr().String())
+		c.backends, c.listeners = append(c.backends, b), append(c.listeners, l)
+		c.store.put("servers", id, b.registryEntry("ready"))
+	}
+	for i := range 4 {
+		c.processes = append(c.processes, startProcess(t, c.store, fmt.Sprint("process-", i)))
+	}
+	for _, p := range c.processes {
+		eventually(t, 10*time.Second, p.settings.Name+" serves", func() bool { return p.isReady() && p.servesAllKeys("start") })
+	}
+	return c
+}
+
+// coordinator returns the index of the coordinator.
+func (c *cutTest) coordinator(t *testing.T) int {
+	found := -1
+	eventually(t, 10*time.Second, "one process is the coordinator", func() bool {
+		found = -1
+		for i, p := range c.processes {
+			if p.metrics.Get("term").String() == "0" {
+				continue
+			}
+			if found >= 0 {
+				return false
+			}
+			found = i
+		}
+		return found >= 0
+	})
+	return found
+}
+
+// cut changes what happens to connections from a process to the given servers.
+func (c *cutTest) cut(t *testing.T, process int, kind cutKind, servers ...int) {
+	t.Helper()
+	for _, s := range servers {
+		must.NoError(t, c.listeners[s].cut(c.processes[process].settings.ClientAddress.Addr(), kind))
+	}
+}
+
+// keyService records for each process and key when it was last served.
+type keyService struct {
+	mu      sync.Mutex
+	last    map[string]time.Time
+	longest map[string]time.Duration
+}
+
+// sampledKeys is the number of keys for which requests are sent.
+const sampledKeys = 10
+
+// sampledKey returns the i-th of the keys, which are spread over all keys.
+func sampledKey(i int) int { return i % sampledKeys * 65535 / (sampledKeys - 1) }
+
+// record records a response to a request that was sent at a time.
+func (k *keyService) record(process string, key int, sent time.Time, served bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	name := fmt.Sprint(process, " ", key)
+	k.longest[process] = max(k.longest[process], sent.Sub(k.last[name]))
+	if served && sent.After(k.last[name]) {
+		k.last[name] = sent
+	}
+}
+
+// sendAll sends 100 requests a second, in turn to each of the processes, until the time is over. It returns
+// the longest time without service of a key at each of the processes.
+func (c *cutTest) sendAll(t *testing.T, until time.Time) map[string]time.Duration {
+	k := &keyService{last: make(map[string]time.Time), longest: make(map[string]time.Duration)}
+	began := time.Now()
+	for _, p := range c.processes {
+		for i := range sampledKeys {
+			k.last[fmt.Sprint(p.settings.Name, " ", sampledKey(i))] = began
+		}
+	}
+	var group sync.WaitGroup
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for i := 0; time.Now().Before(until); i++ {
+		<-ticker.C
+		sent, p, key := time.Now(), c.processes[i%len(c.processes)], sampledKey(i/len(c.processes))
+		group.Go(func() {
+			status, _ := p.send("/get/x", fmt.Sprintf("%s-%d", t.Name(), i), key)
+			k.record(p.settings.Name, key, sent, status == http.StatusOK)
+		})
+	}
+	group.Wait()
+	return k.longest
+}
+
+// Guards against keys that no process serves because the coordinator is cut off from all servers.
+func TestCoordinatorCutOff(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]cutKind{"reset": cutReset, "silent": cutSilent} {
+		for others := range 3 {
+			t.Run(fmt.Sprintf("%s, %d more", name, others), func(t *testing.T) {
+				t.Parallel()
+				c := newCutTest(t)
+				first := c.coordinator(t)
+				isCut := make(map[int]bool)
+				for i := range others + 1 {
+					cut := (first + i) % len(c.processes)
+					isCut[cut] = true
+					c.cut(t, cut, kind, 0, 1, 2)
+				}
+				longest := c.sendAll(t, time.Now().Add(10*time.Second))
+				t.Logf("longest time without service: %v", longest)
+				for i, p := range c.processes {
+					if !isCut[i] {
+						must.LessEq(t, maxUnserved, longest[p.settings.Name], must.Sprint(p.settings.Name))
+					}
+				}
+				must.False(t, isCut[c.coordinator(t)], must.Sprint("the role has left the process that is cut off"))
+			})
+		}
+	}
+}
