cluster: an entry of a service that is not configured proves no server's end

A server whose entry is gone goes on for a while and holds its keys. If another entry has its address and a later start, the coordinator takes it for ended and gives its keys away at once, without a release. An entry of a service that is not configured, which names no server to use, counted as that proof too: two servers then held the same keys.

The coordinators get only entries of configured services now. If a service was removed from the configuration and its server really has the address, the keys wait for the release or for the grants to lapse.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,7 +114,12 @@
 	}
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
-	servers := s.node.view.Servers().Registered()
+	// An entry of a service that is not configured may be another writer's, and is no proof that the
+	// former server at its address has ended.
+	servers := slices.DeleteFunc(s.node.view.Servers().Registered(), func(r registry.Server) bool {
+		_, configured := configuration.Services[r.Service]
+		return !configured
+	})
 	for name, service := range configuration.Services {
 		if !service.Sharded {
 			continue
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -393,6 +393,21 @@
 	return n
 }
 
+// heldByBoth returns how many of the given keys two servers hold at the same time.
+func heldByBoth(a, b *fakeBackend, keys []int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, now := 0, time.Now()
+	for _, k := range keys {
+		if now.Before(a.expiries[k]) && now.Before(b.expiries[k]) {
+			n++
+		}
+	}
+	return n
+}
+
 // lastAddress is the number of addresses that unusedAddress has returned.
 var lastAddress atomic.Uint32
 
