backend: refuse a response without number from a server that repeats numbers

On a kept connection of the product's own interface, a server's earlier refusal written once more is recognised by its Bramley-Exchange number. A refusal without a number was accepted, and the caller was told that a request had not run that the server was running.

A server that has repeated the number of a request on a connection must repeat that of the next one; otherwise the response is unusable and the outcome unknown. Servers that never repeat numbers are treated as before.

TestLateRefusalWithoutNumber before the change: client_test.go:470: expected non-nil error; got nil

--- a/entry/internal/backend/client_test.go
+++ b/entry/internal/backend/client_test.go
@@ -451,3 +451,23 @@
 	must.Error(t, result.err)
 	must.Eq(t, 0, client.Counts().Open)
 }
+
+// Guards against a refusal without a number, on a connection of a server that repeats the numbers, that is
+// taken for the answer to a later request: that one may be running.
+func TestLateRefusalWithoutNumber(t *testing.T) {
+	client, dialer := newClient(t, 3)
+	done := startRequest(t.Context(), client, newGetRequest())
+	server := <-dialer.accepted
+	first, _ := server.readRequest(t)
+	server.writeResponse(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nBramley-Exchange: %s\r\nContent-Length: 5\r\n\r\nfirst", first.Header.Get("Bramley-Exchange")))
+	must.Eq(t, "first", (<-done).body)
+	done = startRequest(t.Context(), client, newGetRequest())
+	server.readRequest(t)
+	go func() {
+		_, _ = io.WriteString(server, "HTTP/1.1 503 Full\r\nBramley-Outcome: not-run\r\nContent-Length: 2\r\n\r\nno")
+	}()
+	result := <-done
+	must.Error(t, result.err)
+	must.Eq(t, outcome.Unknown, backend.OutcomeOf(result.err))
+	must.Eq(t, 0, client.Counts().Open)
+}
--- a/entry/internal/backend/conn.go
+++ b/entry/internal/backend/conn.go
@@ -31,6 +31,8 @@
 	// exchanges is the number of requests that the connection has carried. Servers repeat it in the
 	// response, so that a second copy of an earlier response is not taken for the next one.
 	exchanges uint64
+	// numbered is true if the server has repeated the number of the last request.
+	numbered bool
 	// idle is when the connection became idle.
 	idle time.Time
 	// headBudget is the number of bytes that may still be read of a response head; negative
--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -154,9 +154,12 @@
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
-		if number := r.Header.Get(headerExchange); number != "" && number != strconv.FormatUint(x.conn.exchanges, 10) {
+		// A server that repeats the numbers repeats them in all responses.
+		number := r.Header.Get(headerExchange)
+		if (number != "" || x.conn.numbered) && number != strconv.FormatUint(x.conn.exchanges, 10) {
 			return errOtherExchange
 		}
+		x.conn.numbered = number != ""
 		r.Header.Del(headerExchange)
 		x.Status, x.Header, x.BodyLength, x.bodyReader = r.StatusCode, r.Header, r.ContentLength, r.Body
 		if method == http.MethodHead {
