origin: do not send an identifier twice on one connection

A server's response is matched by the identifier of its request. If a server that has refused a request writes the refusal once more on the kept connection, and a request with the same identifier is sent there, the copy counts as its answer: the client is told that the request has not run while the server runs it, or it is sent to a second server. Within one call the dispatcher prevents this with Request.Repeated. Another call with the same identifier, for example one that a process makes again for a peer, was not protected.

A connection now remembers the identifiers of its latest 64 requests and does not carry one of them again.

TestRepeatedRefusal before the change: repeated_test.go:52: expected equality: "ran", "" (same identifier)

Changes to existing tests, because they sent one identifier twice on purpose of brevity only: the earlier requests of TestEndlessResponse have the identifier 0 and must still share the connection; the two requests of TestExtraResponseOnIdleConnection have identifiers of their own, so that the new connection is due to the extra response alone.

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -135,6 +135,7 @@
 	if err != nil {
 		return nil, &Error{Unreachable: !errors.Is(err, errConnectionLimit), Cause: err}
 	}
+	k.markCarried(r.ID)
 	stop := context.AfterFunc(ctx, k.abort)
 	response, reusable, err := c.roundTrip(k, r)
 	if !stop() {
@@ -324,14 +325,17 @@
 	return nil
 }
 
-// takeIdle returns the idle connection that was used last, or nil if none can be used. It closes the others
-// that it finds. The lock is held.
-func (c *Client) takeIdle(now time.Time, fresh bool) *conn {
-	for len(c.idle) > 0 {
-		last := len(c.idle) - 1
-		k := c.idle[last]
-		c.idle = c.idle[:last]
-		if k.isReusable(now, fresh) {
+// takeIdle returns the idle connection that was used last, or nil if none can be used for the request. It
+// closes those that it finds expired. The lock is held.
+func (c *Client) takeIdle(now time.Time, r *Request) *conn {
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		k := c.idle[i]
+		if k.hasCarried(r.ID) {
+			// A second copy of the earlier response would be taken for the response to this request.
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
+		if k.isReusable(now, r.Fresh) {
 			return k
 		}
 		_ = k.Close()
@@ -349,7 +353,7 @@
 	}
 	now := time.Now()
 	if !r.Repeated {
-		if k := c.takeIdle(now, r.Fresh); k != nil {
+		if k := c.takeIdle(now, r); k != nil {
 			c.mu.Unlock()
 			return k, nil
 		}
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -38,6 +40,25 @@
 	idleUntil time.Time
 	// reused is true if the connection has been used for an earlier request.
 	reused bool
+	// carried holds hashes of the identifiers of the latest requests, and requests counts all of them.
+	carried  [maxCarried]uint64
+	requests int
+}
+
+// maxCarried is the number of requests whose identifiers a connection remembers.
+const maxCarried = 64
+
+var identifierSeed = maphash.MakeSeed()
+
+// markCarried records that the connection carries a request.
+func (c *conn) markCarried(id string) {
+	c.carried[c.requests%maxCarried] = maphash.String(identifierSeed, id)
+	c.requests++
+}
+
+// hasCarried reports whether one of the latest requests had the identifier.
+func (c *conn) hasCarried(id string) bool {
+	return slices.Contains(c.carried[:min(c.requests, maxCarried)], maphash.String(identifierSeed, id))
 }
 
 func newConn(inner net.Conn) *conn {
