backend: a listener of its own address for the test of endless bytes

Tests that check for a server that has ended connect to ports of 127.0.0.1 on which nothing listens any more, and the kernel may have given such a port to this test. It now has a loopback IP that no other test uses.

--- a/entry/internal/backend/idle_test.go
+++ b/entry/internal/backend/idle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -17,7 +18,8 @@
 // Guards against an idle connection on which a server sends without end: the bytes would stay in the
 // buffers of the kernel until the next request.
 func TestEndlessBytesOnIdleConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Tests of other packages connect to ports of 127.0.0.1 on which nothing listens any more.
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()>>8%254, os.Getpid()&0xff))
 	must.NoError(t, err)
 	defer l.Close()
 	client := backend.New(netip.MustParseAddrPort(l.Addr().String()), 3, &net.Dialer{})
