--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/common/revision"
+	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/demand"
 	"bramleystand.org/entry/internal/election"
@@ -71,8 +73,9 @@
 // serviceState holds the coordinator of one service and the state of its calls.
 type serviceState struct {
 	coordinator *coordinator.Coordinator
-	// servers is the list that the coordinator has got.
+	// servers and configuration are those whose servers the coordinator has got.
 	servers       *view.Servers
+	configuration *traffic.Configuration
 	demand        *demand.Service
 	readPending   bool
 	writePending  bool
@@ -132,9 +135,9 @@
 			s.loadTable(ctx, group, name, state)
 			continue
 		}
-		if state.servers != servers {
-			state.servers = servers
-			state.coordinator.SetServers(now, servers.Registered())
+		if state.servers != servers || state.configuration != configuration {
+			state.servers, state.configuration = servers, configuration
+			state.coordinator.SetServers(now, configuredServers(configuration, servers))
 		}
 		s.writeTable(ctx, group, now, name, state)
 		if now.Sub(confirmed) > coordinator.MaxOfflineRenewal {
@@ -150,6 +153,15 @@
 	s.logWorkload(now)
 }
 
+// configuredServers returns the registered servers of all configured services. An entry of another service
+// may be another writer's, and is no proof that the former server at its address has ended.
+func configuredServers(configuration *traffic.Configuration, servers *view.Servers) []registry.Server {
+	return slices.DeleteFunc(servers.Registered(), func(r registry.Server) bool {
+		_, configured := configuration.Services[r.Service]
+		return !configured
+	})
+}
+
 // logEvents logs the changes in the ownership of a service's keys.
 func (s *executor) logEvents(name string, state *serviceState) {
 	for _, e := range state.coordinator.Events() {
@@ -223,7 +235,7 @@
 			state.nextStoreCall = now.Add(restoredTableInterval)
 			return
 		}
-		state.servers = nil
+		state.servers, state.configuration = nil, nil
 		state.coordinator = coordinator.New(name, s.term, table, time.Now(), s.inheritedUntil)
 		s.wakeNode()
 	})
@@ -350,13 +362,14 @@
 func (s *executor) execute(ctx context.Context, state *serviceState, o coordinator.Order) {
 	r := coordinator.Result{Number: o.Number}
 	address, err := netip.ParseAddrPort(o.Server.Address)
+	to := platform.Recipient{ID: o.Server.ID, Address: address}
 	switch {
 	case err != nil:
 		r.Err, r.Unsent = err, true
 	case o.Release:
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		r.Handover, r.Err = s.node.grants.Release(bounded, address, o.Keys, uint64(o.Fence))
+		r.Handover, r.Err = s.node.grants.Release(bounded, to, o.Keys, uint64(o.Fence))
 	case time.Now().After(o.SendBy) || !s.isActive():
 		// The process was short of processor time, or is no longer the coordinator.
 		r.Err, r.Expired = errOrderExpired, true
@@ -367,14 +380,15 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		r.Err = s.node.grants.Grant(bounded, address, o.Keys, uint64(o.Fence), hold, o.Handover)
+		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), hold, o.Handover)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
+	r.Misdirected = errors.Is(r.Err, platform.ErrMisdirected)
 	r.Unsent = r.Unsent || errors.Is(r.Err, platform.ErrNotSent)
 	if r.Err != nil {
 		s.node.logger.WithError(r.Err).WithFields(log.Fields{
 			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
-			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent,
+			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected,
 		}).Info("order failed")
 	}
 	s.node.mu.Lock()
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -185,9 +185,10 @@
 	return g
 }
 
-func (g *recordedGrants) Grant(_ context.Context, to netip.AddrPort, keys keyspace.Range, f uint64, hold time.Duration, _ string) error {
+func (g *recordedGrants) Grant(_ context.Context, recipient platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, _ string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	to := recipient.Address
 	sent := sentGrant{at: time.Now(), to: to, keys: keys, hold: hold, fence: fence.Fence(f)}
 	for _, earlier := range g.grants {
 		sent.highest = max(sent.highest, earlier.fence)
@@ -207,12 +208,12 @@
 	return nil
 }
 
-func (g *recordedGrants) Release(_ context.Context, to netip.AddrPort, keys keyspace.Range, _ uint64) (string, error) {
+func (g *recordedGrants) Release(_ context.Context, recipient platform.Recipient, keys keyspace.Range, _ uint64) (string, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for k, holders := range g.heldUntil {
 		if keys.Contains(k) {
-			delete(holders, to)
+			delete(holders, recipient.Address)
 		}
 	}
 	return "handover", nil
@@ -280,7 +281,7 @@
 	}
 	v.SetServers(time.Now(), list)
 	self := election.Member{Name: name, Incarnation: time.Now().UnixNano()}
-	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(&log.Logger{Handler: discard.New()}), crashes.NewTracker(), noDialer{}, logger)
+	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(&log.Logger{Handler: discard.New()}), crashes.NewTracker(), fullyConnected{}, noDialer{}, logger)
 }
 
 // run runs a process and returns a function that ends it.
@@ -360,7 +361,7 @@
 		n := newTestNode("n", store, grants, 2)
 		n.replica.UpdateTable(moved(1, 5, revision.New(1, 40), 1))
 		// The lost coordinator has granted the keys just before.
-		must.NoError(t, grants.Grant(t.Context(), backendAddress(1), keyspace.Range{Last: keyspace.Last}, 5, coordinator.HoldDuration, ""))
+		must.NoError(t, grants.Grant(t.Context(), platform.Recipient{ID: backend(1).ID, Address: backendAddress(1)}, keyspace.Range{Last: keyspace.Last}, 5, coordinator.HoldDuration, ""))
 		started := time.Now().Add(time.Millisecond)
 		defer run(t, n)()
 		time.Sleep(5 * time.Second)
@@ -432,3 +433,8 @@
 		})
 	}
 }
+
+// fullyConnected is the reachability of a process that reaches all servers.
+type fullyConnected struct{}
+
+func (fullyConnected) CutOff(time.Time) bool { return false }
--- a/entry/internal/cluster/steps_internal_test.go
+++ b/entry/internal/cluster/steps_internal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,17 +9,18 @@
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/common/keyspace"
+	"bramleystand.org/platform"
 )
 
 // scatteredGrants accepts orders after different times.
 type scatteredGrants struct{}
 
-func (scatteredGrants) Grant(_ context.Context, to netip.AddrPort, _ keyspace.Range, _ uint64, _ time.Duration, _ string) error {
-	time.Sleep(time.Duration(1+to.Addr().As4()[3]) * time.Millisecond)
+func (scatteredGrants) Grant(_ context.Context, to platform.Recipient, _ keyspace.Range, _ uint64, _ time.Duration, _ string) error {
+	time.Sleep(time.Duration(1+to.Address.Addr().As4()[3]) * time.Millisecond)
 	return nil
 }
 
-func (scatteredGrants) Release(context.Context, netip.AddrPort, keyspace.Range, uint64) (string, error) {
+func (scatteredGrants) Release(context.Context, platform.Recipient, keyspace.Range, uint64) (string, error) {
 	return "", nil
 }
 
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -28,8 +28,14 @@
 	spec       json.RawMessage
 }
 
-func (o *storedObject) encode() map[string]any {
-	return map[string]any{"metadata": map[string]any{"name": o.name, "rev": o.rev}, "spec": o.spec}
+// encode returns the object as JSON. The spec is not checked, because an encoder would refuse some that
+// other writers may leave.
+func (o *storedObject) encode() string {
+	spec := string(o.spec)
+	if spec == "" {
+		spec = "null"
+	}
+	return fmt.Sprintf(`{"metadata":{"name":%q,"rev":%d},"spec":%s}`, o.name, o.rev, spec)
 }
 
 // event is a change in the history of the fake store.
@@ -180,20 +186,20 @@
 	case s.down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodGet && name == "":
-		items := []any{}
+		items := []string{}
 		for _, o := range s.objects {
 			if o.kind == kind {
 				items = append(items, o.encode())
 			}
 		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": false, "storeRevision": s.revision})
+		_, _ = fmt.Fprintf(w, `{"items":[%s],"hasMore":false,"storeRevision":%d}`, strings.Join(items, ","), s.revision)
 	case r.Method == http.MethodGet:
 		o, ok := s.objects[kind+"/"+name]
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(o.encode())
+		_, _ = io.WriteString(w, o.encode())
 	default:
 		s.conditionalPut(w, kind, body)
 	}
@@ -221,7 +227,7 @@
 		return
 	}
 	s.commit(event{storedObject: storedObject{kind: kind, name: in.Metadata.Name, spec: in.Spec}})
-	_ = json.NewEncoder(w).Encode(s.objects[kind+"/"+in.Metadata.Name].encode())
+	_, _ = io.WriteString(w, s.objects[kind+"/"+in.Metadata.Name].encode())
 }
 
 func (s *fakeStore) watch(w http.ResponseWriter, r *http.Request, kind, watch string) {
@@ -230,10 +236,10 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events := []any{}
+		events := []string{}
 		for _, e := range s.history {
 			if e.kind == kind && e.rev > after {
-				events = append(events, map[string]any{"deleted": e.deleted, "object": e.encode()})
+				events = append(events, fmt.Sprintf(`{"deleted":%t,"object":%s}`, e.deleted, e.encode()))
 			}
 		}
 		changed, revision, down := s.changed, s.revision, s.down
@@ -248,13 +254,13 @@
 			return
 		}
 		if len(events) > 0 {
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "storeRevision": revision})
+			_, _ = fmt.Fprintf(w, `{"events":[%s],"storeRevision":%d}`, strings.Join(events, ","), revision)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "storeRevision": revision})
+			_, _ = fmt.Fprintf(w, `{"events":[%s],"storeRevision":%d}`, strings.Join(events, ","), revision)
 			return
 		case <-r.Context().Done():
 			return
@@ -265,7 +271,11 @@
 // fakeBackend is a backend server that runs only requests for keys that it has been granted.
 type fakeBackend struct {
 	id      string
+	born    int64
 	address netip.AddrPort
+	server  *http.Server
+	// grants records the accepted grants of all servers of a test, if it is set.
+	grants *grantRecord
 	// slow is the number of requests run whose identifier begins with "slow-". They end when
 	// finishSlow is closed.
 	slow       atomic.Int32
@@ -306,14 +316,33 @@
 }
 
 func newFakeBackend(t *testing.T, id string) *fakeBackend {
-	b := &fakeBackend{id: id, executions: make(map[string]int), finishSlow: make(chan struct{})}
+	b := &fakeBackend{id: id, born: 1, executions: make(map[string]int), finishSlow: make(chan struct{})}
 	b.address = serve(t, b)
 	return b
 }
 
+// newFakeBackendAt returns an instance that listens at an address where another one may have ended.
+func newFakeBackendAt(t *testing.T, id string, born int64, address netip.AddrPort, grants *grantRecord) *fakeBackend {
+	b := &fakeBackend{id: id, born: born, address: address, grants: grants, executions: make(map[string]int), finishSlow: make(chan struct{})}
+	l, err := net.Listen("tcp", address.String())
+	must.NoError(t, err)
+	b.server = &http.Server{Handler: b}
+	go func() { _ = b.server.Serve(l) }()
+	t.Cleanup(func() { _ = b.server.Close() })
+	return b
+}
+
+// end ends the instance as a crash does: its listener and all connections are closed.
+func (b *fakeBackend) end(t *testing.T) {
+	must.NoError(t, b.server.Close())
+	if b.grants != nil {
+		b.grants.end(b)
+	}
+}
+
 // registryEntry returns the server's entry in the store.
 func (b *fakeBackend) registryEntry(state string) string {
-	return fmt.Sprintf(`{"service":"keyed","address":%q,"zone":"x","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":1,"born":1}`, b.address, state)
+	return fmt.Sprintf(`{"service":"keyed","address":%q,"zone":"x","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":1,"born":%d}`, b.address, state, b.born)
 }
 
 // ServeHTTP implements http.Handler.
@@ -322,6 +351,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.URL.Path == "/v1/grant" || r.URL.Path == "/v1/release" {
+		if expected := r.Header.Get("Bramleystand-Expect-Instance"); expected != "" && expected != b.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		b.handleOrder(w, r.URL.Path == "/v1/release", body)
 		return
 	}
@@ -371,6 +404,9 @@
 		}
 		b.fences[k], b.expiries[k] = o.Fence, time.Now().Add(time.Duration(o.HoldMs)*time.Millisecond)
 	}
+	if b.grants != nil {
+		b.grants.add(b, release, o.From, o.Target, o.Fence, time.Duration(o.HoldMs)*time.Millisecond)
+	}
 	w.Header().Set("Bramleystand-Handover", "token")
 }
 
@@ -387,6 +423,21 @@
 	return n
 }
 
+// heldByBoth returns how many of the given keys two servers hold at the same time.
+func heldByBoth(a, b *fakeBackend, keys []int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, now := 0, time.Now()
+	for _, k := range keys {
+		if now.Before(a.expiries[k]) && now.Before(b.expiries[k]) {
+			n++
+		}
+	}
+	return n
+}
+
 // lastAddress is the number of addresses that unusedAddress has returned.
 var lastAddress atomic.Uint32
 
@@ -394,8 +445,7 @@
 // port before a process listens on it.
 func unusedAddress(t *testing.T) netip.AddrPort {
 	pid, n := os.Getpid(), lastAddress.Add(1)
-	must.Less(t, 255, n)
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%254), byte(pid), byte(n)})
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + (pid>>8+int(n>>8))%254), byte(pid), byte(n)})
 	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	must.NoError(t, err)
 	defer l.Close()
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -33,11 +35,32 @@
 	// limited is the source of reader. Its limit is set before each part of a response is read.
 	limited *io.LimitedReader
 	reader  *bufio.Reader
+	// heads is the number of responses to other requests that were read for the present request.
+	heads int
 	// idleSince is when the connection became idle, and idleUntil when it must no longer be used.
 	idleSince time.Time
 	idleUntil time.Time
 	// reused is true if the connection has been used for an earlier request.
 	reused bool
+	// carried holds hashes of the identifiers of the latest requests, and requests counts all of them.
+	carried  [maxCarried]uint64
+	requests int
+}
+
+// maxCarried is the number of requests whose identifiers a connection remembers.
+const maxCarried = 64
+
+var identifierSeed = maphash.MakeSeed()
+
+// markCarried records that the connection carries a request.
+func (c *conn) markCarried(id string) {
+	c.carried[c.requests%maxCarried] = maphash.String(identifierSeed, id)
+	c.requests++
+}
+
+// hasCarried reports whether one of the latest requests had the identifier.
+func (c *conn) hasCarried(id string) bool {
+	return slices.Contains(c.carried[:min(c.requests, maxCarried)], maphash.String(identifierSeed, id))
 }
 
 func newConn(inner net.Conn) *conn {
@@ -73,6 +96,9 @@
 	return err == nil && empty
 }
 
+// answered reports whether any byte of an answer to the present request has arrived.
+func (c *conn) answered() bool { return c.heads > 0 || c.limited.N != maxHeadBytes }
+
 // receivesHTTP reports whether the next bytes may begin a response. It decides at the first byte that
 // differs, because http.ReadResponse waits for the end of the line. A failed read is left to
 // http.ReadResponse, which returns the error.
