coordinator: the keys of a server that hangs become free

A silent server counted as answering as soon as it accepted a connection. A server that hangs accepts connections, and so did the servers that had got the addresses of 129 replaced ones.

A server that accepts connections again now gets one grant. If it answers that, it counts as answering; if not, it gets none for 4 s, longer than a grant lasts. A plan gives keys to only one such server for each 16 others, and a range that moves to a server which is no candidate no longer counts as load of the first candidate.

Before: TestKeysLeaveHangingServer, hanging_test.go:79, the server still has keys after 20 s.

--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -290,6 +290,9 @@
 	c.lastOrder++
 	o.Number, o.SendBy = c.lastOrder, now.Add(sendMargin)
 	h.callPending = true
+	if health := c.health[h.server.Instance]; health != nil && !o.Release {
+		health.trialPending = true
+	}
 	c.pending[o.Number] = pending{rangeState: s, holder: h, order: o, heldBefore: h.heldUntil}
 	return o
 }
@@ -308,6 +311,9 @@
 	delete(c.pending, r.Number)
 	s, h := p.rangeState, p.holder
 	h.callPending = false
+	if health := c.health[h.server.Instance]; health != nil && !p.order.Release {
+		health.trialPending = false
+	}
 	if r.Expired {
 		h.heldUntil, h.nextCall = p.heldBefore, now
 		return
@@ -424,7 +430,7 @@
 		return
 	}
 	if answered {
-		h.lastResponse, h.failures = now, 0
+		h.lastResponse, h.failures, h.unproven = now, 0, false
 		return
 	}
 	h.failures++
@@ -434,7 +440,8 @@
 // silent. A silent server gets none, because each unanswered grant delays the time at which its
 // keys are known to be free.
 func (c *Coordinator) mayGrant(now time.Time, s ownership.Server) bool {
-	return c.statusOf(s) == possiblyRunning && !c.isSilent(now, s.Instance)
+	h := c.health[s.Instance]
+	return c.statusOf(s) == possiblyRunning && !c.isSilent(now, s.Instance) && (h == nil || !h.unproven || !h.trialPending)
 }
 
 // isSilent reports whether a server has left calls unanswered for longer than silenceTimeout.
@@ -448,16 +455,21 @@
 func (c *Coordinator) SilentServers(now time.Time) []ownership.Server {
 	var out []ownership.Server
 	for inst, s := range c.servers {
-		if c.isSilent(now, inst) {
+		if c.isSilent(now, inst) && !now.Before(c.health[inst].nextProbe) {
 			out = append(out, ownership.Server{Instance: inst, Address: s.Address.String()})
 		}
 	}
 	return out
 }
 
-// MarkReachable records that a silent server can be reached again.
+// MarkReachable records that a silent server accepts connections again. It may hang all the same, so it
+// gets one grant and, if it does not answer that, none for trialInterval.
 func (c *Coordinator) MarkReachable(now time.Time, inst registry.Instance) {
-	c.recordCall(now, inst, true)
+	h := c.health[inst]
+	if h == nil || !c.isSilent(now, inst) {
+		return
+	}
+	h.failures, h.unproven, h.trialPending, h.nextProbe = 1, true, false, now.Add(trialInterval)
 }
 
 // instanceStatus says whether an instance of a server is known to have ended.
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -15,6 +15,9 @@
 const (
 	// warmupSpeed is the speed of a server that has just started, relative to its full speed.
 	warmupSpeed = 0.5
+	// serversPerTrial is the number of servers for each one that a plan gives keys to try whether it
+	// answers again.
+	serversPerTrial = 16
 	// maxSilentFraction is the fraction of silent servers above which the coordinator assumes that
 	// it is itself cut off, and moves no keys.
 	maxSilentFraction = 0.5
@@ -56,7 +59,11 @@
 		noise = 1 / math.Sqrt(samples/float64(len(servers)))
 	}
 	for _, m := range place.Plan(servers, ranges, prefix, place.Limits{Tolerance: tolerance, Noise: min(noise, 1)}) {
-		c.startMove(now, m.Keys, eligible[m.To])
+		to := eligible[m.To]
+		if c.health[to.Instance].unproven && c.isTarget(to.Instance) {
+			continue
+		}
+		c.startMove(now, m.Keys, to)
 	}
 }
 
@@ -106,11 +113,20 @@
 // planner.
 func (c *Coordinator) candidates(now time.Time, d Demand) ([]ownership.Server, []place.Server) {
 	var eligible []ownership.Server
+	var unproven []ownership.Server
 	for l, s := range c.servers {
-		if !s.Draining && !c.isSilent(now, l) {
-			eligible = append(eligible, ownership.Server{Instance: l, Address: s.Address.String()})
+		switch server := (ownership.Server{Instance: l, Address: s.Address.String()}); {
+		case s.Draining || c.isSilent(now, l):
+		case !c.health[l].unproven:
+			eligible = append(eligible, server)
+		case !c.health[l].trialPending && !c.isTarget(l):
+			unproven = append(unproven, server)
 		}
 	}
+	// Each server that hangs keeps the keys that it is tried with from others for as long as a grant
+	// lasts.
+	slices.SortFunc(unproven, func(a, b ownership.Server) int { return cmp.Compare(a.ID, b.ID) })
+	eligible = append(eligible, unproven[:min(len(unproven), 1+len(eligible)/serversPerTrial)]...)
 	slices.SortFunc(eligible, func(a, b ownership.Server) int { return cmp.Compare(a.ID, b.ID) })
 	servers := make([]place.Server, len(eligible))
 	for i, l := range eligible {
@@ -127,6 +143,11 @@
 	return eligible, servers
 }
 
+// isTarget reports whether keys move to a server.
+func (c *Coordinator) isTarget(inst registry.Instance) bool {
+	return slices.ContainsFunc(c.ranges, func(s *rangeState) bool { return s.target != nil && s.target.server.Instance == inst })
+}
+
 // plannerRanges returns the ranges in the planner's form.
 func (c *Coordinator) plannerRanges(now time.Time, eligible []ownership.Server) []place.Range {
 	indexes := make(map[registry.Instance]int, len(eligible))
@@ -139,7 +160,10 @@
 		switch {
 		case c.needsOwner(now, s):
 		case s.target != nil:
-			r.Owner, r.Fixed = indexes[s.target.server.Instance], true
+			r.Fixed = true
+			if i, ok := indexes[s.target.server.Instance]; ok {
+				r.Owner = i
+			}
 		default:
 			i, ok := indexes[s.holders[0].server.Instance]
 			if !ok {
--- a/entry/internal/coordinator/timing.go
+++ b/entry/internal/coordinator/timing.go
@@ -19,6 +19,9 @@
 	// silenceTimeout is the time without a response after which a server gets no more grants, so
 	// that its grants expire and its keys can go to another server.
 	silenceTimeout = 900 * time.Millisecond
+	// trialInterval is the time between two grants to a server that accepts connections but answers no
+	// grants. It is longer than a grant lasts, so that the keys of the first one become free.
+	trialInterval = 4 * time.Second
 	// propagationDelay is the time in which entry VMs read a change of the table from the store.
 	propagationDelay = 25 * time.Millisecond
 	// planInterval is the time between two plans by the load of the last second.
