--- a/entry/internal/dispatch/backends.go
+++ b/entry/internal/dispatch/backends.go
@@ -68,4 +68,11 @@
 	return k
 }
 
+// find returns the backend of a server, or nil if no request has been sent to it.
+func (b *backends) find(inst registry.Instance) *backend {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byInstance[inst]
+}
+
 var _ origin.Dialer = (*net.Dialer)(nil)
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker, reachability)
+//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker, reachability, relay)
 //	result := d.Do(ctx, call)
 package dispatch
 
@@ -97,6 +97,11 @@
 	RecordAnswer(now time.Time, inst registry.Instance)
 	RecordUnreached(now time.Time, inst registry.Instance)
 	RecordReset(now time.Time, inst registry.Instance)
+	// Unreached reports whether new connections to a server fail, CutOff whether those to all servers do,
+	// and Connected returns a context that ends when the process is found to be cut off.
+	Unreached(now time.Time, inst registry.Instance) bool
+	CutOff(now time.Time) bool
+	Connected() context.Context
 }
 
 // Dispatcher sends requests to servers. It is safe for concurrent use.
@@ -109,6 +114,7 @@
 	observer     Observer
 	crashTracker CrashTracker
 	reachability Reachability
+	relay        Relay
 	// processes is the number of entry processes.
 	processes atomic.Int64
 	// shutdown is nil while the process does not stop.
@@ -122,11 +128,11 @@
 }
 
 // New returns a dispatcher for a process in the given data centre.
-func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, r Reachability) *Dispatcher {
+func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, reach Reachability, r Relay) *Dispatcher {
 	waits, endWaits := context.WithCancelCause(context.Background())
 	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
-		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, reachability: r,
+		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, reachability: reach, relay: r,
 		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
 	}
 }
@@ -150,6 +156,11 @@
 	overLimit *Result
 	// full is true if a server had no slot.
 	full bool
+	// relayed is true if another entry process has relayed the call to this one, and relays the number of
+	// attempts to send the call through another process; peer is the last of these.
+	relayed bool
+	relays  int
+	peer    string
 	// server is the last server that the request was sent to.
 	server      string
 	fingerprint suspect.Fingerprint
@@ -162,19 +173,26 @@
 
 // Do returns the final response to a call.
 func (d *Dispatcher) Do(ctx context.Context, c *Call) *Result {
+	return d.do(ctx, c, false)
+}
+
+// do returns the final response to a call, which another entry process may have relayed.
+func (d *Dispatcher) do(ctx context.Context, c *Call, relayed bool) *Result {
 	f := suspect.Of(c.Service, c.Target, c.Method, c.Host, c.Body)
 	if d.crashTracker.IsBlocked(c.Arrived, f) {
 		return refusedResult(CrashesServers, time.Time{}, nil)
 	}
-	d.budgets.Deposit(c.Arrived, c.Service)
-	p := &progress{call: c, tried: make(map[registry.Instance]bool), sent: make(map[registry.Instance]bool), fingerprint: f}
+	if !relayed {
+		d.budgets.Deposit(c.Arrived, c.Service)
+	}
+	p := &progress{call: c, relayed: relayed, tried: make(map[registry.Instance]bool), sent: make(map[registry.Instance]bool), fingerprint: f}
 	waitCtx, cancel := d.withWaits(ctx)
 	defer cancel()
 	r := d.tryServers(ctx, waitCtx, p)
 	if r.Response != nil && r.Response.Limit.Named {
 		r.Limit = requestlimit.Limit{PerSecond: r.Response.Limit.PerSecond, InForce: true, HeardAt: time.Now()}
 	}
-	r.Attempts, r.Server, r.Steps, r.TableRevision, r.OwnerWait = p.attempts, p.server, p.steps, p.tableRevision, p.ownerWait
+	r.Attempts, r.Server, r.Peer, r.Steps, r.TableRevision, r.OwnerWait = p.attempts, p.server, p.peer, p.steps, p.tableRevision, p.ownerWait
 	return r
 }
 
@@ -195,7 +213,13 @@
 		}
 		begin := time.Now()
 		p.steps = append(p.steps, Step{Server: b.server.ID})
-		result, retry := d.attempt(ctx, waitCtx, p, b)
+		var result *Result
+		var retry bool
+		if d.canRelay(begin, p, b.server) {
+			result, retry = d.attemptThroughPeer(ctx, p, b)
+		} else {
+			result, retry = d.attempt(ctx, waitCtx, p, b)
+		}
 		step := &p.steps[len(p.steps)-1]
 		step.Reason, step.Took = result.Reason, time.Since(begin)-step.Waited
 		if !retry {
@@ -240,12 +264,18 @@
 		return refusal, false
 	}
 	begin := time.Now()
+	if d.canRelay(begin, p, b.server) {
+		slot.Release(Outcome{})
+		return refusedResult(Unreachable, begin.Add(refusalRetryDelay), nil), true
+	}
 	b.requestStarted()
 	ended := d.reachability.RequestSent(begin, b.server.Instance)
 	p.server = b.server.ID
 	c.SetPhase(AwaitsResponse, b.server.ID)
-	requestCtx, cancel := d.withRequest(ctx, c)
+	boundedCtx, cancel := d.withRequest(ctx, c)
 	defer cancel()
+	requestCtx, stop := d.withCutOff(boundedCtx, c)
+	defer stop()
 	response, err := b.client.Do(requestCtx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
 		ID: c.ID, Server: b.server.ID, Deadline: c.Deadline.Add(-responseMargin), Fresh: !c.Route.Kind.Retryable(),
@@ -340,10 +370,14 @@
 func (d *Dispatcher) handleFailure(ctx context.Context, p *progress, b *backend, f *origin.Error) (*Result, bool) {
 	if !f.Sent {
 		p.tried[b.server.Instance] = true
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !isCutOff(ctx) {
 			return d.contextDone(ctx, p), false
 		}
-		return refusedResult(Unreachable, time.Now().Add(refusalRetryDelay), f), !d.isSharded(p.call)
+		now := time.Now()
+		return refusedResult(Unreachable, now.Add(refusalRetryDelay), f), !d.isSharded(p.call) || d.canRelay(now, p, b.server)
+	}
+	if isCutOff(ctx) {
+		return unknownResult(http.StatusBadGateway, CutOff, f), p.call.Route.Kind.Retryable()
 	}
 	if ctx.Err() != nil {
 		return d.contextDone(ctx, p), false
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -31,4 +31,12 @@
 	Stopping Reason = "stopping"
 	// GivenUp means that the process ends before the server has answered.
 	GivenUp Reason = "given up"
+	// CutOff means that the request was given up at a server because the process found that it reaches
+	// none.
+	CutOff Reason = "cut off"
+	// PeerLost means that the entry process through which the request was sent was lost before its
+	// result.
+	PeerLost Reason = "peer lost"
+	// RelayFull means that the entry process through which the request was to be sent has no memory for it.
+	RelayFull Reason = "relay full"
 )
--- /dev/null
+++ b/entry/internal/dispatch/relay.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bramleystand.org/common/registry"
+)
+
+const (
+	// maxRelays is the number of attempts to send a call through other processes.
+	maxRelays = 2
+	// cutOffGrace is how long a request that must not run twice still waits for its response after the
+	// process was found to be cut off. Until then it has waited for 1 s, because nothing has been
+	// received from any server.
+	cutOffGrace = 700 * time.Millisecond
+)
+
+// errCutOff is the cause with which a request is given up because the process reaches no server.
+var errCutOff = eris.New("dispatch: the process is cut off from the servers")
+
+// Relay sends calls through other entry processes.
+type Relay interface {
+	// Available reports whether another process may reach a server.
+	Available(now time.Time, s registry.Server) bool
+	// Do sends a call through another process, which may send it to the given number of servers. It
+	// returns nil if no process has accepted the call.
+	Do(ctx context.Context, c *Call, s registry.Server, attempts int) *Result
+}
+
+// DoRelayed returns the final response to a call that another entry process has received from its client
+// and relays to this one. It is never relayed again. The other process has deposited for its first attempt.
+func (d *Dispatcher) DoRelayed(ctx context.Context, c *Call) *Result {
+	return d.do(ctx, c, true)
+}
+
+// Reaches reports whether requests to a server may be sent by this process now.
+func (d *Dispatcher) Reaches(now time.Time, inst registry.Instance) bool {
+	if d.reachability.Unreached(now, inst) {
+		return false
+	}
+	b := d.backends.find(inst)
+	if b == nil {
+		return true
+	}
+	_, inBackoff := b.backoff(now)
+	return !inBackoff
+}
+
+// canRelay reports whether a call may be sent to a server through another process, because this one doesn't
+// reach it.
+func (d *Dispatcher) canRelay(now time.Time, p *progress, s registry.Server) bool {
+	return !p.relayed && p.relays < maxRelays && d.reachability.Unreached(now, s.Instance) && d.relay.Available(now, s)
+}
+
+// attemptThroughPeer sends the call to a server through another process; retry tells whether another attempt
+// may succeed.
+func (d *Dispatcher) attemptThroughPeer(ctx context.Context, p *progress, b *backend) (r *Result, retry bool) {
+	c := p.call
+	p.relays++
+	c.SetPhase(AwaitsResponse, b.server.ID)
+	requestCtx, cancel := d.withRequest(ctx, c)
+	defer cancel()
+	r = d.relay.Do(requestCtx, c, b.server, c.Route.Attempts-p.attempts)
+	if r == nil {
+		if requestCtx.Err() != nil {
+			return d.contextDone(requestCtx, p), false
+		}
+		// If this process can't reach the server either, the next selection refuses the call.
+		p.relays = maxRelays
+		p.tried[b.server.Instance] = true
+		return refusedResult(Unreachable, time.Now().Add(refusalRetryDelay), nil), true
+	}
+	p.attempts += r.Attempts
+	if r.Server != "" {
+		p.server = r.Server
+	}
+	p.peer = r.Peer
+	p.steps[len(p.steps)-1].Peer = r.Peer
+	if r.Response != nil {
+		return r, false
+	}
+	if requestCtx.Err() != nil {
+		return d.contextDone(requestCtx, p), false
+	}
+	return p.finalResult(r), r.Attempts > 0 && c.Route.Kind.Retryable() && p.attempts < c.Route.Attempts
+}
+
+// withCutOff gives up a request to a server when the process is found to be cut off, so that its slot is
+// returned. A request that may be sent again is given up at once. One that is sent while the process is cut
+// off goes on: no other process could take it.
+func (d *Dispatcher) withCutOff(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
+	connected := d.reachability.Connected()
+	if connected.Err() != nil {
+		return ctx, func() {}
+	}
+	requestCtx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(connected, func() {
+		if c.Route.Kind.Retryable() {
+			cancel(errCutOff)
+			return
+		}
+		time.AfterFunc(cutOffGrace, func() {
+			if d.reachability.CutOff(time.Now()) {
+				cancel(errCutOff)
+			}
+		})
+	})
+	return requestCtx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
+// isCutOff reports whether a context for a request has ended because the process is cut off.
+func isCutOff(requestCtx context.Context) bool {
+	return errors.Is(context.Cause(requestCtx), errCutOff)
+}
--- a/entry/internal/dispatch/result.go
+++ b/entry/internal/dispatch/result.go
@@ -22,7 +22,10 @@
 	// server that the request was sent to.
 	Attempts int
 	Server   string
-	Cause    error
+	// Peer is the entry process through which the request was sent last; empty if this process has sent it
+	// itself.
+	Peer  string
+	Cause error
 	// Steps lists the servers that were tried, in order.
 	Steps []Step
 	// TableRevision is the revision of the ownership table that the last owner was looked up in, or
@@ -38,6 +41,8 @@
 // Step is one attempt to send a call to a server.
 type Step struct {
 	Server string
+	// Peer is the entry process through which the call was sent; empty for none.
+	Peer string
 	// Reason tells how the attempt ended.
 	Reason Reason
 	// Waited is the time until a slot of the server was available or the request was refused,
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -37,14 +37,21 @@
 	}
 	servers := d.view.Servers()
 	now := time.Now()
-	var best *backend
-	var lowest time.Duration
+	// unreached is the best server that only other processes may reach.
+	var best, unreached *backend
+	var lowest, lowestUnreached time.Duration
 	retryAt := now.Add(refusalRetryDelay)
 	for _, s := range servers.Service(p.call.Service) {
+		b := d.backend(servers, s)
+		if d.canRelay(now, p, s) {
+			if cost := d.cost(p.call, b); unreached == nil || cost < lowestUnreached {
+				unreached, lowestUnreached = b, cost
+			}
+			continue
+		}
 		if p.tried[s.Instance] {
 			continue
 		}
-		b := d.backend(servers, s)
 		if until, inBackoff := b.backoff(now); inBackoff {
 			retryAt = until
 			continue
@@ -54,6 +61,9 @@
 			best, lowest = b, cost
 		}
 	}
+	if best == nil && unreached != nil {
+		return unreached, nil
+	}
 	if best == nil {
 		return nil, refusedResult(NoServer, retryAt, nil)
 	}
@@ -93,7 +103,7 @@
 		if ok {
 			b := d.backend(servers, s)
 			until, inBackoff := b.backoff(now)
-			if !inBackoff {
+			if !inBackoff || d.canRelay(now, p, s) {
 				return b, nil
 			}
 			p.steps = append(p.steps, Step{Server: s.ID, Reason: Unreachable})
--- a/entry/internal/gateway/log.go
+++ b/entry/internal/gateway/log.go
@@ -28,6 +28,9 @@
 	if n := len(r.Steps); n > 0 && r.Steps[n-1].Server != r.Server {
 		fields["chosen"] = r.Steps[n-1].Server
 	}
+	if r.Peer != "" {
+		fields["peer"] = r.Peer
+	}
 	if len(r.Steps) > 1 {
 		fields["steps"] = formatSteps(r.Steps)
 	}
@@ -78,7 +81,11 @@
 func formatSteps(steps []dispatch.Step) string {
 	var out []string
 	for _, s := range steps {
-		out = append(out, fmt.Sprintf("%s waited %d took %d: %s", s.Server, s.Waited.Milliseconds(), s.Took.Milliseconds(), s.Reason))
+		server := s.Server
+		if s.Peer != "" {
+			server += " through " + s.Peer
+		}
+		out = append(out, fmt.Sprintf("%s waited %d took %d: %s", server, s.Waited.Milliseconds(), s.Took.Milliseconds(), s.Reason))
 	}
 	return strings.Join(out, "; ")
 }
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -19,6 +19,7 @@
 		"age":           func(now time.Time) any { return p.copyAges(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
+		"relay":         func(time.Time) any { return p.relayCounts() },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
 	} {
 		m.Set(name, expvar.Func(func() any { return value(time.Now()) }))
@@ -35,6 +36,13 @@
 	return counts
 }
 
+// relayCounts returns the number of calls that the process has sent through others and taken from them.
+func (p *Process) relayCounts() map[string]int64 {
+	counts := p.relayClient.Counts()
+	counts["taken"] = p.relayServer.Taken()
+	return counts
+}
+
 // copyAges returns, for each copy of the store's objects, the time in ms since the store last
 // responded to its follower; -1 if it never has or the latest list failed.
 func (p *Process) copyAges(now time.Time) map[string]int64 {
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,6 +43,7 @@
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/operator"
 	"bramleystand.org/entry/internal/reachability"
+	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
@@ -102,6 +104,8 @@
 	limits     *requestlimit.Table
 	// reachability tells which servers this process reaches.
 	reachability *reachability.Monitor
+	relayClient  *relay.Client
+	relayServer  *relay.Server
 	dispatcher   *dispatch.Dispatcher
 	handler      *gateway.Handler
 	peerServer   *report.Server
@@ -149,9 +153,11 @@
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability)
+	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
-	p.peerServer = report.NewServer(p.node, p.allocator, logger)
+	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
+	p.peerServer = report.NewServer(p.node, p.relayServer, logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
@@ -363,7 +369,9 @@
 func (p *Process) close() {
 	p.cancelLoops()
 	p.loops.Wait()
-	if err := p.peerClient.Close(); err != nil {
-		p.logger.WithError(err).Warn("closing the connections to peers failed")
+	for _, c := range []io.Closer{p.relayClient, p.peerClient} {
+		if err := c.Close(); err != nil {
+			p.logger.WithError(err).Warn("closing the connections to peers failed")
+		}
 	}
 }
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -264,7 +264,7 @@
 	k.limited.N = maxBodyTransfer
 	body, err := readAll(head.Body, r.Memory, limit)
 	if err := bodyError(k, int64(len(body)), err); err != nil {
-		r.Memory.Release(countedSize(int64(cap(body))))
+		r.Memory.Release(CountedSize(int64(cap(body))))
 		return nil, err
 	}
 	return body, nil
@@ -277,11 +277,11 @@
 	for int64(len(body)) <= limit {
 		if len(body) == cap(body) {
 			size := min(max(firstBodyBuffer, 2*int64(cap(body))), limit+1)
-			if !account.Reserve(countedSize(size)) {
+			if !account.Reserve(CountedSize(size)) {
 				return body, errMemoryLimit
 			}
 			larger := append(make([]byte, 0, size), body...)
-			account.Release(countedSize(int64(cap(body))))
+			account.Release(CountedSize(int64(cap(body))))
 			body = larger
 		}
 		n, err := from.Read(body[len(body):cap(body)])
@@ -296,8 +296,8 @@
 	return body, nil
 }
 
-// countedSize returns how much of a buffer is reserved.
-func countedSize(size int64) int64 {
+// CountedSize returns how much of a buffer is reserved.
+func CountedSize(size int64) int64 {
 	if size <= maxUncountedBody {
 		return 0
 	}
--- a/entry/internal/serverprobe/prober.go
+++ b/entry/internal/serverprobe/prober.go
@@ -22,8 +22,8 @@
 	// dialTimeout bounds opening a connection; it is that of requests.
 	dialTimeout = 300 * time.Millisecond
 	// resetWait is the time in which a connection that is not accepted is reset. Data centres are 1.5 ms
-	// apart.
-	resetWait = 30 * time.Millisecond
+	// apart, but the other side may be short of processor time.
+	resetWait = 100 * time.Millisecond
 	// answerTimeout is the time in which a server must begin to answer a health check.
 	answerTimeout = 500 * time.Millisecond
 	// defaultHealthPath is requested from servers of services that aren't configured.
