--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -10,11 +10,13 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -414,6 +416,8 @@
 		}
 	}
 	n.setCutOffMembers(cutOff)
+	// The other processes choose their allocators again only if the members have changed.
+	slices.SortFunc(n.members, func(a, b election.Member) int { return cmp.Compare(a.Name, b.Name) })
 	return report.Response{
 		Coordinator: true, Term: term, Members: n.members, Cores: largest, CutOff: cutOff,
 		Confirmed: now.Sub(n.election.Confirmed()) < confirmationTimeout,
--- a/entry/internal/gatewayprocess/cutrelay_test.go
+++ b/entry/internal/gatewayprocess/partitionrelay_test.go
@@ -14,21 +14,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// cutKind is how a process is partitioned from a server.
-type cutKind string
+// partitionKind is how a process is partitioned from a server.
+type partitionKind string
 
 const (
 	// connected means that there is no partition.
-	connected cutKind = "connected"
-	// cutReset resets all connections of the process, and new ones as soon as they are open.
-	cutReset cutKind = "reset"
-	// cutSilent drops all packets of the process, so that nothing is acknowledged and connection
+	connected partitionKind = "connected"
+	// partitionReset resets all connections of the process, and new ones as soon as they are open.
+	partitionReset partitionKind = "reset"
+	// partitionSilent drops all packets of the process, so that nothing is acknowledged and connection
 	// attempts hang. What the relay itself has to acknowledge is still sent.
-	cutSilent cutKind = "silent"
-	// cutNew resets new connections, while kept ones work.
-	cutNew cutKind = "new connections reset"
-	// cutUnanswered accepts connections and requests, and sends nothing back.
-	cutUnanswered cutKind = "unanswered"
+	partitionSilent partitionKind = "silent"
+	// partitionNew resets new connections, while kept ones work.
+	partitionNew partitionKind = "new connections reset"
+	// partitionUnanswered accepts connections and requests, and sends nothing back.
+	partitionUnanswered partitionKind = "unanswered"
 )
 
 // cutRelay passes connections on to a server and can partition single processes, which it tells apart by
@@ -39,7 +39,7 @@
 	listener *net.TCPListener
 
 	mu          sync.Mutex
-	cuts        map[netip.Addr]cutKind
+	cuts        map[netip.Addr]partitionKind
 	connections map[*relayedConnection]bool
 	// changed is closed when a cut begins or ends.
 	changed chan struct{}
@@ -59,7 +59,7 @@
 	must.NoError(t, err)
 	r := &cutRelay{
 		address: netip.MustParseAddrPort(l.Addr().String()), server: server, listener: l.(*net.TCPListener),
-		cuts: make(map[netip.Addr]cutKind), connections: make(map[*relayedConnection]bool), changed: make(chan struct{}),
+		cuts: make(map[netip.Addr]partitionKind), connections: make(map[*relayedConnection]bool), changed: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.accept(ctx)
@@ -110,21 +110,21 @@
 		defer r.mu.Unlock()
 		delete(r.connections, c)
 	}()
-	if kind == cutReset || kind == cutNew {
+	if kind == partitionReset || kind == partitionNew {
 		c.close()
 		return
 	}
-	if kind == cutSilent {
+	if kind == partitionSilent {
 		_ = r.filter(client, []netip.Addr{c.from})
 	}
 	var group sync.WaitGroup
-	group.Go(func() { r.copy(ctx, c, c.server, c.client, cutSilent, cutSilent) })
-	group.Go(func() { r.copy(ctx, c, c.client, c.server, cutSilent, cutUnanswered) })
+	group.Go(func() { r.copy(ctx, c, c.server, c.client, partitionSilent, partitionSilent) })
+	group.Go(func() { r.copy(ctx, c, c.client, c.server, partitionSilent, partitionUnanswered) })
 	group.Wait()
 }
 
 // copy copies in one direction. It waits while a cut of one of the given kinds lasts.
-func (r *cutRelay) copy(ctx context.Context, c *relayedConnection, to, from *net.TCPConn, held ...cutKind) {
+func (r *cutRelay) copy(ctx context.Context, c *relayedConnection, to, from *net.TCPConn, held ...partitionKind) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -146,7 +146,7 @@
 	}
 }
 
-func (r *cutRelay) awaitEnd(ctx context.Context, from netip.Addr, held []cutKind) {
+func (r *cutRelay) awaitEnd(ctx context.Context, from netip.Addr, held []partitionKind) {
 	for {
 		r.mu.Lock()
 		kind, changed := r.cuts[from], r.changed
@@ -163,7 +163,7 @@
 }
 
 // set begins or ends a partition of a process.
-func (r *cutRelay) set(t *testing.T, process netip.Addr, kind cutKind) {
+func (r *cutRelay) set(t *testing.T, process netip.Addr, kind partitionKind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cuts[process] = kind
@@ -171,7 +171,7 @@
 	r.changed = make(chan struct{})
 	var silent []netip.Addr
 	for from, k := range r.cuts {
-		if k == cutSilent {
+		if k == partitionSilent {
 			silent = append(silent, from)
 		}
 	}
@@ -179,9 +179,9 @@
 	for c := range r.connections {
 		switch {
 		case c.from != process:
-		case kind == cutReset:
+		case kind == partitionReset:
 			c.close()
-		case kind == cutSilent:
+		case kind == partitionSilent:
 			_ = r.filter(c.client, []netip.Addr{process})
 		default:
 			_ = r.filter(c.client, nil)
