place: no moves by chance while few requests are counted

With few requests a server, a plan took chance for load: of 405 equal servers with three in ten slots busy it moved keys of 106 (1 request a server), 20 (3), 7 (6) and 2.7 (12 requests), mean of 40 plans. Every range is renewed ever after, and each move is sent to all processes.

A server now counts as overloaded or underused only if its load differs from the mean by three standard deviations of the count. A server without any keys counts as underused, as before.

--- a/entry/internal/place/plan.go
+++ b/entry/internal/place/plan.go
@@ -31,9 +31,10 @@
 	// still be moved whole.
 	oversizeFactor = 1.25
 	// underusedFraction is the fraction of its fair load below which a server counts as underused.
-	// minUnderusedFraction is the lower bound of that fraction when the load is uncertain.
-	underusedFraction    = 0.6
-	minUnderusedFraction = 0.15
+	underusedFraction = 0.6
+	// chanceDeviations is the number of standard deviations by which a server's load may differ from
+	// the mean by chance. Of a thousand servers one differs by more.
+	chanceDeviations = 3
 	// minMoveLimit and serversPerMove bound the moves of one plan, each of which takes two calls to
 	// servers. With many servers the bound is a third of their number: a few neighbouring keys can
 	// get a third of all load, which takes a third of the servers to carry.
@@ -148,11 +149,13 @@
 // balance moves ranges from servers that are short of capacity to servers with spare capacity.
 func (p *plan) balance(l Limits) {
 	mean := p.total / p.capacity
-	utilisationLimit := max(acceptableUtilisation, min(mean*(l.Tolerance+2*l.Noise), max(overloadUtilisation, mean*(l.Tolerance+l.Noise/2))))
-	underusedLimit := max(minUnderusedFraction, underusedFraction-l.Noise)
+	chance := chanceDeviations * l.Noise
+	utilisationLimit := max(acceptableUtilisation, min(mean*(l.Tolerance+chance), max(overloadUtilisation, mean*(l.Tolerance+chance*min(1, 2*l.Noise)))))
+	underusedLimit := min(underusedFraction, 1-chance)
 	for len(p.moves) < max(minMoveLimit, len(p.servers)/serversPerMove) {
 		to := p.leastUtilised()
-		underused := p.loads[to] < underusedLimit*p.fairLoad(to)
+		// Every key has a load, so a server without any has no keys: it has joined or is back.
+		underused := p.loads[to] == 0 || p.loads[to] < underusedLimit*p.fairLoad(to)
 		from := p.pickSource(to, utilisationLimit, underused)
 		if from < 0 {
 			return
