Stop requests to a server that states in its answers that it leaves

The field was not read: clients' requests went on to the server until the store's list said so, and without the store for as long as it answered.

The statement is now evidence of its own beside the store's entry and final for the instance. The process that gets such an answer marks the server as draining in its view, which everything that chooses or checks a server reads, so that it is bound without the store, the coordinator and other processes. It reports the server to the coordinator for 5 s, which moves the keys by the planned path. If all servers of a sharded service leave, requests are refused at once with a reason of their own. A value other than 1 is counted, logged once in 10 s and has no effect.

--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -34,6 +34,7 @@
 	msgLinesLeftOut = "log lines left out"
 	msgKeysMoving   = "keys moving"
 	msgKeysGranted  = "keys granted"
+	msgLeaving      = "server states that it leaves"
 )
 
 // Explanation says why a request ended as it did.
@@ -104,6 +105,8 @@
 		return r.explainNoSlot()
 	case "over limit":
 		return r.explainOverLimit()
+	case "servers leave":
+		return r.explainServersLeave()
 	case "no owner":
 		return r.explainNoOwner()
 	case "no server":
@@ -204,6 +207,12 @@
 	return fmt.Sprintf("%s takes %v requests a second from all processes together, as it had named %d ms before, and had got as many", server, rate, r.numberOrZero("heard")), known && server != ""
 }
 
+// explainServersLeave explains a request whose service had only servers that leave.
+func (r *request) explainServersLeave() (string, bool) {
+	r.addRelated(r.linesAround(causeWindow, func(l logline.Line) bool { return l.Message == msgLeaving })...)
+	return fmt.Sprintf("all registered servers of %s leave; none could take key %d", r.Text("service"), r.numberOrZero("key")), true
+}
+
 // describeContention counts the other requests of the service around this one that found no slot
 // and those that were served, which tells a single full server from a service without free slots.
 func (r *request) describeContention() string {
--- a/bramleyctl/internal/evidence/explanation_test.go
+++ b/bramleyctl/internal/evidence/explanation_test.go
@@ -45,6 +45,7 @@
 		found bool
 	}{
 		{"no slot in time", []string{failedRequest("full", `"chosen":"a"`), noSlotAtA, servedByA}, "no slot of a in time, after 500 ms; within 1s around it 1 other requests of desk found no slot, 1 of them at the same server, and 1 were served", true},
+		{"all servers leave", []string{failedRequest("servers leave", `"attempts":0`)}, "all registered servers of desk leave; none could take key 50", true},
 		{"over the limit of its server", []string{failedRequest("over limit", `"chosen":"a","rate":2.8,"heard":40`), keysMoving}, "a takes 2.8 requests a second from all processes together, as it had named 40 ms before, and had got as many", true},
 		{"given up at the end of its process", []string{failedRequest("given up", `"server":"a","attempts":1`)}, "its process ended before the answer came; server a had it (waited 0 ms for a slot); it may have run", true},
 		{"key is moving", []string{failedRequest("no owner", `"attempts":0`), keysMoving, otherRange}, "coordinator e2 (term 3) began to move keys 40 to 60 of desk from a to b, because: owner does not answer", true},
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, crashTracker, dialer, logger)
+//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, statements, crashTracker, dialer, logger)
 //	go n.Run(ctx)
 //	defer n.Resign(ctx)
 package cluster
@@ -27,6 +27,7 @@
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
@@ -82,6 +83,7 @@
 	replica       *replica.Replica
 	loadCollector *LoadCollector
 	limits        *requestlimit.Table
+	statements    *statement.Table
 	crashes       *crashes.Tracker
 	dialer        Dialer
 	logger        log.Interface
@@ -133,12 +135,12 @@
 }
 
 // New returns a node that does nothing until Run. cores is the processor time of the VM in cores.
-func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, t *crashes.Tracker, dialer Dialer, logger log.Interface) *Node {
+func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, statements *statement.Table, t *crashes.Tracker, dialer Dialer, logger log.Interface) *Node {
 	now := time.Now()
 	e := election.New(self, now, rand.N(maxJitter))
 	e.SetTakeoverDelay(takeoverDelay(cores, 0))
 	return &Node{
-		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, crashes: t, dialer: dialer, logger: logger,
+		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, statements: statements, crashes: t, dialer: dialer, logger: logger,
 		election: e, reporters: make(map[string]reporter),
 		members: []election.Member{self}, watchers: make(map[string]StoreWatcher), received: make(map[string]*ownership.Table), orders: make(map[string]int),
 	}
@@ -355,7 +357,7 @@
 	loads, samples := n.loadCollector.TakeUnreported()
 	r := report.Report{
 		From: n.self, Cores: n.cores, Loads: loads, Samples: samples,
-		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()),
+		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), Leaving: n.statements.Leaving(time.Now()),
 	}
 	if holding {
 		n.Report(time.Now(), r)
@@ -388,6 +390,9 @@
 	for inst, l := range r.Limits {
 		n.limits.Merge(now, inst, l)
 	}
+	for _, inst := range r.Leaving {
+		n.statements.MergeLeaving(now, inst, r.From.Name)
+	}
 	n.members, n.membersAt = n.members[:0:0], now
 	largest := 0.0
 	for name, p := range n.reporters {
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -29,6 +29,7 @@
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
@@ -280,7 +281,7 @@
 	}
 	v.SetServers(time.Now(), list)
 	self := election.Member{Name: name, Incarnation: time.Now().UnixNano()}
-	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(&log.Logger{Handler: discard.New()}), crashes.NewTracker(), noDialer{}, logger)
+	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(logger), statement.NewTable(v, logger), crashes.NewTracker(), noDialer{}, logger)
 }
 
 // run runs a process and returns a function that ends it.
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker)
+//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker, statements)
 //	result := d.Do(ctx, call)
 package dispatch
 
@@ -85,6 +85,14 @@
 	RecordResponse(f suspect.Fingerprint)
 }
 
+// Statements receives what servers state about themselves in their responses.
+type Statements interface {
+	// ObserveLeaving records that a server has stated that it leaves.
+	ObserveLeaving(now time.Time, inst registry.Instance)
+	// ObserveInvalid records a statement that can't be used.
+	ObserveInvalid(now time.Time, inst registry.Instance, err error)
+}
+
 // Dispatcher sends requests to servers. It is safe for concurrent use.
 type Dispatcher struct {
 	view         *view.View
@@ -94,6 +102,7 @@
 	dataCentre   string
 	observer     Observer
 	crashTracker CrashTracker
+	statements   Statements
 	// processes is the number of entry processes.
 	processes atomic.Int64
 	// shutdown is nil while the process does not stop.
@@ -107,11 +116,11 @@
 }
 
 // New returns a dispatcher for a process in the given data centre.
-func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker) *Dispatcher {
+func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, s Statements) *Dispatcher {
 	waits, endWaits := context.WithCancelCause(context.Background())
 	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
-		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c,
+		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, statements: s,
 		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
 	}
 }
@@ -240,6 +249,7 @@
 	serviceTime := now.Sub(begin)
 	failure, _ := errors.AsType[*origin.Error](err)
 	b.requestEnded(now, serviceTime, failure == nil || failure.Sent)
+	d.observeStatements(now, b.server.Instance, response)
 	ran := err == nil && !response.NotRun
 	if !ran {
 		serviceTime = 0
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -47,6 +47,8 @@
 	return perSecond, err == nil, nil
 }
 
+func (testHeaderFields) IsLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a backend server that counts the requests it receives.
@@ -128,6 +130,9 @@
 func (noTracking) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noTracking) RecordResponse(suspect.Fingerprint)                 {}
 
+func (noTracking) ObserveLeaving(time.Time, registry.Instance)        {}
+func (noTracking) ObserveInvalid(time.Time, registry.Instance, error) {}
+
 // fixture is a dispatcher with its view of the configuration, the servers and their keys.
 type fixture struct {
 	t          *testing.T
@@ -147,7 +152,7 @@
 		list = append(list, s.Server)
 	}
 	v.SetServers(time.Now(), list)
-	return &fixture{t: t, view: v, dispatcher: dispatch.New(v, l, retry.New(limit), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{})}
+	return &fixture{t: t, view: v, dispatcher: dispatch.New(v, l, retry.New(limit), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, noTracking{})}
 }
 
 // setOwner makes a server the owner of all keys, or marks all keys as moving to it.
@@ -355,7 +360,7 @@
 	}()
 	f := newFixture(t, false, unlimited{}, ampleBudget, s)
 	tracker := &fakeCrashTracker{crashes: make(map[suspect.Fingerprint]int)}
-	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker)
+	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker, noTracking{})
 	must.Eq(t, http.StatusBadGateway, f.call(traffic.NonIdempotent).Status)
 	r := f.call(traffic.NonIdempotent)
 	must.Eq(t, http.StatusServiceUnavailable, r.Status)
--- a/entry/internal/dispatch/endless_test.go
+++ b/entry/internal/dispatch/endless_test.go
@@ -59,7 +59,7 @@
 				limiter := countingLimiter{inUse: new(atomic.Int64)}
 				tracker := &fakeCrashTracker{crashes: make(map[suspect.Fingerprint]int)}
 				f := newFixture(t, false, limiter, c.budget, a, b)
-				f.dispatcher = dispatch.New(f.view, limiter, retry.New(c.budget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker)
+				f.dispatcher = dispatch.New(f.view, limiter, retry.New(c.budget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker, noTracking{})
 				r := f.call(c.kind)
 				must.Eq(t, c.status, r.Status, must.Sprint(r.Cause))
 				must.Eq(t, c.reason, r.Reason)
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -9,6 +9,8 @@
 	Answered Reason = "answered"
 	// NoServer means that no server of the service accepts requests.
 	NoServer Reason = "no server"
+	// ServersLeave means that all servers of the service leave, so that none can become the owner of the key.
+	ServersLeave Reason = "servers leave"
 	// NoOwner means that no server became the owner of the key in time.
 	NoOwner Reason = "no owner"
 	// Unreachable means that no connection could be opened.
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -99,6 +99,9 @@
 			p.steps = append(p.steps, Step{Server: s.ID, Reason: Unreachable})
 			return nil, refusedResult(Unreachable, until, errBackoff)
 		}
+		if allLeave(servers, p.call) {
+			return nil, refusedResult(ServersLeave, now.Add(leavingRetryDelay), nil)
+		}
 		left := limit.Sub(now)
 		if left <= 0 || d.ownerUnreachable(now, servers, p.call) {
 			return nil, refusedResult(NoOwner, now.Add(refusalRetryDelay), nil)
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -37,7 +37,8 @@
 
 func (originFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
-func (originFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
+func (originFields) IsLeaving(http.Header) (bool, error) { return false, nil }
+func (originFields) HasProof(h http.Header) bool         { return h.Get("Proof") != "" }
 
 // noLimits has a slot for every request and tracks nothing.
 type noLimits struct{}
@@ -52,6 +53,9 @@
 func (noLimits) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noLimits) RecordResponse(suspect.Fingerprint)                 {}
 
+func (noLimits) ObserveLeaving(time.Time, registry.Instance)        {}
+func (noLimits) ObserveInvalid(time.Time, registry.Instance, error) {}
+
 // startGateway serves a handler whose requests are sent to a server that answers each with serve.
 func startGateway(t *testing.T, kind traffic.Kind, serve func(c net.Conn, id string)) *httptest.Server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -87,7 +91,7 @@
 		})
 	}
 	v.SetServers(time.Now(), servers)
-	d := dispatch.New(v, noLimits{}, retry.New(retry.Limit{Burst: 100, Initial: 100}), &net.Dialer{}, originFields{}, "x", noLimits{}, noLimits{})
+	d := dispatch.New(v, noLimits{}, retry.New(retry.Limit{Burst: 100, Initial: 100}), &net.Dialer{}, originFields{}, "x", noLimits{}, noLimits{}, noLimits{})
 	h := gateway.New(v, d, testHeaderFields{}, &fakeDispatcher{}, gateway.NewCounters(new(expvar.Map)), &log.Logger{Handler: discard.New()})
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -283,10 +283,42 @@
 	executions map[string]int
 	// limit is the request limit that the responses name; empty for none.
 	limit string
+	// header has further fields of all responses to requests.
+	header http.Header
+	// plain is true if the server runs requests without grants.
+	plain bool
+	// requests has the requests that arrived, and the time at which each did.
+	requests []arrivedRequest
 	// arrivals has the times of all requests, those without grants included.
 	arrivals []time.Time
 }
 
+// arrivedRequest is a request that has arrived at a server.
+type arrivedRequest struct {
+	id string
+	at time.Time
+}
+
+// setHeader replaces the further fields of all responses from now on.
+func (b *fakeBackend) setHeader(h http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.header = h
+}
+
+// arrivedIn returns the identifiers of the requests that arrived from a time on and before another one.
+func (b *fakeBackend) arrivedIn(from, until time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for _, r := range b.requests {
+		if !r.at.Before(from) && r.at.Before(until) {
+			ids = append(ids, r.id)
+		}
+	}
+	return ids
+}
+
 // setLimit makes the responses name a request limit from now on.
 func (b *fakeBackend) setLimit(limit string) {
 	b.mu.Lock()
@@ -332,12 +364,14 @@
 		return
 	}
 	b.arrivals = append(b.arrivals, time.Now())
+	b.requests = append(b.requests, arrivedRequest{r.Header.Get("Bramleystand-Attempt-Id"), time.Now()})
+	maps.Copy(w.Header(), b.header)
 	if b.limit != "" {
 		w.Header().Set("Server-Limit", b.limit)
 	}
 	w.Header().Set("Bramleystand-Attempt-Id", r.Header.Get("Bramleystand-Attempt-Id"))
 	key, err := strconv.Atoi(r.Header.Get("Bramleystand-Shard-Key"))
-	if err != nil || r.Header.Get("Bramleystand-Expect-Instance") != b.id || !time.Now().Before(b.expiries[key]) {
+	if r.Header.Get("Bramleystand-Expect-Instance") != b.id || !b.plain && (err != nil || !time.Now().Before(b.expiries[key])) {
 		w.Header().Set("Bramleystand-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/entry/internal/gatewayprocess/malformed_test.go
+++ b/entry/internal/gatewayprocess/malformed_test.go
@@ -55,6 +55,7 @@
 		[]any{[]any{"keyed", "a", 1, integer(), float()}, []any{"keyed", "b", integer(), integer(), float()}},
 		[]any{[]any{r.Uint64(), "a", integer(), r.IntN(2) == 0}},
 		[]any{[]any{"a", 1, r.IntN(2) == 0, float(), integer()}},
+		[]any{[]any{"unknown", integer()}},
 	}
 }
 
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -18,6 +18,7 @@
 		"members":       func(time.Time) any { return len(p.node.Members()) },
 		"age":           func(now time.Time) any { return p.copyAges(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
+		"statements":    func(time.Time) any { return p.statements.Counts() },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
 	} {
 		m.Set(name, expvar.Func(func() any { return value(time.Now()) }))
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -45,6 +45,7 @@
 	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/retry"
 	"bramleystand.org/entry/internal/slots"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/storemetrics"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
@@ -97,6 +98,7 @@
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
 	limits     *requestlimit.Table
+	statements *statement.Table
 	dispatcher *dispatch.Dispatcher
 	handler    *gateway.Handler
 	peerServer *report.Server
@@ -138,12 +140,13 @@
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, d, logger)
+	p.statements = statement.NewTable(p.view, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, tracker, d, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.statements)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.peerServer = report.NewServer(p.node, p.allocator, logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -215,7 +215,9 @@
 			return nil, false, err
 		}
 		perSecond, named, limitErr := c.fields.RequestLimit(head.Header)
+		leaving, leavingErr := c.fields.IsLeaving(head.Header)
 		return &Response{
+			Leaving: leaving, LeavingErr: leavingErr,
 			Status: head.StatusCode, Header: head.Header, Body: body,
 			Limit:          Limit{PerSecond: perSecond, Named: named, Err: limitErr},
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
--- a/entry/internal/origin/client_test.go
+++ b/entry/internal/origin/client_test.go
@@ -36,6 +36,8 @@
 }
 func (testHeaderFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
+func (testHeaderFields) IsLeaving(http.Header) (bool, error) { return false, nil }
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a TCP server that counts its connections.
--- a/entry/internal/origin/fields.go
+++ b/entry/internal/origin/fields.go
@@ -19,6 +19,9 @@
 	// RequestLimit returns the requests a second that the server of a response takes from all processes
 	// together, and whether the response names them. An error means that they can't be read.
 	RequestLimit(h http.Header) (perSecond float64, named bool, err error)
+	// IsLeaving reports whether the server of a response states that it leaves. An error means that the
+	// statement can't be used.
+	IsLeaving(h http.Header) (bool, error)
 	// HasProof reports whether a response carries the server's proof that it made the response.
 	HasProof(h http.Header) bool
 }
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -21,6 +21,10 @@
 	NotRun bool
 	// HasServerProof is true if the response carries the server's proof that it made the response.
 	HasServerProof bool
+	// Leaving is true if the server states that it leaves, and LeavingErr is why its statement can't be
+	// used, or nil.
+	Leaving    bool
+	LeavingErr error
 	// Limit is what the response says about the request limit of its server.
 	Limit Limit
 }
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -22,6 +22,8 @@
 	Crashes []crashes.Crash
 	// Limits are the request limits of servers as responses to the process have stated them lately.
 	Limits map[registry.Instance]requestlimit.Limit
+	// Leaving are the servers that have stated in responses to the process lately that they leave.
+	Leaving []registry.Instance
 }
 
 // Load lists the requests for keys of a service since the last report.
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -47,6 +47,13 @@
 	Samples []wireSample
 	Crashes []wireCrash
 	Limits  []wireLimit
+	Leaving []wireInstance
+}
+
+type wireInstance struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Instance int64
 }
 
 // wireLimit has the age of the statement in microseconds, because the clocks of two VMs differ.
@@ -143,6 +150,9 @@
 	for inst, l := range r.Limits {
 		w.Limits = append(w.Limits, wireLimit{ID: inst.ID, Instance: inst.Incarnation, InForce: l.InForce, PerSecond: l.PerSecond, Age: now.Sub(l.HeardAt).Microseconds()})
 	}
+	for _, inst := range r.Leaving {
+		w.Leaving = append(w.Leaving, wireInstance{ID: inst.ID, Instance: inst.Incarnation})
+	}
 	return w
 }
 
@@ -166,6 +176,9 @@
 			InForce: l.InForce, PerSecond: l.PerSecond, HeardAt: now.Add(-time.Duration(l.Age) * time.Microsecond),
 		}
 	}
+	for _, l := range w.Leaving {
+		r.Leaving = append(r.Leaving, registry.Instance{ID: l.ID, Incarnation: l.Instance})
+	}
 	return r
 }
 
--- /dev/null
+++ b/entry/internal/statement/table.go
@@ -0,0 +1,121 @@
+// Package statement handles what backend servers state about themselves in their responses: that they leave.
+//
+// A statement is evidence of its own beside the server's entry in the store, whichever comes first. It
+// is final for the instance, and holds without the store and without other processes: the process marks the
+// server as draining in its view, so that its own requests to it stop. Each process reports the servers that
+// it has heard to the coordinator, which moves their keys.
+//
+// # Usage
+//
+//	table := statement.NewTable(view, logger)
+//	table.ObserveLeaving(now, instance)
+//	report.Leaving = table.Leaving(now)
+//	table.MergeLeaving(now, instance, reporter)
+package statement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"bramleystand.org/common/registry"
+)
+
+const (
+	// reportTime is how long a statement is reported after the last response that made it, so that a new
+	// coordinator learns of it too. maxReported limits the servers in one report.
+	reportTime  = 5 * time.Second
+	maxReported = 256
+	// invalidLogInterval is the time between two log lines about unusable statements.
+	invalidLogInterval = 10 * time.Second
+)
+
+// View is told which servers leave.
+type View interface {
+	// SetLeaving marks a server as leaving, and reports whether that is new.
+	SetLeaving(now time.Time, inst registry.Instance) bool
+}
+
+// Table holds the statements that responses to this process have made lately. It is safe for concurrent use.
+type Table struct {
+	view   View
+	logger log.Interface
+
+	mu sync.Mutex
+	// heard holds the time of the last response that stated that its server leaves.
+	heard map[registry.Instance]time.Time
+	// servers counts the servers that were marked as leaving, and invalid the responses with a statement
+	// that can't be used.
+	servers        int
+	invalid        int
+	nextInvalidLog time.Time
+}
+
+// NewTable returns a table without statements.
+func NewTable(v View, logger log.Interface) *Table {
+	return &Table{view: v, logger: logger, heard: make(map[registry.Instance]time.Time)}
+}
+
+// ObserveLeaving records that a response that has arrived now states that its server leaves.
+func (t *Table) ObserveLeaving(now time.Time, inst registry.Instance) {
+	t.mu.Lock()
+	t.heard[inst] = now
+	t.mu.Unlock()
+	t.mark(now, inst, "")
+}
+
+// MergeLeaving records that another process has heard from a server that it leaves.
+func (t *Table) MergeLeaving(now time.Time, inst registry.Instance, from string) {
+	t.mark(now, inst, from)
+}
+
+// mark marks a server as leaving in the view and logs it the first time.
+func (t *Table) mark(now time.Time, inst registry.Instance, from string) {
+	if !t.view.SetLeaving(now, inst) {
+		return
+	}
+	t.mu.Lock()
+	t.servers++
+	t.mu.Unlock()
+	fields := log.Fields{"server": inst.ID, "life": inst.Incarnation}
+	if from != "" {
+		fields["from"] = from
+	}
+	t.logger.WithFields(fields).Info("server states that it leaves")
+}
+
+// ObserveInvalid counts a response whose statement can't be used. Such a response changes nothing.
+func (t *Table) ObserveInvalid(now time.Time, inst registry.Instance, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.invalid++
+	if now.Before(t.nextInvalidLog) {
+		return
+	}
+	t.nextInvalidLog = now.Add(invalidLogInterval)
+	t.logger.WithError(err).WithFields(log.Fields{"server": inst.ID, "invalid": t.invalid}).Warn("statement of a server can't be used")
+}
+
+// Leaving returns the servers that have stated to this process lately that they leave.
+func (t *Table) Leaving(now time.Time) []registry.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []registry.Instance
+	for inst, at := range t.heard {
+		if now.Sub(at) > reportTime {
+			delete(t.heard, inst)
+		} else if len(out) < maxReported {
+			out = append(out, inst)
+		}
+	}
+	return out
+}
+
+// Counts returns the number of servers that were marked as leaving and of responses with a statement that
+// can't be used.
+func (t *Table) Counts() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return map[string]int{"servers": t.servers, "invalid": t.invalid}
+}
--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -59,11 +59,16 @@
 }
 
 // update returns the set for a new list of registered servers. A server that is not in the list stays
-// known for leaveGrace.
-func (s *Servers) update(now time.Time, registered []registry.Server) *Servers {
+// known for leaveGrace. Those in leaving count as draining since the given times.
+func (s *Servers) update(now time.Time, registered []registry.Server, leaving map[registry.Instance]time.Time) *Servers {
 	next := &Servers{byInstance: make(map[registry.Instance]*TrackedServer, len(registered)), byService: make(map[string][]registry.Server, len(s.byService))}
 	for _, server := range registered {
+		leavingSince, isLeaving := leaving[server.Instance]
+		server.Draining = server.Draining || isLeaving
 		t := s.trackedServer(now, server)
+		if end := leavingSince.Add(leaveGrace); isLeaving && end.Before(t.UsableUntil) {
+			t = &TrackedServer{Server: server, UsableUntil: end}
+		}
 		next.byInstance[server.Instance] = t
 		if server.Draining {
 			continue
@@ -78,13 +83,13 @@
 		if _, ok := next.byInstance[inst]; ok {
 			continue
 		}
-		leaving := *old
-		if leaving.UsableUntil.IsZero() {
-			leaving.UsableUntil = now.Add(leaveGrace)
+		departed := *old
+		if departed.UsableUntil.IsZero() {
+			departed.UsableUntil = now.Add(leaveGrace)
 		}
-		leaving.Draining = false
-		if now.Before(leaving.UsableUntil) {
-			next.byInstance[inst] = &leaving
+		departed.Draining = false
+		if now.Before(departed.UsableUntil) {
+			next.byInstance[inst] = &departed
 		}
 	}
 	for _, servers := range next.byService {
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -36,11 +36,16 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// leaving holds the servers that have stated that they leave, with the time of the first statement.
+	leaving map[registry.Instance]time.Time
 }
 
+// maxLeaving limits the servers whose statements that they leave are remembered.
+const maxLeaving = 1024
+
 // New returns a view without configuration, servers and tables.
 func New() *View {
-	v := &View{changed: make(chan struct{})}
+	v := &View{changed: make(chan struct{}), leaving: make(map[registry.Instance]time.Time)}
 	v.servers.Store(&Servers{byInstance: map[registry.Instance]*TrackedServer{}, byService: map[string][]registry.Server{}})
 	v.tables.Store(&map[string]*ownership.Table{})
 	return v
@@ -102,9 +107,43 @@
 func (v *View) SetServers(now time.Time, list []registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.servers.Store(v.servers.Load().update(now, list))
+	v.servers.Store(v.servers.Load().update(now, list, v.leaving))
 	v.notifyChange()
 }
 
+// SetLeaving records that a server has stated that it leaves, and reports whether that is new. The server
+// counts as draining from then on, whatever its entry says.
+func (v *View) SetLeaving(now time.Time, inst registry.Instance) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, known := v.leaving[inst]; known {
+		return false
+	}
+	if len(v.leaving) >= maxLeaving {
+		v.forgetLeaving()
+	}
+	v.leaving[inst] = now
+	servers := v.servers.Load()
+	v.servers.Store(servers.update(now, servers.Registered(), v.leaving))
+	v.notifyChange()
+	return true
+}
+
+// forgetLeaving makes room for another statement. It forgets the oldest one of a server that is no longer
+// known, or else the oldest one. The lock is held.
+func (v *View) forgetLeaving() {
+	servers := v.servers.Load()
+	var oldest registry.Instance
+	var oldestAt time.Time
+	oldestTracked := true
+	for inst, at := range v.leaving {
+		tracked := servers.IsTracked(inst)
+		if oldestAt.IsZero() || oldestTracked && !tracked || oldestTracked == tracked && at.Before(oldestAt) {
+			oldest, oldestAt, oldestTracked = inst, at, tracked
+		}
+	}
+	delete(v.leaving, oldest)
+}
+
 // Servers returns the registered servers and those that left less than leaveGrace ago.
 func (v *View) Servers() *Servers { return v.servers.Load() }
