--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -65,6 +65,7 @@
 	wake          chan struct{}
 
 	services map[string]*serviceState
+	workload workload
 }
 
 // serviceState holds the coordinator of one service and the state of its calls.
@@ -112,6 +113,7 @@
 	if configuration == nil {
 		return
 	}
+	s.workload.steps++
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
 	// An entry of a service that is not configured may be another writer's, and is no proof that the
@@ -145,6 +147,7 @@
 		s.probeSilentServers(ctx, group, now, state)
 		s.logEvents(name, state)
 	}
+	s.logWorkload(now)
 }
 
 // logEvents logs the changes in the ownership of a service's keys.
@@ -273,6 +276,7 @@
 			// table.
 			s.recheckRole(state)
 		case err == nil:
+			s.workload.tables++
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
 			state.coordinator.MarkStored(time.Now(), generation, o.Revision)
@@ -343,13 +347,14 @@
 func (s *executor) execute(ctx context.Context, state *serviceState, o coordinator.Order) {
 	r := coordinator.Result{Number: o.Number}
 	address, err := netip.ParseAddrPort(o.Server.Address)
+	to := platform.Recipient{ID: o.Server.ID, Address: address}
 	switch {
 	case err != nil:
 		r.Err, r.Unsent = err, true
 	case o.Release:
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		r.Handover, r.Err = s.node.grants.Release(bounded, address, o.Keys, uint64(o.Fence))
+		r.Handover, r.Err = s.node.grants.Release(bounded, to, o.Keys, uint64(o.Fence))
 	case time.Now().After(o.SendBy) || !s.isActive():
 		// The process was short of processor time, or is no longer the coordinator.
 		r.Err, r.Expired = errOrderExpired, true
@@ -360,14 +365,15 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		r.Err = s.node.grants.Grant(bounded, address, o.Keys, uint64(o.Fence), hold, o.Handover)
+		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), hold, o.Handover)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
+	r.Misdirected = errors.Is(r.Err, platform.ErrMisdirected)
 	r.Unsent = r.Unsent || errors.Is(r.Err, platform.ErrNotSent)
 	if r.Err != nil {
 		s.node.logger.WithError(r.Err).WithFields(log.Fields{
 			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
-			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent,
+			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected,
 		}).Info("order failed")
 	}
 	s.node.mu.Lock()
@@ -376,6 +382,9 @@
 	if r.Err != nil {
 		s.node.orders[orderKind(o)+" failed"]++
 	}
+	if r.Expired {
+		s.workload.expired++
+	}
 	state.coordinator.HandleResult(time.Now(), r)
 	s.wakeNode()
 }
@@ -428,6 +437,7 @@
 
 // addReport adds a report to the demand of its services.
 func (s *executor) addReport(now time.Time, r report.Report) {
+	s.workload.reports++
 	for _, m := range r.Loads {
 		if state := s.services[m.Service]; state != nil {
 			state.demand.AddRequests(now, m.Keys, m.MeanServiceTime)
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -21,6 +21,8 @@
 	NotRun bool
 	// HasServerProof is true if the response carries the server's proof that it made the response.
 	HasServerProof bool
+	// Reused is true if the connection had been used for an earlier request.
+	Reused bool
 	// Leaving is true if the server states that it leaves, and LeavingErr is why its statement can't be
 	// used, or nil.
 	Leaving    bool
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -47,6 +47,7 @@
 	Samples []wireSample
 	Crashes []wireCrash
 	Limits  []wireLimit
+	CutOff  bool
 	Leaving []wireInstance
 }
 
@@ -81,6 +82,7 @@
 	Confirmed   bool
 	Members     []wireMember
 	Cores       float64
+	CutOff      []string
 }
 
 type wireObject struct {
@@ -137,7 +139,7 @@
 
 // encodeReport returns a report as it is sent now.
 func encodeReport(now time.Time, r Report) *wireReport {
-	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores}
+	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores, CutOff: r.CutOff}
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
 	}
@@ -158,7 +160,7 @@
 
 // decodeReport returns a report that has been received now.
 func decodeReport(now time.Time, w *wireReport) Report {
-	r := Report{From: decodeMember(w.From), Cores: w.Cores}
+	r := Report{From: decodeMember(w.From), Cores: w.Cores, CutOff: w.CutOff}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
 	}
@@ -183,7 +185,7 @@
 }
 
 func encodeResponse(r Response) *wireResponse {
-	w := &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Cores: r.Cores}
+	w := &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Cores: r.Cores, CutOff: r.CutOff}
 	for _, m := range r.Members {
 		w.Members = append(w.Members, encodeMember(m))
 	}
@@ -191,7 +193,7 @@
 }
 
 func decodeResponse(w *wireResponse) Response {
-	r := Response{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores}
+	r := Response{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores, CutOff: w.CutOff}
 	for _, m := range w.Members {
 		r.Members = append(r.Members, decodeMember(m))
 	}
