--- a/entry/internal/dispatch/relay_test.go
+++ b/entry/internal/dispatch/relay_test.go
@@ -90,7 +90,7 @@
 // partitionedFixture returns a fixture whose dispatcher uses the partition.
 func partitionedFixture(t *testing.T, p *partition, sharded bool, servers ...*testServer) *fixture {
 	f := newFixture(t, sharded, unlimited{}, ampleBudget, servers...)
-	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, p, p)
+	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, p, p, noTracking{})
 	if sharded {
 		f.setOwner(servers[0], false)
 	}
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -50,6 +50,7 @@
 	"bramleystand.org/entry/internal/retry"
 	"bramleystand.org/entry/internal/serverprobe"
 	"bramleystand.org/entry/internal/slots"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/storemetrics"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
@@ -102,6 +103,7 @@
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
 	limits     *requestlimit.Table
+	statements *statement.Table
 	// reachability tells which servers this process reaches.
 	reachability *reachability.Monitor
 	relayClient  *relay.Client
@@ -147,14 +149,15 @@
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
+	p.statements = statement.NewTable(p.view, logger)
 	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, serverprobe.New(d, p.view), logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, tracker, p.reachability, d, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient, p.statements)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
 	p.peerServer = report.NewServer(p.node, p.relayServer, logger)
