--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -37,7 +37,7 @@
 
 // Prober finds out which servers this process reaches.
 type Prober interface {
-	Probe(ctx context.Context, servers []netip.AddrPort) []bool
+	Reached(ctx context.Context, servers []netip.AddrPort) []bool
 }
 
 // Relays asks other processes which servers they reach.
@@ -45,8 +45,8 @@
 	Query(ctx context.Context, to netip.AddrPort, q relay.Query) (relay.Answer, error)
 }
 
-// reachability is whether a process that is not the coordinator reaches servers.
-type reachability struct {
+// candidacy is whether a process that may take the lock reaches servers.
+type candidacy struct {
 	// cutOff is true if the latest check has reached none.
 	cutOff  bool
 	checked time.Time
@@ -75,7 +75,7 @@
 		addresses := addressesOf(servers)
 		answers := make([]relay.Answer, len(members))
 		var calls sync.WaitGroup
-		calls.Go(func() { result.own = s.node.prober.Probe(ctx, addresses) })
+		calls.Go(func() { result.own = s.node.prober.Reached(ctx, addresses) })
 		for i, m := range members {
 			calls.Go(func() {
 				answer, err := s.node.relays.Query(ctx, m.Address, relay.Query{Servers: addresses})
@@ -136,7 +136,7 @@
 		n.logger.WithFields(fields).Warn("coordinator's role given up: no server answers this process, and other processes reach them")
 		n.nextHandOver = time.Now().Add(handOverPause)
 		n.handOvers++
-		n.reach = reachability{cutOff: true, checked: time.Now()}
+		n.reach = candidacy{cutOff: true, checked: time.Now()}
 		n.updateTakeoverDelay()
 		n.election.RemainCandidate(now, l, o.Revision)
 		n.endRole()
@@ -175,14 +175,14 @@
 	addresses := addressesOf(servers[:min(len(servers), reachServers)])
 	n.reach.pending, n.reach.checked = true, now
 	group.Go(func() {
-		reached := n.prober.Probe(ctx, addresses)
+		reached := n.prober.Reached(ctx, addresses)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		cutOff := len(addresses) > 0 && !slices.Contains(reached, true)
 		if cutOff != n.reach.cutOff {
 			n.logger.WithField("reached", !cutOff).Info("whether this process reaches servers has changed")
 		}
-		n.reach = reachability{cutOff: cutOff, checked: time.Now()}
+		n.reach = candidacy{cutOff: cutOff, checked: time.Now()}
 		n.updateTakeoverDelay()
 	})
 }
--- a/entry/internal/gatewayprocess/coordinatorcut_test.go
+++ b/entry/internal/gatewayprocess/coordinatorcut_test.go
@@ -11,12 +11,12 @@
 	"github.com/shoenig/test/must"
 )
 
-// maxUnserved is the longest time for which a key may stay without service while a process reaches its
+// maxKeyGap is the longest time for which a key may stay without service while a process reaches its
 // server.
-const maxUnserved = 3 * time.Second
+const maxKeyGap = 3 * time.Second
 
-// cutTest is a deployment of processes and servers in which processes can be cut off from servers.
-type cutTest struct {
+// roleTest is a deployment of processes and servers in which processes can be cut off from servers.
+type roleTest struct {
 	store     *fakeStore
 	processes []*testProcess
 	backends  []*fakeBackend
@@ -27,14 +27,14 @@
 	isCut map[string]bool
 }
 
-// cutTests limits how many of these deployments run at a time, because they measure times.
-var cutTests = make(chan struct{}, 2)
+// roleTests limits how many of these deployments run at a time, because they measure times.
+var roleTests = make(chan struct{}, 2)
 
-// newCutTest starts four processes and three servers of four slots, and waits until all keys are served.
-func newCutTest(t *testing.T) *cutTest {
-	cutTests <- struct{}{}
-	t.Cleanup(func() { <-cutTests })
-	c := &cutTest{store: newFakeStore(t), isCut: make(map[string]bool)}
+// newRoleTest starts four processes and three servers of four slots, and waits until all keys are served.
+func newRoleTest(t *testing.T) *roleTest {
+	roleTests <- struct{}{}
+	t.Cleanup(func() { <-roleTests })
+	c := &roleTest{store: newFakeStore(t), isCut: make(map[string]bool)}
 	c.store.put("config", "main", fmt.Sprintf(configurationFormat, 1))
 	for _, id := range []string{"a", "b", "c"} {
 		b := &fakeBackend{id: id, executions: make(map[string]int), finishSlow: make(chan struct{})}
@@ -53,7 +53,7 @@
 }
 
 // coordinator returns the index of the coordinator.
-func (c *cutTest) coordinator(t *testing.T) int {
+func (c *roleTest) coordinator(t *testing.T) int {
 	found := -1
 	eventually(t, 10*time.Second, "one process is the coordinator", func() bool {
 		found = -1
@@ -72,10 +72,10 @@
 }
 
 // cut changes what happens to connections from a process to the given servers.
-func (c *cutTest) cut(t *testing.T, process int, kind cutKind, servers ...int) {
+func (c *roleTest) cut(t *testing.T, process int, kind pathState, servers ...int) {
 	t.Helper()
 	c.mu.Lock()
-	c.isCut[c.processes[process].settings.Name] = kind != notCut && len(servers) == len(c.listeners)
+	c.isCut[c.processes[process].settings.Name] = kind != pathOpen && len(servers) == len(c.listeners)
 	c.mu.Unlock()
 	for _, s := range servers {
 		must.NoError(t, c.listeners[s].cut(c.processes[process].settings.ClientAddress.Addr(), kind))
@@ -113,7 +113,7 @@
 
 // sendAll sends 100 requests a second, in turn to each of the processes, until the time is over. It returns
 // the longest time without service of a key at each of the processes, while it was not cut off.
-func (c *cutTest) sendAll(t *testing.T, until time.Time) map[string]time.Duration {
+func (c *roleTest) sendAll(t *testing.T, until time.Time) map[string]time.Duration {
 	k := &keyService{last: make(map[string]time.Time), longest: make(map[string]time.Duration)}
 	began := time.Now()
 	for _, p := range c.processes {
@@ -140,22 +140,22 @@
 }
 
 // mustBeServed checks the longest times without service.
-func (c *cutTest) mustBeServed(t *testing.T, longest map[string]time.Duration) {
+func (c *roleTest) mustBeServed(t *testing.T, longest map[string]time.Duration) {
 	t.Helper()
 	t.Logf("longest time without service: %v", longest)
 	for _, p := range c.processes {
-		must.LessEq(t, maxUnserved, longest[p.settings.Name], must.Sprint(p.settings.Name))
+		must.LessEq(t, maxKeyGap, longest[p.settings.Name], must.Sprint(p.settings.Name))
 	}
 }
 
 // Guards against keys that no process serves because the coordinator is cut off from all servers.
 func TestCoordinatorCutOff(t *testing.T) {
 	t.Parallel()
-	for name, kind := range map[string]cutKind{"reset": cutReset, "silent": cutSilent} {
+	for name, kind := range map[string]pathState{"reset": pathReset, "silent": pathSilent} {
 		for others := range 3 {
 			t.Run(fmt.Sprintf("%s, %d more", name, others), func(t *testing.T) {
 				t.Parallel()
-				c := newCutTest(t)
+				c := newRoleTest(t)
 				first := c.coordinator(t)
 				isCut := make(map[int]bool)
 				for i := range others + 1 {
@@ -175,19 +175,19 @@
 // served when the cut has ended.
 func TestAllProcessesCutOff(t *testing.T) {
 	t.Parallel()
-	c := newCutTest(t)
+	c := newRoleTest(t)
 	first := c.coordinator(t)
 	term := c.processes[first].metrics.Get("term").String()
 	for i := range c.processes {
-		c.cut(t, i, cutReset, 0, 1, 2)
+		c.cut(t, i, pathReset, 0, 1, 2)
 	}
 	c.sendAll(t, time.Now().Add(6*time.Second))
 	must.Eq(t, term, c.processes[first].metrics.Get("term").String())
 	for i := range c.processes {
-		c.cut(t, i, notCut, 0, 1, 2)
+		c.cut(t, i, pathOpen, 0, 1, 2)
 	}
 	for _, p := range c.processes {
-		eventually(t, maxUnserved, p.settings.Name+" serves", func() bool { return p.servesAllKeys("healed") })
+		eventually(t, maxKeyGap, p.settings.Name+" serves", func() bool { return p.servesAllKeys("healed") })
 	}
 	must.Eq(t, term, c.processes[first].metrics.Get("term").String())
 }
@@ -196,7 +196,7 @@
 // against a cut that moves from process to process and leaves keys without service.
 func TestCutMovesWithRole(t *testing.T) {
 	t.Parallel()
-	c := newCutTest(t)
+	c := newRoleTest(t)
 	var group sync.WaitGroup
 	var longest map[string]time.Duration
 	group.Go(func() { longest = c.sendAll(t, time.Now().Add(12*time.Second)) })
@@ -204,16 +204,16 @@
 	for len(isCut) < len(c.processes)-1 {
 		cut := c.coordinator(t)
 		isCut[cut] = true
-		c.cut(t, cut, cutReset, 0, 1, 2)
-		eventually(t, maxUnserved, "another process has the role", func() bool { return c.coordinator(t) != cut })
+		c.cut(t, cut, pathReset, 0, 1, 2)
+		eventually(t, maxKeyGap, "another process has the role", func() bool { return c.coordinator(t) != cut })
 	}
 	last := c.coordinator(t)
 	must.False(t, isCut[last])
 	for i := range isCut {
-		c.cut(t, i, notCut, 0, 1, 2)
+		c.cut(t, i, pathOpen, 0, 1, 2)
 	}
-	c.cut(t, last, cutReset, 0, 1, 2)
-	eventually(t, maxUnserved, "a process that was cut off has the role again", func() bool { return isCut[c.coordinator(t)] })
+	c.cut(t, last, pathReset, 0, 1, 2)
+	eventually(t, maxKeyGap, "a process that was cut off has the role again", func() bool { return isCut[c.coordinator(t)] })
 	group.Wait()
 	c.mustBeServed(t, longest)
 }
--- a/entry/internal/gatewayprocess/cutlistener_test.go
+++ b/entry/internal/gatewayprocess/cutlistener_test.go
@@ -14,17 +14,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// cutKind is what happens to the connections from an address.
-type cutKind int
+// pathState is what happens to the connections from an address.
+type pathState int
 
 const (
-	// notCut leaves the connections alone.
-	notCut cutKind = iota
-	// cutReset resets the connections, new ones right after they were accepted.
-	cutReset
-	// cutSilent drops all packets from the address, those that open a connection included. Data that was
+	// pathOpen leaves the connections alone.
+	pathOpen pathState = iota
+	// pathReset resets the connections, new ones right after they were accepted.
+	pathReset
+	// pathSilent drops all packets from the address, those that open a connection included. Data that was
 	// sent meanwhile may arrive after the cut.
-	cutSilent
+	pathSilent
 )
 
 // cutListener is a TCP listener that can cut off single addresses.
@@ -32,7 +32,7 @@
 	*net.TCPListener
 
 	mu    sync.Mutex
-	kinds map[netip.Addr]cutKind
+	kinds map[netip.Addr]pathState
 	conns map[*net.TCPConn]netip.Addr
 }
 
@@ -43,7 +43,7 @@
 	config.SetMultipathTCP(false)
 	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	return &cutListener{TCPListener: l.(*net.TCPListener), kinds: make(map[netip.Addr]cutKind), conns: make(map[*net.TCPConn]netip.Addr)}
+	return &cutListener{TCPListener: l.(*net.TCPListener), kinds: make(map[netip.Addr]pathState), conns: make(map[*net.TCPConn]netip.Addr)}
 }
 
 // trackedConn is a connection that its listener forgets when it is closed.
@@ -69,7 +69,7 @@
 		}
 		from := c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
 		l.mu.Lock()
-		if l.kinds[from] == cutReset {
+		if l.kinds[from] == pathReset {
 			l.mu.Unlock()
 			reset(c)
 			continue
@@ -87,13 +87,13 @@
 }
 
 // cut changes what happens to the connections from an address.
-func (l *cutListener) cut(from netip.Addr, kind cutKind) error {
+func (l *cutListener) cut(from netip.Addr, kind pathState) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.kinds[from] = kind
 	var silent []netip.Addr
 	for address, k := range l.kinds {
-		if k == cutSilent {
+		if k == pathSilent {
 			silent = append(silent, address)
 		}
 	}
@@ -103,7 +103,7 @@
 	for c, address := range l.conns {
 		switch {
 		case address != from:
-		case kind == cutReset:
+		case kind == pathReset:
 			reset(c)
 		default:
 			if err := dropFrom(c, silent); err != nil {
@@ -167,13 +167,13 @@
 		}
 		return response.Body.Close() == nil
 	}
-	for _, kind := range []cutKind{cutReset, cutSilent} {
+	for _, kind := range []pathState{pathReset, pathSilent} {
 		eventually(t, 10*time.Second, "reached", func() bool { return reached(kept) })
 		must.NoError(t, l.cut(from, kind))
 		must.False(t, reached(kept))
 		must.False(t, reached(client(from)))
 		eventually(t, 10*time.Second, "the other address reaches it", func() bool { return reached(client(other)) })
-		must.NoError(t, l.cut(from, notCut))
+		must.NoError(t, l.cut(from, pathOpen))
 	}
 	eventually(t, 10*time.Second, "reached again", func() bool { return reached(client(from)) })
 }
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -31,6 +31,7 @@
 	"github.com/rotisserie/eris"
 
 	"bramleystand.org/common/gatewaysettings"
+	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/cluster"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/dialer"
@@ -40,12 +41,13 @@
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/operator"
-	"bramleystand.org/entry/internal/reach"
+	"bramleystand.org/entry/internal/reachability"
 	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/retry"
+	"bramleystand.org/entry/internal/serverprobe"
 	"bramleystand.org/entry/internal/slots"
 	"bramleystand.org/entry/internal/storemetrics"
 	"bramleystand.org/entry/internal/view"
@@ -100,9 +102,11 @@
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
 	limits     *requestlimit.Table
-	dispatcher *dispatch.Dispatcher
-	handler    *gateway.Handler
-	peerServer *report.Server
+	// reachability tells which servers this process reaches.
+	reachability *reachability.Monitor
+	dispatcher   *dispatch.Dispatcher
+	handler      *gateway.Handler
+	peerServer   *report.Server
 	// followers keep the copies of the store's objects up to date. The keys are the names of the
 	// copies in the metrics.
 	followers map[string]*follow.Follower
@@ -139,16 +143,17 @@
 	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)), logger)
 	p.peerClient = report.NewClient(d)
 	p.relays = relay.NewClient(p.peerClient)
-	prober := reach.New(d)
+	prober := serverprobe.New(d, p.view)
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, d, prober, p.relays, logger)
+	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, prober, p.relays, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.peerServer = report.NewServer(p.node, relay.NewServer(p.self.Incarnation, prober, p.allocator), logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
@@ -281,6 +286,7 @@
 	p.runInBackground(p.node.Run)
 	p.runInBackground(p.allocator.Run)
 	p.runInBackground(p.limiter.Run)
+	p.runInBackground(p.reachability.Run)
 	p.runInBackground(p.loadFromPeers)
 	p.runInBackground(p.watchSettings)
 	p.runInBackground(p.watchMembers)
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// queryTimeout bounds a query, for which the other process connects to servers for up to 250 ms.
-	queryTimeout = 350 * time.Millisecond
+	// queryTimeout bounds a query, for which the other process connects to servers for up to 300 ms.
+	queryTimeout = 400 * time.Millisecond
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 10 * time.Second
 	// maxIdleConnections limits the unused connections to one process.
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -30,7 +30,7 @@
 
 // Prober finds out which servers are reached.
 type Prober interface {
-	Probe(ctx context.Context, servers []netip.AddrPort) []bool
+	Reached(ctx context.Context, servers []netip.AddrPort) []bool
 }
 
 // RPCHandler handles the RPC methods of other packages on the same listener.
@@ -62,7 +62,7 @@
 	}
 	return rpc.HandleUnary(stream, decodeQuery, func(_ time.Time, q Query) Answer {
 		q.Servers = q.Servers[:min(len(q.Servers), maxQueriedServers)]
-		return Answer{Reached: s.prober.Probe(stream.Context(), q.Servers), Clock: clock}
+		return Answer{Reached: s.prober.Reached(stream.Context(), q.Servers), Clock: clock}
 	}, encodeAnswer)
 }
 
