cluster: a candidate does not take the lock while its check of the servers runs

In one of three runs of TestCoordinatorCutOff/silent,_2_more, a process that was cut off too took the role 0.24 s after the coordinator had given it up: the check whether it reaches servers counted as done when it began, and it lasts 0.3 s behind a silent cut. The role then moved a second time, and keys were not served for 3.74 s: coordinatorcut_test.go:147: expected 3.74107485s <= 3s A pending check now delays the write, and what package reachability knows counts at once. Members that report that they are cut off are asked last in a survey.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -95,8 +95,8 @@
 	return append(servers, others[:min(len(others), surveyedOthers)]...)
 }
 
-func shuffle(servers []registry.Server) {
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+func shuffle[T any](values []T) {
+	rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
 }
 
 // survey is which servers this process and others reached.
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -99,16 +98,22 @@
 	})
 }
 
-// otherMembers returns the other processes in random order. The node's lock must be held.
+// otherMembers returns the other processes in random order, those that say that they reach no server last.
+// The node's lock must be held.
 func (n *Node) otherMembers() []election.Member {
-	var out []election.Member
+	var connected, cutOff []election.Member
 	for _, m := range n.members {
-		if m.Name != n.self.Name {
-			out = append(out, m)
+		switch {
+		case m.Name == n.self.Name:
+		case n.cutOffMembers[m.Name]:
+			cutOff = append(cutOff, m)
+		default:
+			connected = append(connected, m)
 		}
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
+	shuffle(connected)
+	shuffle(cutOff)
+	return append(connected, cutOff...)
 }
 
 // handOver gives up the coordinator's role if this process is cut off from the servers, and remains a
@@ -158,7 +163,12 @@
 	if _, holding := n.election.HeldTerm(); holding || len(n.otherMembers()) == 0 {
 		return true
 	}
-	if n.reach.cutOff || now.Sub(n.reach.checked) < reachLifetime {
+	if !n.reach.cutOff && n.reachability.CutOff(now) {
+		n.reach = candidacy{cutOff: true, checked: now, pending: n.reach.pending}
+		n.updateTakeoverDelay()
+		return false
+	}
+	if !n.reach.pending && (n.reach.cutOff || now.Sub(n.reach.checked) < reachLifetime) {
 		return true
 	}
 	n.checkReach(ctx, group, now)
