--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -25,8 +25,8 @@
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/orderrelay"
 	"bramleystand.org/entry/internal/ownership"
-	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
@@ -270,8 +270,8 @@
 	return make([]bool, len(servers))
 }
 
-func (noReach) Query(context.Context, netip.AddrPort, relay.Query) (relay.Answer, error) {
-	return relay.Answer{}, errUnreachable
+func (noReach) Query(context.Context, netip.AddrPort, orderrelay.Query) (orderrelay.Answer, error) {
+	return orderrelay.Answer{}, errUnreachable
 }
 
 const shardedService = "s"
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -11,7 +11,7 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/election"
-	"bramleystand.org/entry/internal/relay"
+	"bramleystand.org/entry/internal/orderrelay"
 )
 
 const (
@@ -41,7 +41,7 @@
 
 // Relays asks other processes which servers they reach.
 type Relays interface {
-	Query(ctx context.Context, to netip.AddrPort, q relay.Query) (relay.Answer, error)
+	Query(ctx context.Context, to netip.AddrPort, q orderrelay.Query) (orderrelay.Answer, error)
 }
 
 // candidacy is whether a process that may take the lock reaches servers.
@@ -72,12 +72,12 @@
 	group.Go(func() {
 		result := survey{began: now, servers: servers, byOthers: make([]bool, len(servers))}
 		addresses := addressesOf(servers)
-		answers := make([]relay.Answer, len(members))
+		answers := make([]orderrelay.Answer, len(members))
 		var calls sync.WaitGroup
 		calls.Go(func() { result.own = s.node.prober.Reached(ctx, addresses) })
 		for i, m := range members {
 			calls.Go(func() {
-				answer, err := s.node.relays.Query(ctx, m.Address, relay.Query{Servers: addresses})
+				answer, err := s.node.relays.Query(ctx, m.Address, orderrelay.Query{Servers: addresses})
 				if err != nil {
 					s.node.logger.WithError(err).WithField("member", m.Name).Info("member not asked which servers it reaches")
 					return
--- a/entry/internal/cluster/survey_internal_test.go
+++ b/entry/internal/cluster/survey_internal_test.go
@@ -39,6 +39,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		time.Sleep(100 * time.Millisecond)
+		group.Wait()
 		must.True(t, n.reach.cutOff)
 		must.True(t, mayTake(), must.Sprint("it takes the lock later than others, but it does"))
 	})
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -41,8 +41,8 @@
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/operator"
+	"bramleystand.org/entry/internal/orderrelay"
 	"bramleystand.org/entry/internal/reachability"
-	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
@@ -98,7 +98,7 @@
 	store      *storemetrics.Store
 	node       *cluster.Node
 	peerClient *report.Client
-	relays     *relay.Client
+	relays     *orderrelay.Client
 	allocator  *slots.Allocator
 	limiter    *slots.Limiter
 	limits     *requestlimit.Table
@@ -142,7 +142,7 @@
 	p.replica = replica.New(p.view, logger)
 	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)), logger)
 	p.peerClient = report.NewClient(d)
-	p.relays = relay.NewClient(p.peerClient)
+	p.relays = orderrelay.NewClient(p.peerClient)
 	prober := serverprobe.New(d, p.view)
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
@@ -155,7 +155,7 @@
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
-	p.peerServer = report.NewServer(p.node, relay.NewServer(p.self.Incarnation, prober, p.allocator), logger)
+	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, p.allocator), logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
--- a/entry/internal/relay/client.go
+++ b/entry/internal/orderrelay/client.go
@@ -1,4 +1,4 @@
-package relay
+package orderrelay
 
 import (
 	"context"
@@ -21,7 +21,7 @@
 	maxIdleConnections = 4
 )
 
-var errWrongAnswer = eris.New("relay: the answer is not for the servers of the query")
+var errWrongAnswer = eris.New("orderrelay: the answer is not for the servers of the query")
 
 // Peers opens connections to other processes.
 type Peers interface {
@@ -42,7 +42,7 @@
 // Close closes the idle connections.
 func (c *Client) Close() error {
 	if err := c.pool.Close(); err != nil {
-		return fmt.Errorf("relay: close connections: %w", err)
+		return fmt.Errorf("orderrelay: close connections: %w", err)
 	}
 	return nil
 }
@@ -53,10 +53,10 @@
 	defer cancel()
 	var w wireAnswer
 	if err := c.pool.Get(ctx, to, c.peers.Dial).Invoke(ctx, queryMethod, rpc.Encoding{}, encodeQuery(q), &w); err != nil {
-		return Answer{}, fmt.Errorf("relay: query %s: %w", to, err)
+		return Answer{}, fmt.Errorf("orderrelay: query %s: %w", to, err)
 	}
 	if len(w.Reached) != len(q.Servers) {
-		return Answer{}, fmt.Errorf("relay: query %s: %w", to, errWrongAnswer)
+		return Answer{}, fmt.Errorf("orderrelay: query %s: %w", to, errWrongAnswer)
 	}
 	return decodeAnswer(&w), nil
 }
--- a/entry/internal/relay/server.go
+++ b/entry/internal/orderrelay/server.go
@@ -1,14 +1,14 @@
-// Package relay lets a process that does not reach a backend server find out which other entry processes
+// Package orderrelay lets a process that does not reach a backend server find out which other entry processes
 // reach it.
 //
 // # Usage
 //
-//	server := relay.NewServer(incarnation, prober, fallback)
+//	server := orderrelay.NewServer(incarnation, prober, fallback)
 //	err := server.HandleRPC(stream, method)
 //
-//	client := relay.NewClient(peers)
-//	answer, err := client.Query(ctx, address, relay.Query{Servers: addresses})
-package relay
+//	client := orderrelay.NewClient(peers)
+//	answer, err := client.Query(ctx, address, orderrelay.Query{Servers: addresses})
+package orderrelay
 
 import (
 	"context"
@@ -70,7 +70,7 @@
 func (s *Server) clock() (Clock, error) {
 	sinceBoot, err := bootclock.Now()
 	if err != nil {
-		return Clock{}, fmt.Errorf("relay: %w", err)
+		return Clock{}, fmt.Errorf("orderrelay: %w", err)
 	}
 	return Clock{Incarnation: s.incarnation, SinceBoot: sinceBoot}, nil
 }
--- a/entry/internal/relay/wire.go
+++ b/entry/internal/orderrelay/wire.go
@@ -1,4 +1,4 @@
-package relay
+package orderrelay
 
 import (
 	"net/netip"
