--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -12,12 +12,14 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/common/revision"
+	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/demand"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
 
@@ -71,7 +73,10 @@
 
 // serviceState holds the coordinator of one service and the state of its calls.
 type serviceState struct {
-	coordinator   *coordinator.Coordinator
+	coordinator *coordinator.Coordinator
+	// servers and configuration are those whose servers the coordinator has got.
+	servers       *view.Servers
+	configuration *traffic.Configuration
 	demand        *demand.Service
 	readPending   bool
 	writePending  bool
@@ -118,12 +123,7 @@
 	s.workload.steps++
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
-	// An entry of a service that is not configured may be another writer's, and is no proof that the
-	// former server at its address has ended.
-	servers := slices.DeleteFunc(s.node.view.Servers().Registered(), func(r registry.Server) bool {
-		_, configured := configuration.Services[r.Service]
-		return !configured
-	})
+	servers := s.node.view.Servers()
 	for name, service := range configuration.Services {
 		if !service.Sharded {
 			continue
@@ -137,7 +137,10 @@
 			s.loadTable(ctx, group, name, state)
 			continue
 		}
-		state.coordinator.SetServers(now, servers)
+		if state.servers != servers || state.configuration != configuration {
+			state.servers, state.configuration = servers, configuration
+			state.coordinator.SetServers(now, configuredServers(configuration, servers))
+		}
 		s.writeTable(ctx, group, now, name, state)
 		if now.Sub(confirmed) > coordinator.MaxOfflineRenewal {
 			continue
@@ -152,6 +155,15 @@
 	s.logWorkload(now)
 }
 
+// configuredServers returns the registered servers of all configured services. An entry of another service
+// may be another writer's, and is no proof that the former server at its address has ended.
+func configuredServers(configuration *traffic.Configuration, servers *view.Servers) []registry.Server {
+	return slices.DeleteFunc(servers.Registered(), func(r registry.Server) bool {
+		_, configured := configuration.Services[r.Service]
+		return !configured
+	})
+}
+
 // logEvents logs the changes in the ownership of a service's keys.
 func (s *executor) logEvents(name string, state *serviceState) {
 	for _, e := range state.coordinator.Events() {
@@ -225,6 +237,7 @@
 			state.nextStoreCall = now.Add(restoredTableInterval)
 			return
 		}
+		state.servers, state.configuration = nil, nil
 		state.coordinator = coordinator.New(name, s.term, table, time.Now(), s.inheritedUntil)
 		s.wakeNode()
 	})
@@ -279,6 +292,7 @@
 			s.recheckRole(state)
 		case err == nil:
 			s.workload.tables++
+			s.workload.written = time.Since(now)
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
 			state.coordinator.MarkStored(time.Now(), generation, o.Revision)
@@ -287,6 +301,7 @@
 			// The response to a write of this process was lost, or another coordinator has written.
 			s.resolveConflict(ctx, group, name, state)
 		default:
+			s.node.logger.WithError(err).WithFields(log.Fields{"service": name, "ms": time.Since(now).Milliseconds(), "bytes": len(data)}).Warn("table not written")
 			state.nextStoreCall = time.Now().Add(150 * time.Millisecond)
 		}
 	})
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -43,6 +44,7 @@
 	"bramleystand.org/entry/internal/operator"
 	"bramleystand.org/entry/internal/orderrelay"
 	"bramleystand.org/entry/internal/reachability"
+	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
@@ -93,17 +95,19 @@
 	self          election.Member
 	logger        log.Interface
 
-	view       *view.View
-	replica    *replica.Replica
-	store      *storemetrics.Store
-	node       *cluster.Node
-	peerClient *report.Client
-	relays     *orderrelay.Client
-	allocator  *slots.Allocator
-	limiter    *slots.Limiter
-	limits     *requestlimit.Table
+	view        *view.View
+	replica     *replica.Replica
+	store       *storemetrics.Store
+	node        *cluster.Node
+	peerClient  *report.Client
+	orderRelays *orderrelay.Client
+	allocator   *slots.Allocator
+	limiter     *slots.Limiter
+	limits      *requestlimit.Table
 	// reachability tells which servers this process reaches.
 	reachability *reachability.Monitor
+	relayClient  *relay.Client
+	relayServer  *relay.Server
 	dispatcher   *dispatch.Dispatcher
 	handler      *gateway.Handler
 	peerServer   *report.Server
@@ -142,20 +146,22 @@
 	p.replica = replica.New(p.view, logger)
 	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)), logger)
 	p.peerClient = report.NewClient(d)
-	p.relays = orderrelay.NewClient(p.peerClient)
+	p.orderRelays = orderrelay.NewClient(p.peerClient)
 	prober := serverprobe.New(d, p.view)
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
 	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, prober, p.relays, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, prober, p.orderRelays, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability)
+	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
-	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, p.allocator), logger)
+	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
+	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, p.relayServer), logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
@@ -367,10 +373,9 @@
 func (p *Process) close() {
 	p.cancelLoops()
 	p.loops.Wait()
-	if err := p.peerClient.Close(); err != nil {
-		p.logger.WithError(err).Warn("closing the connections to peers failed")
-	}
-	if err := p.relays.Close(); err != nil {
-		p.logger.WithError(err).Warn("closing the connections to peers failed")
+	for _, c := range []io.Closer{p.relayClient, p.orderRelays, p.peerClient} {
+		if err := c.Close(); err != nil {
+			p.logger.WithError(err).Warn("closing the connections to peers failed")
+		}
 	}
 }
