--- a/entry/internal/serverprobe/prober_test.go
+++ b/entry/internal/serverprobe/prober_test.go
@@ -58,6 +58,7 @@
 			s := registry.Server{Address: netip.MustParseAddrPort(l.Addr().String())}
 			begin := time.Now()
 			must.Eq(t, c.opens, p.Probe(t.Context(), s, false) == nil)
+			must.Eq(t, []bool{c.opens, c.opens}, p.Reached(t.Context(), []netip.AddrPort{s.Address, s.Address}))
 			must.Eq(t, c.exchanges, p.Probe(t.Context(), s, true) == nil)
 			// A round of probes is over before the next but one is due.
 			must.Less(t, 2*time.Second, time.Since(begin))
