--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, crashTracker, reachability, dialer, logger)
+//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, statements, crashTracker, reachability, dialer, prober, relays, logger)
 //	go n.Run(ctx)
 //	defer n.Resign(ctx)
 package cluster
@@ -29,6 +29,7 @@
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
@@ -87,17 +88,31 @@
 	replica       *replica.Replica
 	loadCollector *LoadCollector
 	limits        *requestlimit.Table
+	statements    *statement.Table
 	crashes       *crashes.Tracker
 	reachability  Reachability
 	dialer        Dialer
+	prober        Prober
+	relays        Relays
 	logger        log.Interface
 
 	mu              sync.Mutex
 	election        *election.Election
 	lockCallPending bool
 	executor        *executor
-	era             storeEra
-	members         []election.Member
+	// roleEnded is closed when the process gives up the coordinator's role.
+	roleEnded chan struct{}
+	// resigning is true while a stopping process gives up the role, and handingOver while one does that is
+	// cut off.
+	resigning, handingOver bool
+	nextHandOver           time.Time
+	// handOvers counts how often the process has given up the role because it was cut off.
+	handOvers int
+	reach     candidacy
+	// largestCores is the processor time of the largest VM, zero if it is not known.
+	largestCores float64
+	era          storeEra
+	members      []election.Member
 	// membersAt is when the coordinator last confirmed the members; zero if it never did.
 	membersAt time.Time
 	// cutOffMembers has the names of the members that reach no server.
@@ -148,13 +163,13 @@
 }
 
 // New returns a node that does nothing until Run. cores is the processor time of the VM in cores.
-func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, t *crashes.Tracker, reach Reachability, dialer Dialer, logger log.Interface) *Node {
+func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, statements *statement.Table, t *crashes.Tracker, reach Reachability, dialer Dialer, prober Prober, relays Relays, logger log.Interface) *Node {
 	now := time.Now()
 	e := election.New(self, now, rand.N(maxJitter))
 	e.SetTakeoverDelay(takeoverDelay(cores, 0))
 	return &Node{
-		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, crashes: t, reachability: reach, dialer: dialer, logger: logger,
-		election: e, reporters: make(map[string]reporter),
+		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, statements: statements, crashes: t, reachability: reach, dialer: dialer, prober: prober, relays: relays, logger: logger,
+		election: e, roleEnded: make(chan struct{}), reporters: make(map[string]reporter),
 		members: []election.Member{self}, watchers: make(map[string]StoreWatcher), received: make(map[string]*ownership.Table), orders: make(map[string]int),
 	}
 }
@@ -262,11 +277,18 @@
 	if n.lockCallPending {
 		return
 	}
-	switch n.election.NextAction(time.Now()) {
+	now := time.Now()
+	if n.reach.cutOff && now.Sub(n.reach.checked) >= reachInterval {
+		n.checkReach(ctx, group, now)
+	}
+	switch n.election.NextAction(now) {
 	case election.ReadLock:
 		n.lockCallPending = true
 		group.Go(func() { n.readLock(ctx) })
 	case election.WriteLock:
+		if !n.mayTakeLock(ctx, group, now) {
+			return
+		}
 		n.lockCallPending = true
 		group.Go(func() { n.writeLock(ctx) })
 	}
@@ -351,6 +373,8 @@
 		n.election.Settle(n.executor.era)
 	}
 	n.executor.step(ctx, group, now, n.election.Confirmed())
+	n.executor.survey(ctx, group, now)
+	n.handOver(ctx, group, now)
 }
 
 // reportLoop sends reports to the coordinator until the context ends.
@@ -376,7 +400,7 @@
 	loads, samples := n.loadCollector.TakeUnreported()
 	r := report.Report{
 		From: n.self, Cores: n.cores, Loads: loads, Samples: samples,
-		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
+		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), Leaving: n.statements.Leaving(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
 	}
 	if holding {
 		n.Report(time.Now(), r)
@@ -390,7 +414,8 @@
 	defer n.mu.Unlock()
 	n.members, n.membersAt = response.Members, time.Now()
 	n.setCutOffMembers(response.CutOff)
-	n.election.SetTakeoverDelay(takeoverDelay(n.cores, response.Cores))
+	n.largestCores = response.Cores
+	n.updateTakeoverDelay()
 	if response.Confirmed {
 		n.election.RecordHolderAlive(time.Now(), response.Term)
 	}
@@ -410,6 +435,9 @@
 	for inst, l := range r.Limits {
 		n.limits.Merge(now, inst, l)
 	}
+	for _, inst := range r.Leaving {
+		n.statements.MergeLeaving(now, inst, r.From.Name)
+	}
 	n.members, n.membersAt = n.members[:0:0], now
 	largest := 0.0
 	var cutOff []string
@@ -483,8 +511,13 @@
 // would have no owner once their grants have expired, so this process continues to renew them.
 func (n *Node) Resign(ctx context.Context) bool {
 	n.mu.Lock()
+	if n.handingOver {
+		n.mu.Unlock()
+		return false
+	}
 	l, revision, ok := n.election.Resign()
 	_, holding := n.election.HeldTerm()
+	n.resigning = ok
 	n.mu.Unlock()
 	if !ok {
 		return !holding
@@ -492,14 +525,22 @@
 	_, err := n.putLock(ctx, l, revision)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.resigning = false
 	n.election.FinishResign(err == nil)
-	switch {
-	case err == nil:
-		n.executor = nil
-	case errors.Is(err, platform.ErrConflict):
+	if err != nil {
+		n.handleResignError(err)
+		return false
+	}
+	n.endRole()
+	return true
+}
+
+// handleResignError processes a lock that gives up the role and that the store has not accepted. The node's
+// lock must be held.
+func (n *Node) handleResignError(err error) {
+	if errors.Is(err, platform.ErrConflict) {
 		n.election.HandleConflict(time.Now())
-	default:
-		n.logger.WithError(err).Warn("coordinator's role can't be resigned yet")
+		return
 	}
-	return err == nil
+	n.logger.WithError(err).Warn("coordinator's role can't be resigned yet")
 }
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -25,10 +25,12 @@
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/orderrelay"
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
@@ -262,6 +264,17 @@
 	return nil, errUnreachable
 }
 
+// noReach is a network in which neither this process nor others reach any server.
+type noReach struct{}
+
+func (noReach) Reached(_ context.Context, servers []netip.AddrPort) []bool {
+	return make([]bool, len(servers))
+}
+
+func (noReach) Query(context.Context, netip.AddrPort, orderrelay.Query) (orderrelay.Answer, error) {
+	return orderrelay.Answer{}, errUnreachable
+}
+
 const shardedService = "s"
 
 func backend(i int) ownership.Server {
@@ -281,7 +294,7 @@
 	}
 	v.SetServers(time.Now(), list)
 	self := election.Member{Name: name, Incarnation: time.Now().UnixNano()}
-	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(&log.Logger{Handler: discard.New()}), crashes.NewTracker(), fullyConnected{}, noDialer{}, logger)
+	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(logger), statement.NewTable(v, logger), crashes.NewTracker(), fullyConnected{}, noDialer{}, noReach{}, noReach{}, logger)
 }
 
 // run runs a process and returns a function that ends it.
