cluster: a new coordinator announces itself to all processes

A process that takes the role now tells all members with the message that asks the former coordinator to stop. The lock still decides: one of the same or a later term overrides the announcement. Messages of an earlier version lack the field, so processes of both versions don't understand each other's request to stop.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -186,7 +186,7 @@
 	}
 	s.stepDownPending, s.nextStepDown = true, now.Add(stepDownInterval)
 	group.Go(func() {
-		response, err := s.node.peers.StepDown(ctx, s.former.Address, report.StepDown{Term: s.term})
+		response, err := s.node.peers.StepDown(ctx, s.former.Address, report.StepDown{Term: s.term, Successor: s.node.self})
 		s.node.mu.Lock()
 		defer s.node.mu.Unlock()
 		s.stepDownPending = false
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -111,8 +111,10 @@
 	reach     candidacy
 	// largestCores is the processor time of the largest VM, zero if it is not known.
 	largestCores float64
-	era          storeEra
-	members      []election.Member
+	// announced is the latest process that has announced itself as the coordinator.
+	announced report.StepDown
+	era       storeEra
+	members   []election.Member
 	// membersAt is when the coordinator last confirmed the members; zero if it never did.
 	membersAt time.Time
 	// cutOffMembers has the names of the members that reach no server.
@@ -290,7 +292,11 @@
 			return
 		}
 		n.lockCallPending = true
-		group.Go(func() { n.writeLock(ctx) })
+		group.Go(func() {
+			if n.writeLock(ctx) {
+				n.announceRole(ctx)
+			}
+		})
 	}
 }
 
@@ -316,7 +322,8 @@
 	n.election.ObserveLock(now, l, o.Revision)
 }
 
-func (n *Node) writeLock(ctx context.Context) {
+// writeLock writes the lock and reports whether the process has become the coordinator.
+func (n *Node) writeLock(ctx context.Context) bool {
 	n.mu.Lock()
 	now := time.Now()
 	former := n.election.FormerHolder()
@@ -342,8 +349,10 @@
 			previous := n.executor
 			n.executor = newExecutor(n, l, now, former)
 			n.executor.keepRenewing(previous, confirmed)
+			return true
 		}
 	}
+	return false
 }
 
 func (n *Node) putLock(ctx context.Context, l election.Lock, revision uint64) (platform.Object, error) {
@@ -391,7 +400,7 @@
 // report sends what was collected since the last report to the coordinator.
 func (n *Node) report(ctx context.Context) {
 	n.mu.Lock()
-	holder, ok := n.election.Holder()
+	holder, ok := n.holder()
 	_, holding := n.election.HeldTerm()
 	n.mu.Unlock()
 	if !ok && !holding {
@@ -470,6 +479,7 @@
 		n.logger.WithField("term", n.executor.term).WithField("successor", request.Term).Warn("no longer coordinator")
 		n.executor = nil
 	}
+	n.noteSuccessor(request)
 	return report.StepDownResponse{Incarnation: n.self.Incarnation, Stopped: stopped}
 }
 
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -24,7 +24,7 @@
 	var nextList time.Time
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		holder, known := n.election.Holder()
+		holder, known := n.holder()
 		_, holding := n.election.HeldTerm()
 		n.mu.Unlock()
 		if known && !holding && holder.Name != n.self.Name {
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -278,6 +278,9 @@
 	return e.lock.Holder, e.lockKnown && e.lock.Holder.Name != ""
 }
 
+// KnownTerm returns the term of the last known lock.
+func (e *Election) KnownTerm() uint64 { return e.lock.Term }
+
 // FormerHolder returns the holder in the last known lock, which this process replaces when it takes
 // over.
 func (e *Election) FormerHolder() Member { return e.lock.Holder }
--- a/entry/internal/report/client.go
+++ b/entry/internal/report/client.go
@@ -73,10 +73,11 @@
 	return decodeObjects(&w), nil
 }
 
-// StepDown asks a former coordinator to send no more orders to backend servers.
+// StepDown asks a former coordinator to send no more orders to backend servers, and tells another process
+// who the coordinator is.
 func (c *Client) StepDown(ctx context.Context, to netip.AddrPort, request StepDown) (StepDownResponse, error) {
 	var w wireStepDownResponse
-	if err := c.invoke(ctx, to, stepDownMethod, &wireStepDown{Term: request.Term}, &w); err != nil {
+	if err := c.invoke(ctx, to, stepDownMethod, encodeStepDown(request), &w); err != nil {
 		return StepDownResponse{}, err
 	}
 	return StepDownResponse{Incarnation: w.Instance, Stopped: w.Stopped}, nil
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -110,10 +110,13 @@
 	BlockedRequests []suspect.Fingerprint
 }
 
-// StepDown asks a former coordinator to send no more orders to backend servers.
+// StepDown asks a former coordinator to send no more orders to backend servers. It also tells the other
+// processes, some of which can't read the lock, who the new coordinator is.
 type StepDown struct {
 	// Term is the term of the new coordinator.
 	Term uint64
+	// Successor is the new coordinator.
+	Successor election.Member
 }
 
 // StepDownResponse is the response to StepDown. If Stopped is true, the process sends no more orders of
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -247,8 +247,9 @@
 }
 
 type wireStepDown struct {
-	_    struct{} `cbor:",toarray"`
-	Term uint64
+	_         struct{} `cbor:",toarray"`
+	Term      uint64
+	Successor wireMember
 }
 
 type wireStepDownResponse struct {
@@ -257,7 +258,13 @@
 	Stopped  bool
 }
 
-func decodeStepDown(w *wireStepDown) StepDown { return StepDown{Term: w.Term} }
+func encodeStepDown(r StepDown) *wireStepDown {
+	return &wireStepDown{Term: r.Term, Successor: encodeMember(r.Successor)}
+}
+
+func decodeStepDown(w *wireStepDown) StepDown {
+	return StepDown{Term: w.Term, Successor: decodeMember(w.Successor)}
+}
 
 func encodeStepDownResponse(r StepDownResponse) *wireStepDownResponse {
 	return &wireStepDownResponse{Instance: r.Incarnation, Stopped: r.Stopped}
