--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -89,19 +89,22 @@
 // Reachability records which servers this process reaches and tells whether it reaches them.
 type Reachability interface {
 	// RequestSent records that a request is sent to a server; the returned function records its end.
-	RequestSent(now time.Time, inst registry.Instance) (ended func())
+	RequestSent(now time.Time, s registry.Server) (ended func())
 	// RecordReached records an answer on a new connection, RecordAnswer one on a connection that was open,
 	// RecordUnreached that no connection could be opened, and RecordReset that a new connection
 	// ended without a byte of an answer.
-	RecordReached(now time.Time, inst registry.Instance)
-	RecordAnswer(now time.Time, inst registry.Instance)
-	RecordUnreached(now time.Time, inst registry.Instance)
-	RecordReset(now time.Time, inst registry.Instance)
-	// Unreached reports whether new connections to a server fail, CutOff whether those to all servers do,
-	// and Connected returns a context that ends when the process is found to be cut off.
-	Unreached(now time.Time, inst registry.Instance) bool
-	CutOff(now time.Time) bool
-	Connected() context.Context
+	RecordReached(now time.Time, s registry.Server)
+	RecordAnswer(now time.Time, s registry.Server)
+	RecordUnreached(now time.Time, s registry.Server)
+	RecordReset(now time.Time, s registry.Server)
+	// Unreached reports whether new connections to a server fail, and CutOffFrom whether those to all
+	// servers of a service do.
+	Unreached(now time.Time, s registry.Server) bool
+	CutOffFrom(service string) bool
+	// Connected returns a context that ends when the process is found to be cut off from a service, and
+	// Hanging reports whether it is because connections can't be opened.
+	Connected(service string) context.Context
+	Hanging(service string) bool
 }
 
 // Dispatcher sends requests to servers. It is safe for concurrent use.
@@ -269,7 +272,7 @@
 		return refusedResult(Unreachable, begin.Add(refusalRetryDelay), nil), true
 	}
 	b.requestStarted()
-	ended := d.reachability.RequestSent(begin, b.server.Instance)
+	ended := d.reachability.RequestSent(begin, b.server)
 	p.server = b.server.ID
 	c.SetPhase(AwaitsResponse, b.server.ID)
 	boundedCtx, cancel := d.withRequest(ctx, c)
@@ -307,17 +310,16 @@
 // A failure shows nothing if the request was given up, or if the server closed a connection that was open
 // before.
 func (d *Dispatcher) recordReachability(ctx context.Context, now time.Time, b *backend, r *origin.Response, f *origin.Error) {
-	inst := b.server.Instance
 	switch {
 	case r != nil && !r.Reused:
-		d.reachability.RecordReached(now, inst)
+		d.reachability.RecordReached(now, b.server)
 	case r != nil || f.Sent && !f.Unanswered:
-		d.reachability.RecordAnswer(now, inst)
+		d.reachability.RecordAnswer(now, b.server)
 	case ctx.Err() != nil:
 	case f.Unreachable, errors.Is(f.Cause, syscall.ETIMEDOUT):
-		d.reachability.RecordUnreached(now, inst)
+		d.reachability.RecordUnreached(now, b.server)
 	case f.Sent && !f.Reused:
-		d.reachability.RecordReset(now, inst)
+		d.reachability.RecordReset(now, b.server)
 	}
 }
 
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -128,14 +128,15 @@
 func (noTracking) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noTracking) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noTracking) RecordResponse(suspect.Fingerprint)                 {}
-func (noTracking) RequestSent(time.Time, registry.Instance) func()    { return func() {} }
-func (noTracking) RecordReached(time.Time, registry.Instance)         {}
-func (noTracking) RecordAnswer(time.Time, registry.Instance)          {}
-func (noTracking) RecordUnreached(time.Time, registry.Instance)       {}
-func (noTracking) RecordReset(time.Time, registry.Instance)           {}
-func (noTracking) Unreached(time.Time, registry.Instance) bool        { return false }
-func (noTracking) CutOff(time.Time) bool                              { return false }
-func (noTracking) Connected() context.Context                         { return context.Background() }
+func (noTracking) RequestSent(time.Time, registry.Server) func()      { return func() {} }
+func (noTracking) RecordReached(time.Time, registry.Server)           {}
+func (noTracking) RecordAnswer(time.Time, registry.Server)            {}
+func (noTracking) RecordUnreached(time.Time, registry.Server)         {}
+func (noTracking) RecordReset(time.Time, registry.Server)             {}
+func (noTracking) Unreached(time.Time, registry.Server) bool          { return false }
+func (noTracking) CutOffFrom(string) bool                             { return false }
+func (noTracking) Hanging(string) bool                                { return false }
+func (noTracking) Connected(string) context.Context                   { return context.Background() }
 func (noTracking) Available(time.Time, registry.Server) bool          { return false }
 func (noTracking) Do(context.Context, *dispatch.Call, registry.Server, int) *dispatch.Result {
 	return nil
--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -14,8 +14,7 @@
 	// maxRelays is the number of attempts to send a call through other processes.
 	maxRelays = 2
 	// cutOffGrace is how long a request that must not run twice still waits for its response after the
-	// process was found to be cut off. Until then it has waited for 1 s, because nothing has been
-	// received from any server.
+	// process was found to be cut off from its servers.
 	cutOffGrace = 700 * time.Millisecond
 )
 
@@ -37,23 +36,27 @@
 	return d.do(ctx, c, true)
 }
 
-// Reaches reports whether requests to a server may be sent by this process now.
-func (d *Dispatcher) Reaches(now time.Time, inst registry.Instance) bool {
-	if d.reachability.Unreached(now, inst) {
-		return false
+// CheckReach returns an empty reason if requests to a server of a service may be sent by this process now,
+// CutOff if it reaches no server of the service, and otherwise Unreachable.
+func (d *Dispatcher) CheckReach(now time.Time, service string, inst registry.Instance) Reason {
+	if d.reachability.CutOffFrom(service) {
+		return CutOff
 	}
-	b := d.backends.find(inst)
-	if b == nil {
-		return true
+	if d.reachability.Unreached(now, registry.Server{Instance: inst, Service: service}) {
+		return Unreachable
 	}
-	_, inBackoff := b.backoff(now)
-	return !inBackoff
+	if b := d.backends.find(inst); b != nil {
+		if _, inBackoff := b.backoff(now); inBackoff {
+			return Unreachable
+		}
+	}
+	return ""
 }
 
 // canRelay reports whether a call may be sent to a server through another process, because this one doesn't
 // reach it.
 func (d *Dispatcher) canRelay(now time.Time, p *progress, s registry.Server) bool {
-	return !p.relayed && p.relays < maxRelays && d.reachability.Unreached(now, s.Instance) && d.relay.Available(now, s)
+	return !p.relayed && p.relays < maxRelays && d.reachability.Unreached(now, s) && d.relay.Available(now, s)
 }
 
 // attemptThroughPeer sends the call to a server through another process; retry tells whether another attempt
@@ -90,10 +93,11 @@
 }
 
 // withCutOff gives up a request to a server when the process is found to be cut off, so that its slot is
-// returned. A request that may be sent again is given up at once. One that is sent while the process is cut
+// returned. A request that may be sent again is given up at once, another one only if connections hang: a
+// server that only answers late may still run it. One that is sent while the process is cut
 // off goes on: no other process could take it.
 func (d *Dispatcher) withCutOff(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
-	connected := d.reachability.Connected()
+	connected := d.reachability.Connected(c.Service)
 	if connected.Err() != nil {
 		return ctx, func() {}
 	}
@@ -104,7 +108,7 @@
 			return
 		}
 		time.AfterFunc(cutOffGrace, func() {
-			if d.reachability.CutOff(time.Now()) {
+			if d.reachability.Hanging(c.Service) {
 				cancel(errCutOff)
 			}
 		})
--- a/entry/internal/dispatch/relay_test.go
+++ b/entry/internal/dispatch/relay_test.go
@@ -45,25 +45,27 @@
 	p.cut()
 }
 
-func (p *partition) Unreached(_ time.Time, inst registry.Instance) bool {
+func (p *partition) Unreached(_ time.Time, s registry.Server) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cutOff || p.unreached[inst]
+	return p.cutOff || p.unreached[s.Instance]
 }
 
-func (p *partition) RecordUnreached(_ time.Time, inst registry.Instance) {
+func (p *partition) RecordUnreached(_ time.Time, s registry.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unreached[inst] = true
+	p.unreached[s.Instance] = true
 }
 
-func (p *partition) CutOff(time.Time) bool {
+func (p *partition) Hanging(service string) bool { return p.CutOffFrom(service) }
+
+func (p *partition) CutOffFrom(string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.cutOff
 }
 
-func (p *partition) Connected() context.Context                { return p.connected }
+func (p *partition) Connected(string) context.Context          { return p.connected }
 func (p *partition) Available(time.Time, registry.Server) bool { return p.available }
 
 func (p *partition) Do(_ context.Context, _ *dispatch.Call, _ registry.Server, attempts int) *dispatch.Result {
@@ -143,7 +145,7 @@
 	p := newPartition(servedByPeer)
 	f := partitionedFixture(t, p, true, a)
 	p.begin()
-	must.False(t, f.dispatcher.Reaches(time.Now(), a.Instance))
+	must.Eq(t, dispatch.CutOff, f.dispatcher.CheckReach(time.Now(), "svc", a.Instance))
 	route := *f.view.Configuration().Match("h", "/x")
 	now := time.Now()
 	r := f.dispatcher.DoRelayed(t.Context(), &dispatch.Call{
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -51,14 +51,15 @@
 func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noLimits) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noLimits) RecordResponse(suspect.Fingerprint)                 {}
-func (noLimits) RequestSent(time.Time, registry.Instance) func()    { return func() {} }
-func (noLimits) RecordReached(time.Time, registry.Instance)         {}
-func (noLimits) RecordAnswer(time.Time, registry.Instance)          {}
-func (noLimits) RecordUnreached(time.Time, registry.Instance)       {}
-func (noLimits) RecordReset(time.Time, registry.Instance)           {}
-func (noLimits) Unreached(time.Time, registry.Instance) bool        { return false }
-func (noLimits) CutOff(time.Time) bool                              { return false }
-func (noLimits) Connected() context.Context                         { return context.Background() }
+func (noLimits) RequestSent(time.Time, registry.Server) func()      { return func() {} }
+func (noLimits) RecordReached(time.Time, registry.Server)           {}
+func (noLimits) RecordAnswer(time.Time, registry.Server)            {}
+func (noLimits) RecordUnreached(time.Time, registry.Server)         {}
+func (noLimits) RecordReset(time.Time, registry.Server)             {}
+func (noLimits) Unreached(time.Time, registry.Server) bool          { return false }
+func (noLimits) CutOffFrom(string) bool                             { return false }
+func (noLimits) Hanging(string) bool                                { return false }
+func (noLimits) Connected(string) context.Context                   { return context.Background() }
 func (noLimits) Available(time.Time, registry.Server) bool          { return false }
 func (noLimits) Do(context.Context, *dispatch.Call, registry.Server, int) *dispatch.Result {
 	return nil
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -27,10 +27,10 @@
 	}
 }
 
-// reachabilityCounts returns whether the process is cut off from the backend servers (1 or 0), the number of
-// servers that it doesn't reach and the number of members that are cut off.
+// reachabilityCounts returns whether the process is cut off from all backend servers (1 or 0), the numbers of
+// services and servers that it doesn't reach, and the number of members that are cut off from all.
 func (p *Process) reachabilityCounts(now time.Time) map[string]int {
-	counts := map[string]int{"cutOff": 0, "servers": p.reachability.UnreachedServers(), "members": len(p.node.CutOffMembers())}
+	counts := map[string]int{"cutOff": 0, "services": len(p.reachability.CutOffServices()), "servers": p.reachability.UnreachedServers(), "members": len(p.node.CutOffMembers())}
 	if p.reachability.CutOff(now) {
 		counts["cutOff"] = 1
 	}
--- a/entry/internal/reachability/monitor.go
+++ b/entry/internal/reachability/monitor.go
@@ -2,25 +2,27 @@
 //
 // A server that fails may have crashed, or the network between it and this process may be
 // partitioned. Either way, requests for it are better sent through another process. When several servers
-// fail alike and none answers, this process itself is cut off. It learns that from its requests and from
-// probes, which it sends when all servers that have requests of it are silent. While a server can't be
-// reached and has requests, it is probed, so that the end of a partition is noticed.
+// of a service fail alike and none answers, this process is cut off from the service, and when that holds
+// for the servers of all services, it is cut off as a whole. It learns that from its requests and from
+// probes, which it sends when all servers of a service that have requests of it are silent. While a server
+// can't be reached and has requests, it is probed, so that the end of a partition is noticed.
 //
 // # Usage
 //
 //	m := reachability.New(servers, prober, logger)
 //	go m.Run(ctx)
-//	ended := m.RequestSent(now, instance)
-//	m.RecordReached(now, instance) // or RecordUnreached, RecordReset
+//	ended := m.RequestSent(now, server)
+//	m.RecordReached(now, server) // or RecordAnswer, RecordUnreached, RecordReset
 //	ended()
-//	if m.CutOff(now) {
-//		// Send requests through other processes.
+//	if m.Unreached(now, server) {
+//		// Send requests for the server through other processes.
 //	}
 package reachability
 
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +54,9 @@
 	demandLifetime = time.Second
 	// checkInterval is the time between two checks while requests run or servers are unreached.
 	checkInterval = 100 * time.Millisecond
-	// maxProbes is the number of probes that are sent at a time.
+	// pruneInterval is the time between two removals of the states of servers that are gone.
+	pruneInterval = 5 * time.Second
+	// maxProbes is the number of servers that are probed in a round, and of unreached ones at a time.
 	maxProbes = 3
 )
 
@@ -71,27 +75,25 @@
 	logger  log.Interface
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	states  map[registry.Instance]*state
-	running map[registry.Instance]*running
-	// lastAnswer is when any server last answered, and lastOpened when a probe last opened a connection.
-	lastAnswer time.Time
-	lastOpened time.Time
-	// silent is true if the process was found to be cut off because servers accept connections and answer
-	// nothing. Then only an answer shows that the partition has ended.
-	silent bool
-	// cutOffSince is when the process was found to be cut off; zero while it is not.
-	cutOffSince time.Time
-	connected   context.Context
-	disconnect  context.CancelCauseFunc
-	nextRound   time.Time
-	probes      int
+	mu     sync.Mutex
+	states map[registry.Instance]*state
+	// services has what is known of the servers of each service together, and all of those of all.
+	services map[string]*group
+	all      *group
+	probes   int
+	// nextPrune is when servers that are no longer registered are forgotten.
+	nextPrune time.Time
 }
 
-// state is what is known of a server that has failed.
+// state is what is known of a server.
 type state struct {
-	resets    int
-	unreached bool
+	service string
+	// running is the number of requests at the server, and waitingSince when the first of them was sent, or
+	// a later time at which the server has answered.
+	running      int
+	waitingSince time.Time
+	resets       int
+	unreached    bool
 	// silent is true if the server has accepted a connection and answered nothing.
 	silent      bool
 	lastFailure time.Time
@@ -100,76 +102,126 @@
 	probing     bool
 }
 
-// running counts the requests at a server. oldest is when the first of them was sent, or a later time at
-// which the server has answered.
-type running struct {
-	count  int
-	oldest time.Time
+// group is what is known of several servers together.
+type group struct {
+	// lastAnswer is when any server last answered, and lastOpened when a probe last opened a connection.
+	lastAnswer time.Time
+	lastOpened time.Time
+	// cutOffSince is when the process was found to be cut off from all servers; zero while it is not.
+	cutOffSince time.Time
+	// silent is true if that was found because servers accept connections and answer nothing. Then only
+	// an answer shows that the partition has ended.
+	silent bool
+	// connected ends when the process is found to be cut off.
+	connected  context.Context
+	disconnect context.CancelCauseFunc
+	nextRound  time.Time
+	// longest and silence are the longest and the second longest time that a server with requests has not
+	// answered; the latter is at most that since the last answer.
+	longest, silence time.Duration
+}
+
+func newGroup() *group {
+	g := &group{}
+	g.connected, g.disconnect = context.WithCancelCause(context.Background())
+	return g
 }
 
+func (g *group) isCutOff() bool { return !g.cutOffSince.IsZero() }
+
 // New returns a monitor of the registered servers.
 func New(servers func() []registry.Server, p Prober, logger log.Interface) *Monitor {
-	m := &Monitor{
+	return &Monitor{
 		servers: servers, prober: p, logger: logger, wake: make(chan struct{}, 1),
-		states: make(map[registry.Instance]*state), running: make(map[registry.Instance]*running),
+		states: make(map[registry.Instance]*state), services: make(map[string]*group), all: newGroup(),
+	}
+}
+
+// group returns the group of a service. The lock is held.
+func (m *Monitor) group(service string) *group {
+	g := m.services[service]
+	if g == nil {
+		g = newGroup()
+		m.services[service] = g
 	}
-	m.connected, m.disconnect = context.WithCancelCause(context.Background())
-	return m
+	return g
 }
 
-// RecordReached records that a new connection to a server works.
-func (m *Monitor) RecordReached(now time.Time, inst registry.Instance) {
+// state returns the state of a server. The lock is held.
+func (m *Monitor) state(server registry.Server) *state {
+	s := m.states[server.Instance]
+	if s == nil {
+		s = &state{service: server.Service}
+		m.states[server.Instance] = s
+	}
+	return s
+}
+
+// RecordReached records that a server has answered on a new connection.
+func (m *Monitor) RecordReached(now time.Time, server registry.Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.states, inst)
-	m.answered(now, inst)
+	m.state(server).reached()
+	m.answered(now, server)
 }
 
 // RecordAnswer records that a server has answered on a connection that was already open. New connections to
 // the server may still fail.
-func (m *Monitor) RecordAnswer(now time.Time, inst registry.Instance) {
+func (m *Monitor) RecordAnswer(now time.Time, server registry.Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.answered(now, inst)
+	m.answered(now, server)
 }
 
+// reached forgets all failures.
+func (s *state) reached() { s.resets, s.unreached, s.silent = 0, false, false }
+
 // answered records an answer, which ends the time of being cut off. The lock is held.
-func (m *Monitor) answered(now time.Time, inst registry.Instance) {
-	if now.After(m.lastAnswer) {
-		m.lastAnswer = now
+func (m *Monitor) answered(now time.Time, server registry.Server) {
+	if s := m.state(server); now.After(s.waitingSince) {
+		s.waitingSince = now
 	}
-	if r := m.running[inst]; r != nil && now.After(r.oldest) {
-		r.oldest = now
+	for _, g := range []*group{m.group(server.Service), m.all} {
+		if now.After(g.lastAnswer) {
+			g.lastAnswer = now
+		}
+		if !g.isCutOff() {
+			continue
+		}
+		m.logger.WithFields(log.Fields{"server": server.ID, "service": m.nameOf(g, server), "ms": now.Sub(g.cutOffSince).Milliseconds()}).Warn("backend servers reached again")
+		g.cutOffSince, g.silent = time.Time{}, false
+		g.connected, g.disconnect = context.WithCancelCause(context.Background())
 	}
-	if m.cutOffSince.IsZero() {
-		return
+}
+
+// nameOf returns the name of a group in log lines.
+func (m *Monitor) nameOf(g *group, server registry.Server) string {
+	if g == m.all {
+		return "all"
 	}
-	m.logger.WithFields(log.Fields{"server": inst.ID, "ms": now.Sub(m.cutOffSince).Milliseconds()}).Warn("backend servers reached again")
-	m.cutOffSince, m.silent = time.Time{}, false
-	m.connected, m.disconnect = context.WithCancelCause(context.Background())
+	return server.Service
 }
 
 // RecordUnreached records that no connection to a server could be opened, or that nothing came back on one
 // until it was given up.
-func (m *Monitor) RecordUnreached(now time.Time, inst registry.Instance) {
+func (m *Monitor) RecordUnreached(now time.Time, server registry.Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failed(now, inst, resetsUntilUnreached, false)
+	m.failed(now, server, resetsUntilUnreached, false)
 }
 
 // RecordReset records that a new connection to a server ended before any byte of an answer.
-func (m *Monitor) RecordReset(now time.Time, inst registry.Instance) {
+func (m *Monitor) RecordReset(now time.Time, server registry.Server) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failed(now, inst, 1, false)
+	m.failed(now, server, 1, false)
 }
 
 // failed records a failure that counts as the given number of resets. The lock is held.
-func (m *Monitor) failed(now time.Time, inst registry.Instance, resets int, silent bool) {
-	s := m.states[inst]
-	if s == nil || !s.unreached && now.Sub(s.lastFailure) > resetWindow {
-		s = &state{}
-		m.states[inst] = s
+func (m *Monitor) failed(now time.Time, server registry.Server, resets int, silent bool) {
+	s := m.state(server)
+	if !s.unreached && now.Sub(s.lastFailure) > resetWindow {
+		s.resets = 0
 	}
 	s.resets += resets
 	s.lastFailure = now
@@ -177,69 +229,104 @@
 		return
 	}
 	s.unreached, s.silent = true, silent
-	if m.cutOffSince.IsZero() {
+	service := m.group(server.Service)
+	if !service.isCutOff() {
 		// A server that fails while all are silent is a reason to probe others at once.
-		m.nextRound = now
+		service.nextRound = now
 	}
-	if m.cutOffSince.IsZero() && m.isCutOff() {
-		m.cutOffSince, m.silent = now, m.anySilent()
-		m.disconnect(errCutOff)
-		m.logger.WithFields(log.Fields{"server": inst.ID, "servers": m.failedServers(), "silent": m.silent}).Warn("cut off from the backend servers")
+	for _, g := range []*group{service, m.all} {
+		if g.isCutOff() || !m.isDisconnected(g, server.Service) {
+			continue
+		}
+		g.cutOffSince, g.silent = now, m.anySilent(g, server.Service)
+		g.disconnect(errCutOff)
+		m.logger.WithFields(log.Fields{"server": server.ID, "service": m.nameOf(g, server), "servers": m.failedServers(g, server.Service), "silent": g.silent}).Warn("cut off from backend servers")
 	}
 	m.wakeRun()
 }
 
-// isCutOff reports whether enough servers have failed since the last answer. The lock is held.
-func (m *Monitor) isCutOff() bool {
-	failed := m.failedServers()
-	return failed >= maxFailedServers || failed >= minFailedServers && failed >= len(m.servers())
+// isDisconnected reports whether enough servers of a group have failed since the last answer. The lock is
+// held.
+func (m *Monitor) isDisconnected(g *group, service string) bool {
+	failed := m.failedServers(g, service)
+	if failed >= maxFailedServers {
+		return true
+	}
+	if failed < minFailedServers {
+		return false
+	}
+	known := 0
+	for _, s := range m.servers() {
+		if g == m.all || s.Service == service {
+			known++
+		}
+	}
+	return failed >= known
 }
 
-// failedServers returns the number of servers that have failed since the last answer of any server. The
-// lock is held.
-func (m *Monitor) failedServers() int {
+// failedServers returns the number of servers of a group that have failed since the last answer of any of
+// them. The lock is held.
+func (m *Monitor) failedServers(g *group, service string) int {
 	n := 0
 	for _, s := range m.states {
-		if s.unreached && s.lastFailure.After(m.lastAnswer) {
+		if s.unreached && s.lastFailure.After(g.lastAnswer) && (g == m.all || s.service == service) {
 			n++
 		}
 	}
 	return n
 }
 
-// anySilent reports whether a server has failed by answering nothing since the last answer. The lock is held.
-func (m *Monitor) anySilent() bool {
+// anySilent reports whether a server of a group has failed by answering nothing since the last answer. The
+// lock is held.
+func (m *Monitor) anySilent(g *group, service string) bool {
 	for _, s := range m.states {
-		if s.silent && s.lastFailure.After(m.lastAnswer) {
+		if s.silent && s.lastFailure.After(g.lastAnswer) && (g == m.all || s.service == service) {
 			return true
 		}
 	}
 	return false
 }
 
-// CutOff reports whether the process reaches no server.
+// CutOff reports whether the process reaches no server of any service.
 func (m *Monitor) CutOff(time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.cutOffSince.IsZero()
+	return m.all.isCutOff()
+}
+
+// CutOffFrom reports whether the process reaches no server of a service.
+func (m *Monitor) CutOffFrom(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.services[service]
+	return g != nil && g.isCutOff()
+}
+
+// Hanging reports whether the process is cut off from the servers of a service, and new connections to them
+// can't be opened.
+func (m *Monitor) Hanging(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.services[service]
+	return g != nil && g.isCutOff() && !g.silent
 }
 
-// Connected returns a context that ends when the process is found to be cut off.
-func (m *Monitor) Connected() context.Context {
+// Connected returns a context that ends when the process is found to be cut off from a service.
+func (m *Monitor) Connected(service string) context.Context {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.connected
+	return m.group(service).connected
 }
 
 // Unreached reports whether a request for a server should be sent through another process. A server that
 // is asked for is probed until it is reached.
-func (m *Monitor) Unreached(now time.Time, inst registry.Instance) bool {
+func (m *Monitor) Unreached(now time.Time, server registry.Server) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.cutOffSince.IsZero() {
+	s := m.states[server.Instance]
+	if g := m.services[server.Service]; g != nil && g.isCutOff() {
 		return true
 	}
-	s := m.states[inst]
 	if s == nil || !s.unreached {
 		return false
 	}
@@ -261,23 +348,34 @@
 	return n
 }
 
+// CutOffServices returns the names of the services of which no server is reached.
+func (m *Monitor) CutOffServices() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := []string{}
+	for name, g := range m.services {
+		if g.isCutOff() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // RequestSent records that a request is sent to a server. The function that it returns records its end.
-func (m *Monitor) RequestSent(now time.Time, inst registry.Instance) (ended func()) {
+func (m *Monitor) RequestSent(now time.Time, server registry.Server) (ended func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := m.running[inst]
-	if r == nil {
-		r = &running{oldest: now}
-		m.running[inst] = r
+	s := m.state(server)
+	if s.running == 0 {
+		s.waitingSince = now
 		m.wakeRun()
 	}
-	r.count++
+	s.running++
 	return func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if r.count--; r.count == 0 && m.running[inst] == r {
-			delete(m.running, inst)
-		}
+		s.running--
 	}
 }
 
@@ -289,7 +387,8 @@
 	}
 }
 
-// Run probes servers until the context ends. It sleeps while no request runs and all servers are reached.
+// Run probes servers until the context ends. It sleeps while no request runs and nobody asks for a server
+// that is not reached.
 func (m *Monitor) Run(ctx context.Context) {
 	timer := time.NewTimer(checkInterval)
 	defer timer.Stop()
@@ -323,99 +422,127 @@
 	exchange bool
 }
 
-// due returns the probes that are due, and whether there is anything left to check.
+// due returns the probes that are due, and whether there may be more later.
 func (m *Monitor) due(now time.Time) ([]probe, bool) {
-	servers := m.servers()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.prune(servers)
-	if len(m.running) == 0 && m.cutOffSince.IsZero() && !m.anyDemand(now) {
-		return nil, false
+	m.measureSilence(now)
+	probing, active := m.anyDue(now)
+	if !probing && now.Before(m.nextPrune) {
+		return nil, active
 	}
+	servers := m.servers()
+	m.prune(servers)
+	m.nextPrune = now.Add(pruneInterval)
 	var out []probe
 	add := func(s registry.Server, exchange bool) {
 		m.probes++
 		out = append(out, probe{s, exchange})
 	}
-	if n, exchange := m.roundSize(now); n > 0 {
-		m.nextRound = now.Add(probeInterval)
+	for service, g := range m.services {
+		n, exchange := m.roundSize(now, service, g)
+		if n == 0 {
+			continue
+		}
+		g.nextRound = now.Add(probeInterval)
 		for _, i := range rand.Perm(len(servers)) {
-			if m.probes < n {
+			if n > 0 && servers[i].Service == service {
+				n--
 				add(servers[i], exchange)
 			}
 		}
-		return out, true
 	}
 	for _, server := range servers {
 		s := m.states[server.Instance]
-		if s == nil || !s.unreached || s.probing || now.Before(s.nextProbe) || now.Sub(s.lastDemand) > demandLifetime || m.probes >= maxProbes {
+		if s == nil || !s.isProbeDue(now) || m.probes >= maxProbes || m.services[server.Service].isCutOff() {
 			continue
 		}
 		s.probing, s.nextProbe = true, now.Add(probeInterval)
 		add(server, false)
 	}
-	return out, true
+	return out, active
 }
 
-// anyDemand reports whether a request for an unreached server has come lately. The lock is held.
-func (m *Monitor) anyDemand(now time.Time) bool {
-	for _, s := range m.states {
-		if s.unreached && now.Sub(s.lastDemand) <= demandLifetime {
-			return true
-		}
-	}
-	return false
-}
-
-// roundSize returns how many servers must be probed because the process is cut off or all servers are silent,
-// and whether they must answer a request. The lock is held.
-func (m *Monitor) roundSize(now time.Time) (n int, exchange bool) {
-	if now.Before(m.nextRound) {
+// roundSize returns how many servers of a service must be probed because the process is cut off from it or
+// all of its servers are silent, and whether they must answer a request. The lock is held.
+func (m *Monitor) roundSize(now time.Time, service string, g *group) (n int, exchange bool) {
+	if now.Before(g.nextRound) {
 		return 0, false
 	}
-	if !m.cutOffSince.IsZero() {
-		return maxProbes, m.silent
+	if g.isCutOff() {
+		return maxProbes, g.silent
 	}
-	silence := m.silence(now)
-	exchange = silence >= silenceBeforeExchange
-	if silence < silenceBeforeProbe || !exchange && now.Sub(m.lastOpened) < silenceBeforeProbe {
+	exchange = g.silence >= silenceBeforeExchange
+	if g.silence < silenceBeforeProbe || !exchange && now.Sub(g.lastOpened) < silenceBeforeProbe {
 		return 0, false
 	}
-	if m.failedServers() == 0 {
+	if m.failedServers(g, service) == 0 {
 		return 1, exchange
 	}
 	return maxProbes, exchange
 }
 
-// prune removes the states of servers that are no longer registered. The lock is held.
+// prune removes the states of servers that are no longer registered and have no requests. The lock is held.
 func (m *Monitor) prune(servers []registry.Server) {
-	if len(m.states) == 0 {
-		return
-	}
 	known := make(map[registry.Instance]bool, len(servers))
+	services := make(map[string]bool)
 	for _, s := range servers {
-		known[s.Instance] = true
+		known[s.Instance], services[s.Service] = true, true
 	}
-	for inst := range m.states {
-		if !known[inst] {
+	for inst, s := range m.states {
+		if !known[inst] && s.running == 0 {
 			delete(m.states, inst)
 		}
 	}
+	for name := range m.services {
+		if !services[name] {
+			delete(m.services, name)
+		}
+	}
 }
 
-// silence returns the time for which at least two servers have had requests and no server has answered. The
-// lock is held.
-func (m *Monitor) silence(now time.Time) time.Duration {
-	var first, second time.Duration
-	for _, r := range m.running {
-		waited := now.Sub(r.oldest)
-		if waited > first {
-			first, second = waited, first
-		} else if waited > second {
-			second = waited
+// anyDue reports whether a probe may be due, and whether there may be one later. The lock is held.
+func (m *Monitor) anyDue(now time.Time) (probing, active bool) {
+	for service, g := range m.services {
+		n, _ := m.roundSize(now, service, g)
+		probing, active = probing || n > 0, active || g.isCutOff()
+	}
+	for _, s := range m.states {
+		probing = probing || s.isProbeDue(now)
+		active = active || s.running > 0 || s.isWanted(now)
+	}
+	return probing, active
+}
+
+// isWanted reports whether a request for the server has come lately although it is not reached.
+func (s *state) isWanted(now time.Time) bool {
+	return s.unreached && now.Sub(s.lastDemand) <= demandLifetime
+}
+
+func (s *state) isProbeDue(now time.Time) bool {
+	return s.isWanted(now) && !s.probing && !now.Before(s.nextProbe)
+}
+
+// measureSilence determines for each service the time for which at least two servers have had requests and
+// none has answered. The lock is held.
+func (m *Monitor) measureSilence(now time.Time) {
+	for _, g := range m.services {
+		g.longest, g.silence = 0, 0
+	}
+	for _, s := range m.states {
+		if s.running == 0 {
+			continue
+		}
+		g := m.group(s.service)
+		if waited := now.Sub(s.waitingSince); waited > g.longest {
+			g.longest, g.silence = waited, g.longest
+		} else {
+			g.silence = max(g.silence, waited)
 		}
 	}
-	return min(second, now.Sub(m.lastAnswer))
+	for _, g := range m.services {
+		g.silence = min(g.silence, now.Sub(g.lastAnswer))
+	}
 }
 
 // probe sends a probe and records its result.
@@ -423,35 +550,31 @@
 	err := m.prober.Probe(ctx, p.server, p.exchange)
 	now := time.Now()
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.probes--
-	if s := m.states[p.server.Instance]; s != nil {
-		s.probing = false
-	}
-	m.mu.Unlock()
+	m.state(p.server).probing = false
 	switch {
 	case ctx.Err() != nil:
-	case err == nil && p.exchange:
-		m.RecordReached(now, p.server.Instance)
-	case err == nil:
-		m.connectionOpened(now, p.server.Instance)
+	case err != nil:
+		m.failed(now, p.server, resetsUntilUnreached, p.exchange)
+	case p.exchange:
+		m.state(p.server).reached()
+		m.answered(now, p.server)
 	default:
-		m.mu.Lock()
-		m.failed(now, p.server.Instance, resetsUntilUnreached, p.exchange)
-		m.mu.Unlock()
+		m.connectionOpened(now, p.server)
 	}
 }
 
 // connectionOpened records a probe that has opened a connection. It is no answer while servers accept
-// connections and answer nothing.
-func (m *Monitor) connectionOpened(now time.Time, inst registry.Instance) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastOpened = now
-	if m.silent {
+// connections and answer nothing. The lock is held.
+func (m *Monitor) connectionOpened(now time.Time, server registry.Server) {
+	g := m.group(server.Service)
+	g.lastOpened = now
+	if g.silent {
 		return
 	}
-	delete(m.states, inst)
-	if !m.cutOffSince.IsZero() {
-		m.answered(now, inst)
+	m.state(server).reached()
+	if g.isCutOff() {
+		m.answered(now, server)
 	}
 }
--- a/entry/internal/reachability/monitor_test.go
+++ b/entry/internal/reachability/monitor_test.go
@@ -55,12 +55,11 @@
 }
 
 // startMonitor returns a monitor of the given number of servers that runs until the end of the test.
-func startMonitor(t *testing.T, network *fakeNetwork, servers int) (*reachability.Monitor, []registry.Instance) {
+func startMonitor(t *testing.T, network *fakeNetwork, servers int) (*reachability.Monitor, []registry.Server) {
 	var list []registry.Server
-	var instances []registry.Instance
 	for i := range servers {
-		s := registry.Server{Instance: registry.Instance{ID: fmt.Sprint("s", i), Incarnation: 1}}
-		list, instances = append(list, s), append(instances, s.Instance)
+		s := registry.Server{Instance: registry.Instance{ID: fmt.Sprint("s", i), Incarnation: 1}, Service: "svc"}
+		list = append(list, s)
 	}
 	m := reachability.New(func() []registry.Server { return list }, network, &log.Logger{Handler: discard.New()})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -70,7 +69,7 @@
 		cancel()
 		group.Wait()
 	})
-	return m, instances
+	return m, list
 }
 
 // Guards against a process that takes slow or crashed servers for a partition of its own, and against one
@@ -100,20 +99,20 @@
 			synctest.Test(t, func(t *testing.T) {
 				network := &fakeNetwork{}
 				network.set(true, false)
-				m, instances := startMonitor(t, network, c.servers)
+				m, list := startMonitor(t, network, c.servers)
 				for _, s := range c.steps {
 					time.Sleep(10 * time.Millisecond)
 					switch now := time.Now(); s.what {
 					case unreached:
-						m.RecordUnreached(now, instances[s.server])
+						m.RecordUnreached(now, list[s.server])
 					case reset:
-						m.RecordReset(now, instances[s.server])
+						m.RecordReset(now, list[s.server])
 					case answer:
-						m.RecordAnswer(now, instances[s.server])
+						m.RecordAnswer(now, list[s.server])
 					}
 				}
 				must.Eq(t, c.cutOff, m.CutOff(time.Now()))
-				must.Eq(t, c.cutOff, m.Connected().Err() != nil)
+				must.Eq(t, c.cutOff, m.Connected("svc").Err() != nil)
 			})
 		})
 	}
@@ -133,16 +132,16 @@
 			synctest.Test(t, func(t *testing.T) {
 				network := &fakeNetwork{}
 				network.set(c.cut, c.mute)
-				m, instances := startMonitor(t, network, 5)
-				for _, inst := range instances[:2] {
-					defer m.RequestSent(time.Now(), inst)()
+				m, list := startMonitor(t, network, 5)
+				for _, s := range list[:2] {
+					defer m.RequestSent(time.Now(), s)()
 				}
-				connected := m.Connected()
+				connected := m.Connected("svc")
 				begin := time.Now()
 				<-connected.Done()
 				must.LessEq(t, c.within, time.Since(begin))
 				must.True(t, m.CutOff(time.Now()))
-				must.True(t, m.Unreached(time.Now(), instances[4]))
+				must.True(t, m.Unreached(time.Now(), list[4]))
 				time.Sleep(3 * time.Second)
 				must.True(t, m.CutOff(time.Now()))
 				network.set(false, false)
@@ -157,9 +156,9 @@
 func TestSlowServersAreReached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := &fakeNetwork{}
-		m, instances := startMonitor(t, network, 5)
-		for _, inst := range instances {
-			defer m.RequestSent(time.Now(), inst)()
+		m, list := startMonitor(t, network, 5)
+		for _, s := range list {
+			defer m.RequestSent(time.Now(), s)()
 		}
 		const observed = 20 * time.Second
 		time.Sleep(observed)
@@ -173,18 +172,52 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := &fakeNetwork{}
 		network.set(true, false)
-		m, instances := startMonitor(t, network, 5)
-		m.RecordUnreached(time.Now(), instances[0])
+		m, list := startMonitor(t, network, 5)
+		m.RecordUnreached(time.Now(), list[0])
 		time.Sleep(10 * time.Second)
 		must.Eq(t, 0, network.probeCount())
-		must.True(t, m.Unreached(time.Now(), instances[0]))
-		must.False(t, m.Unreached(time.Now(), instances[1]))
+		must.True(t, m.Unreached(time.Now(), list[0]))
+		must.False(t, m.Unreached(time.Now(), list[1]))
 		time.Sleep(10 * time.Second)
 		must.Positive(t, network.probeCount())
 		must.LessEq(t, 5, network.probeCount())
 		network.set(false, false)
-		must.True(t, m.Unreached(time.Now(), instances[0]))
+		must.True(t, m.Unreached(time.Now(), list[0]))
 		time.Sleep(time.Second)
-		must.False(t, m.Unreached(time.Now(), instances[0]))
+		must.False(t, m.Unreached(time.Now(), list[0]))
+	})
+}
+
+// Guards against a process that is cut off from one service and takes the answers of another one for those of
+// both, or that counts as cut off as a whole.
+func TestCutOffFromOneService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &fakeNetwork{}
+		network.set(true, false)
+		m, list := startMonitor(t, network, 8)
+		for i := range list {
+			list[i].Service = []string{"cut", "reached"}[i/4]
+		}
+		for _, s := range list[:4] {
+			m.RecordAnswer(time.Now(), list[7])
+			time.Sleep(10 * time.Millisecond)
+			m.RecordUnreached(time.Now(), s)
+		}
+		m.RecordAnswer(time.Now().Add(time.Millisecond), list[7])
+		must.True(t, m.CutOffFrom("cut"))
+		must.False(t, m.CutOffFrom("reached"))
+		must.False(t, m.CutOff(time.Now()))
+		must.True(t, m.Unreached(time.Now(), list[0]))
+		must.False(t, m.Unreached(time.Now(), list[7]))
+		must.Eq(t, []string{"cut"}, m.CutOffServices())
+		for _, s := range list[4:] {
+			time.Sleep(10 * time.Millisecond)
+			m.RecordUnreached(time.Now(), s)
+		}
+		must.True(t, m.CutOff(time.Now()))
+		network.set(false, false)
+		time.Sleep(time.Second)
+		must.False(t, m.CutOff(time.Now()))
+		must.SliceEmpty(t, m.CutOffServices())
 	})
 }
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -50,8 +50,8 @@
 	silenceTimeout = 4 * aliveInterval
 	// maxProcesses is the number of processes that a call is offered to.
 	maxProcesses = 3
-	// avoidTime is how long a process that has not accepted a call is not used, and uselessTime how
-	// long calls for a server are not relayed after no process could reach it.
+	// avoidTime is how long a process that has not accepted a call, or is itself cut off from a service, is
+	// not used, and uselessTime how long calls for a server are not relayed after no process could reach it.
 	avoidTime   = time.Second
 	uselessTime = 300 * time.Millisecond
 	// idleTimeout is the time after which an unused connection is closed.
@@ -90,18 +90,21 @@
 	sent, lost, refused atomic.Int64
 
 	mu sync.Mutex
-	// avoided has the processes that are not used and useless the servers for which calls are not relayed,
-	// each until a time.
-	avoided map[string]time.Time
+	// avoided has the processes that are not used, for a service or, if it is empty, at all, and useless the
+	// servers for which calls are not relayed, each until a time.
+	avoided map[use]time.Time
 	useless map[registry.Instance]time.Time
 }
 
+// use is the use of a process for calls of a service.
+type use struct{ process, service string }
+
 // NewClient returns a client for the calls of this process.
 func NewClient(self election.Member, m Members, c Connections, logger log.Interface) *Client {
 	return &Client{
 		self: self, members: m, connections: c, logger: logger,
 		pool:    drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: maxIdleConnections}),
-		avoided: make(map[string]time.Time), useless: make(map[registry.Instance]time.Time),
+		avoided: make(map[use]time.Time), useless: make(map[registry.Instance]time.Time),
 	}
 }
 
@@ -134,7 +137,7 @@
 	members := slices.Clone(c.members.Members())
 	c.mu.Lock()
 	members = slices.DeleteFunc(members, func(m election.Member) bool {
-		return m.Name == c.self.Name || cutOff[m.Name] || now.Before(c.avoided[m.Name])
+		return m.Name == c.self.Name || cutOff[m.Name] || now.Before(c.avoided[use{m.Name, ""}]) || now.Before(c.avoided[use{m.Name, s.Service}])
 	})
 	c.mu.Unlock()
 	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
@@ -166,7 +169,8 @@
 		}
 		if err != nil {
 			c.refused.Add(1)
-			c.avoid(m, err)
+			c.logger.WithError(err).WithField("peer", m.Name).Info("call not accepted by another process")
+			c.avoid(use{m.Name, ""})
 			continue
 		}
 		r.Peer = m.Name
@@ -174,6 +178,9 @@
 			return r
 		}
 		refusal = r
+		if r.Reason == dispatch.CutOff {
+			c.avoid(use{m.Name, s.Service})
+		}
 	}
 	if refusal == nil || refusal.Reason == dispatch.Unreachable {
 		c.markUseless(time.Now(), s.Instance)
@@ -188,24 +195,23 @@
 		return false
 	}
 	switch r.Reason {
-	case dispatch.Unreachable, dispatch.NoServer, dispatch.Stopping, dispatch.RelayFull:
+	case dispatch.Unreachable, dispatch.CutOff, dispatch.NoServer, dispatch.Stopping, dispatch.RelayFull:
 		return true
 	}
 	return false
 }
 
-// avoid excludes a process that has not accepted a call.
-func (c *Client) avoid(m election.Member, err error) {
-	c.logger.WithError(err).WithField("peer", m.Name).Info("call not accepted by another process")
+// avoid excludes a process from a use for a while.
+func (c *Client) avoid(u use) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for name, until := range c.avoided {
+	for old, until := range c.avoided {
 		if now.After(until) {
-			delete(c.avoided, name)
+			delete(c.avoided, old)
 		}
 	}
-	c.avoided[m.Name] = now.Add(avoidTime)
+	c.avoided[u] = now.Add(avoidTime)
 }
 
 // markUseless records that no process reaches a server.
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -34,14 +34,16 @@
 	election.Member
 	// handle returns the result of a call.
 	handle func(ctx context.Context, c *dispatch.Call) *dispatch.Result
-	// unreachable makes the process reach no server.
-	unreachable bool
+	// unreachable is why the process doesn't reach a server; empty if it does.
+	unreachable dispatch.Reason
 
 	mu    sync.Mutex
 	calls int
 }
 
-func (p *testPeer) Reaches(time.Time, registry.Instance) bool { return !p.unreachable }
+func (p *testPeer) CheckReach(time.Time, string, registry.Instance) dispatch.Reason {
+	return p.unreachable
+}
 
 func (p *testPeer) DoRelayed(ctx context.Context, c *dispatch.Call) *dispatch.Result {
 	p.mu.Lock()
@@ -163,19 +165,19 @@
 	const deadline = 2 * time.Second
 	for name, c := range map[string]struct {
 		first       func(context.Context, *dispatch.Call) *dispatch.Result
-		unreachable bool
+		unreachable dispatch.Reason
 		// elsewhere is true if another process must serve the call.
 		elsewhere bool
 		reason    dispatch.Reason
 	}{
-		"the first is cut off too": {nil, true, true, dispatch.Answered},
-		"it fails to connect":      {func(context.Context, *dispatch.Call) *dispatch.Result { return refused(dispatch.Unreachable) }, false, true, dispatch.Answered},
-		"it stops":                 {func(context.Context, *dispatch.Call) *dispatch.Result { return refused(dispatch.Stopping) }, false, true, dispatch.Answered},
-		"the server is full":       {func(context.Context, *dispatch.Call) *dispatch.Result { return refused(dispatch.NoSlot) }, false, false, dispatch.NoSlot},
+		"the first is cut off too": {nil, dispatch.CutOff, true, dispatch.Answered},
+		"it fails to connect":      {func(context.Context, *dispatch.Call) *dispatch.Result { return refused(dispatch.Unreachable) }, "", true, dispatch.Answered},
+		"it stops":                 {func(context.Context, *dispatch.Call) *dispatch.Result { return refused(dispatch.Stopping) }, "", true, dispatch.Answered},
+		"the server is full":       {func(context.Context, *dispatch.Call) *dispatch.Result { return refused(dispatch.NoSlot) }, "", false, dispatch.NoSlot},
 		"the outcome is unknown": {func(context.Context, *dispatch.Call) *dispatch.Result {
 			return &dispatch.Result{Status: 502, Reason: dispatch.UnusableResponse, Attempts: 1}
-		}, false, false, dispatch.UnusableResponse},
-		"it panics": {func(context.Context, *dispatch.Call) *dispatch.Result { panic("unexpected") }, false, false, dispatch.PeerLost},
+		}, "", false, dispatch.UnusableResponse},
+		"it panics": {func(context.Context, *dispatch.Call) *dispatch.Result { panic("unexpected") }, "", false, dispatch.PeerLost},
 	} {
 		t.Run(name, func(t *testing.T) {
 			// The first process is in the data centre of the server, so it is asked first.
@@ -358,7 +360,7 @@
 // call while no process reaches a server.
 func TestAvailable(t *testing.T) {
 	p := startPeer(t, "p", "x", nil)
-	p.unreachable = true
+	p.unreachable = dispatch.Unreachable
 	client, m := newClient(t, p.Member)
 	must.True(t, client.Available(time.Now(), server))
 	m.cutOff["p"] = true
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -29,8 +29,9 @@
 
 // Dispatcher sends calls to servers.
 type Dispatcher interface {
-	// Reaches reports whether this process may send requests to a server now.
-	Reaches(now time.Time, inst registry.Instance) bool
+	// CheckReach returns why this process can't send requests to a server of a service now, or an empty
+	// reason.
+	CheckReach(now time.Time, service string, inst registry.Instance) dispatch.Reason
 	// DoRelayed returns the final response to a call of another process.
 	DoRelayed(ctx context.Context, c *dispatch.Call) *dispatch.Result
 }
@@ -85,8 +86,8 @@
 
 // refusal returns the result of a call that is not accepted, or nil.
 func (s *Server) refusal(now time.Time, c *dispatch.Call, server registry.Instance, bodyLength int64) *dispatch.Result {
-	r := &dispatch.Result{Status: http.StatusServiceUnavailable, RetryAt: now.Add(refusalRetryDelay), Reason: dispatch.Unreachable}
-	if !s.dispatcher.Reaches(now, server) {
+	r := &dispatch.Result{Status: http.StatusServiceUnavailable, RetryAt: now.Add(refusalRetryDelay)}
+	if r.Reason = s.dispatcher.CheckReach(now, c.Service, server); r.Reason != "" {
 		return r
 	}
 	if bodyLength < 0 || bodyLength > maxBodyBytes || !c.Memory.Reserve(bodyLength) {
