--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -12,12 +12,14 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/common/revision"
+	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/coordinator"
 	"bramleystand.org/entry/internal/demand"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
+	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
 )
 
@@ -63,6 +65,7 @@
 	previous      *executor
 	previousUntil time.Time
 	wake          chan struct{}
+	contact       *contact
 
 	services map[string]*serviceState
 	workload workload
@@ -70,7 +73,10 @@
 
 // serviceState holds the coordinator of one service and the state of its calls.
 type serviceState struct {
-	coordinator   *coordinator.Coordinator
+	coordinator *coordinator.Coordinator
+	// servers and configuration are those whose servers the coordinator has got.
+	servers       *view.Servers
+	configuration *traffic.Configuration
 	demand        *demand.Service
 	readPending   bool
 	writePending  bool
@@ -81,7 +87,8 @@
 // newExecutor returns an executor of the term of a lock, which begins now. The grants of the former coordinator
 // expire by themselves, and earlier if it is known to have stopped.
 func newExecutor(n *Node, l election.Lock, now time.Time, former election.Member) *executor {
-	inheritedUntil := now.Add(coordinator.MaxGrantLifetime())
+	// A coordinator that has given up the role may have sent a grant just before.
+	inheritedUntil := now.Add(coordinator.MaxGrantLifetime() + grantTimeout)
 	if former.Name == n.self.Name {
 		// The former coordinator was an earlier run of this process, which has ended.
 		former = election.Member{}
@@ -89,7 +96,7 @@
 	if former.Name != "" {
 		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
 	}
-	s := &executor{node: n, term: l.Term, era: l.Era, former: former, wake: make(chan struct{}, 1), services: make(map[string]*serviceState)}
+	s := &executor{node: n, term: l.Term, era: l.Era, former: former, wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
 	n.era.observe(now, s.era)
 	if !l.Settled {
 		s.earlierErasUntil = n.era.earlierGrantsUntil()
@@ -116,12 +123,7 @@
 	s.workload.steps++
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
-	// An entry of a service that is not configured may be another writer's, and is no proof that the
-	// former server at its address has ended.
-	servers := slices.DeleteFunc(s.node.view.Servers().Registered(), func(r registry.Server) bool {
-		_, configured := configuration.Services[r.Service]
-		return !configured
-	})
+	servers := s.node.view.Servers()
 	for name, service := range configuration.Services {
 		if !service.Sharded {
 			continue
@@ -135,12 +137,15 @@
 			s.loadTable(ctx, group, name, state)
 			continue
 		}
-		state.coordinator.SetServers(now, servers)
+		if state.servers != servers || state.configuration != configuration {
+			state.servers, state.configuration = servers, configuration
+			state.coordinator.SetServers(now, configuredServers(configuration, servers))
+		}
 		s.writeTable(ctx, group, now, name, state)
 		if now.Sub(confirmed) > coordinator.MaxOfflineRenewal {
 			continue
 		}
-		for _, o := range state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime) {
+		for _, o := range state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove()) {
 			group.Go(func() { s.execute(ctx, state, o) })
 		}
 		s.writeTable(ctx, group, now, name, state)
@@ -150,6 +155,15 @@
 	s.logWorkload(now)
 }
 
+// configuredServers returns the registered servers of all configured services. An entry of another service
+// may be another writer's, and is no proof that the former server at its address has ended.
+func configuredServers(configuration *traffic.Configuration, servers *view.Servers) []registry.Server {
+	return slices.DeleteFunc(servers.Registered(), func(r registry.Server) bool {
+		_, configured := configuration.Services[r.Service]
+		return !configured
+	})
+}
+
 // logEvents logs the changes in the ownership of a service's keys.
 func (s *executor) logEvents(name string, state *serviceState) {
 	for _, e := range state.coordinator.Events() {
@@ -223,6 +237,7 @@
 			state.nextStoreCall = now.Add(restoredTableInterval)
 			return
 		}
+		state.servers, state.configuration = nil, nil
 		state.coordinator = coordinator.New(name, s.term, table, time.Now(), s.inheritedUntil)
 		s.wakeNode()
 	})
@@ -277,6 +292,7 @@
 			s.recheckRole(state)
 		case err == nil:
 			s.workload.tables++
+			s.workload.written = time.Since(now)
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
 			state.coordinator.MarkStored(time.Now(), generation, o.Revision)
@@ -285,6 +301,7 @@
 			// The response to a write of this process was lost, or another coordinator has written.
 			s.resolveConflict(ctx, group, name, state)
 		default:
+			s.node.logger.WithError(err).WithFields(log.Fields{"service": name, "ms": time.Since(now).Milliseconds(), "bytes": len(data)}).Warn("table not written")
 			state.nextStoreCall = time.Now().Add(150 * time.Millisecond)
 		}
 	})
@@ -382,6 +399,7 @@
 	if r.Err != nil {
 		s.node.orders[orderKind(o)+" failed"]++
 	}
+	s.recordContact(o, address, r)
 	if r.Expired {
 		s.workload.expired++
 	}
@@ -389,6 +407,17 @@
 	s.wakeNode()
 }
 
+// recordContact records whether the server has answered an order. A release waits for the running
+// requests, so one without an answer says nothing. The node's lock must be held.
+func (s *executor) recordContact(o coordinator.Order, address netip.AddrPort, r coordinator.Result) {
+	switch {
+	case r.Err == nil || r.Fenced:
+		s.contact.recordAnswer(o.Server.Instance)
+	case !r.Expired && address.IsValid() && (!o.Release || r.Unsent):
+		s.contact.recordFailure(o.Server.Instance, address)
+	}
+}
+
 // isActive reports whether the executor is the node's current one, or still renews grants for it.
 func (s *executor) isActive() bool {
 	s.node.mu.Lock()
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker, reachability, relay)
+//	d := dispatch.New(view, limiter, budgets, dialer, fields, dataCentre, observer, crashTracker, reachability, relay, statements)
 //	result := d.Do(ctx, call)
 package dispatch
 
@@ -107,6 +107,14 @@
 	Hanging(service string) bool
 }
 
+// Statements receives what servers state about themselves in their responses.
+type Statements interface {
+	// ObserveLeaving records that a server has stated that it leaves.
+	ObserveLeaving(now time.Time, inst registry.Instance)
+	// ObserveInvalid records a statement that can't be used.
+	ObserveInvalid(now time.Time, inst registry.Instance, err error)
+}
+
 // Dispatcher sends requests to servers. It is safe for concurrent use.
 type Dispatcher struct {
 	view         *view.View
@@ -117,6 +125,7 @@
 	observer     Observer
 	crashTracker CrashTracker
 	reachability Reachability
+	statements   Statements
 	relay        Relay
 	// processes is the number of entry processes.
 	processes atomic.Int64
@@ -131,11 +140,11 @@
 }
 
 // New returns a dispatcher for a process in the given data centre.
-func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, reach Reachability, r Relay) *Dispatcher {
+func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, reach Reachability, r Relay, s Statements) *Dispatcher {
 	waits, endWaits := context.WithCancelCause(context.Background())
 	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
-		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, reachability: reach, relay: r,
+		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, reachability: reach, relay: r, statements: s,
 		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
 	}
 }
@@ -291,6 +300,7 @@
 	failure, _ := errors.AsType[*origin.Error](err)
 	d.recordReachability(requestCtx, now, b, response, failure)
 	b.requestEnded(now, serviceTime, failure == nil || failure.Sent)
+	d.observeStatements(now, b.server.Instance, response)
 	ran := err == nil && !response.NotRun
 	if !ran {
 		serviceTime = 0
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -23,6 +23,10 @@
 	HasServerProof bool
 	// Reused is true if the connection had been used for an earlier request.
 	Reused bool
+	// Leaving is true if the server states that it leaves, and LeavingErr is why its statement can't be
+	// used, or nil.
+	Leaving    bool
+	LeavingErr error
 	// Limit is what the response says about the request limit of its server.
 	Limit Limit
 }
