cluster: send orders through a process that reaches the server

Callers got 503 for the keys of all servers that the coordinator did not reach, 3 s after it was cut off from them, until the cut ended or the keys had moved: it sent all orders by itself. With the store down it could not give up its role either.

A survey already tells which other process reaches a server; orders for that server now go through that process (package orderrelay, which states why a grant is never sent late). The first answer of another process is used at once, because this process's own probe of a silent server takes 0.3 s: with a wait for it, the second order failed too and the keys moved.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/orderrelay"
 )
 
 const (
@@ -37,20 +39,59 @@
 	cutOffSince, lastSurvey time.Time
 	nextSurvey              time.Time
 	surveyPending           bool
+	// relays has for each server that this process does not reach another process that does, and clocks the
+	// latest reading of the clock of such a process, by its name.
+	relays map[registry.Instance]election.Member
+	clocks map[string]clockReading
 	// surveyed is true if a survey has ended since all servers answered.
 	surveyed bool
 }
 
 func newContact() *contact {
-	return &contact{suspects: make(map[registry.Instance]netip.AddrPort)}
+	return &contact{
+		suspects: make(map[registry.Instance]netip.AddrPort), relays: make(map[registry.Instance]election.Member),
+		clocks: make(map[string]clockReading),
+	}
 }
 
 // recordAnswer records that a server has answered a call of this process.
 func (c *contact) recordAnswer(inst registry.Instance) {
 	delete(c.suspects, inst)
+	delete(c.relays, inst)
 	c.cutOffSince = time.Time{}
 }
 
+// clockReading is a reading of another process's clock, with the time at which it was received.
+type clockReading struct {
+	orderrelay.Clock
+	received time.Time
+}
+
+// recordClock records a reading of another process's clock.
+func (c *contact) recordClock(now time.Time, member string, reading orderrelay.Clock) {
+	c.clocks[member] = clockReading{Clock: reading, received: now}
+}
+
+// setRelay records that another process reaches a server that has left a call of this process unanswered. It
+// returns false if there was such a process before.
+func (c *contact) setRelay(inst registry.Instance, m election.Member) bool {
+	_, suspect := c.suspects[inst]
+	_, known := c.relays[inst]
+	if suspect {
+		c.relays[inst] = m
+	}
+	return suspect && !known
+}
+
+// relayFailed records that an order could not be sent through another process, which is no longer used for
+// the server until a survey shows that it reaches it.
+func (c *contact) relayFailed(now time.Time, inst registry.Instance, member string) {
+	if c.relays[inst].Name == member {
+		delete(c.relays, inst)
+	}
+	c.nextSurvey = now
+}
+
 // recordFailure records that a server has left a call of this process unanswered.
 func (c *contact) recordFailure(inst registry.Instance, address netip.AddrPort) {
 	if len(c.suspects) == 0 {
@@ -83,6 +124,7 @@
 	for inst := range c.suspects {
 		if !known[inst] {
 			delete(c.suspects, inst)
+			delete(c.relays, inst)
 		}
 	}
 	if len(suspects) == 0 {
@@ -110,6 +152,11 @@
 // finishSurvey records the result of a survey.
 func (c *contact) finishSurvey(now time.Time, s survey) {
 	c.surveyPending, c.surveyed, c.lastSurvey, c.nextSurvey = false, true, now, now.Add(surveyInterval)
+	for i, server := range s.servers {
+		if s.own[i] {
+			delete(c.relays, server.Instance)
+		}
+	}
 	switch {
 	case slices.Contains(s.own, true):
 		c.cutOffSince = time.Time{}
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -360,14 +360,58 @@
 	})
 }
 
-// execute makes the call of an order.
+// execute makes the call of an order, or makes another process send it if this one does not reach the
+// server.
 func (s *executor) execute(ctx context.Context, state *serviceState, o coordinator.Order) {
 	r := coordinator.Result{Number: o.Number}
 	address, err := netip.ParseAddrPort(o.Server.Address)
 	to := platform.Recipient{ID: o.Server.ID, Address: address}
+	relay, relayed := s.relayFor(o)
 	switch {
 	case err != nil:
 		r.Err, r.Unsent = err, true
+	case relayed:
+		r = s.sendThrough(ctx, relay, to, o)
+	default:
+		r = s.send(ctx, to, o)
+	}
+	if r.Err != nil {
+		s.node.logger.WithError(r.Err).WithFields(log.Fields{
+			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
+			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected, "through": relay.Name,
+		}).Info("order failed")
+	}
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	s.countOrder(o, r, relayed)
+	if !relayed {
+		s.recordContact(o, address, r)
+	}
+	state.coordinator.HandleResult(time.Now(), r)
+	s.wakeNode()
+}
+
+// countOrder counts an order for the metrics. The node's lock must be held.
+func (s *executor) countOrder(o coordinator.Order, r coordinator.Result, relayed bool) {
+	kinds := []string{orderKind(o)}
+	if relayed {
+		kinds = append(kinds, orderKind(o)+" relayed")
+	}
+	for _, kind := range kinds {
+		s.node.orders[kind]++
+		if r.Err != nil {
+			s.node.orders[kind+" failed"]++
+		}
+	}
+	if r.Expired {
+		s.workload.expired++
+	}
+}
+
+// send sends an order to its server.
+func (s *executor) send(ctx context.Context, to platform.Recipient, o coordinator.Order) coordinator.Result {
+	r := coordinator.Result{Number: o.Number}
+	switch {
 	case o.Release:
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
@@ -376,42 +420,29 @@
 		// The process was short of processor time, or is no longer the coordinator.
 		r.Err, r.Expired = errOrderExpired, true
 	default:
-		hold := coordinator.HoldDuration
-		if o.FenceOnly {
-			hold = fenceOnlyHold
-		}
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), hold, o.Handover)
+		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), holdOf(o), o.Handover)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
 	r.Misdirected = errors.Is(r.Err, platform.ErrMisdirected)
-	r.Unsent = r.Unsent || errors.Is(r.Err, platform.ErrNotSent)
-	if r.Err != nil {
-		s.node.logger.WithError(r.Err).WithFields(log.Fields{
-			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
-			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected,
-		}).Info("order failed")
-	}
-	s.node.mu.Lock()
-	defer s.node.mu.Unlock()
-	s.node.orders[orderKind(o)]++
-	if r.Err != nil {
-		s.node.orders[orderKind(o)+" failed"]++
-	}
-	s.recordContact(o, address, r)
-	if r.Expired {
-		s.workload.expired++
+	r.Unsent = errors.Is(r.Err, platform.ErrNotSent)
+	return r
+}
+
+// holdOf returns how long the grant of an order lasts.
+func holdOf(o coordinator.Order) time.Duration {
+	if o.FenceOnly {
+		return fenceOnlyHold
 	}
-	state.coordinator.HandleResult(time.Now(), r)
-	s.wakeNode()
+	return coordinator.HoldDuration
 }
 
 // recordContact records whether the server has answered an order. A release waits for the running
 // requests, so one without an answer says nothing. The node's lock must be held.
 func (s *executor) recordContact(o coordinator.Order, address netip.AddrPort, r coordinator.Result) {
 	switch {
-	case r.Err == nil || r.Fenced:
+	case r.Err == nil || r.Fenced || r.Misdirected:
 		s.contact.recordAnswer(o.Server.Instance)
 	case !r.Expired && address.IsValid() && (!o.Release || r.Unsent):
 		s.contact.recordFailure(o.Server.Instance, address)
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -274,6 +274,10 @@
 	return orderrelay.Answer{}, errUnreachable
 }
 
+func (noReach) Send(context.Context, netip.AddrPort, orderrelay.Order) (orderrelay.Report, error) {
+	return orderrelay.Report{}, orderrelay.ErrNotReached
+}
+
 const shardedService = "s"
 
 func backend(i int) ownership.Server {
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -39,9 +39,10 @@
 	Reached(ctx context.Context, servers []netip.AddrPort) []bool
 }
 
-// Relays asks other processes which servers they reach.
+// Relays asks other processes which servers they reach, and sends orders through them.
 type Relays interface {
 	Query(ctx context.Context, to netip.AddrPort, q orderrelay.Query) (orderrelay.Answer, error)
+	Send(ctx context.Context, to netip.AddrPort, o orderrelay.Order) (orderrelay.Report, error)
 }
 
 // candidacy is whether a process that may take the lock reaches servers.
@@ -72,32 +73,56 @@
 	group.Go(func() {
 		result := survey{began: now, servers: servers, byOthers: make([]bool, len(servers))}
 		addresses := addressesOf(servers)
-		answers := make([]orderrelay.Answer, len(members))
 		var calls sync.WaitGroup
 		calls.Go(func() { result.own = s.node.prober.Reached(ctx, addresses) })
-		for i, m := range members {
+		for _, m := range members {
 			calls.Go(func() {
 				answer, err := s.node.relays.Query(ctx, m.Address, orderrelay.Query{Servers: addresses})
 				if err != nil {
 					s.node.logger.WithError(err).WithField("member", m.Name).Info("member not asked which servers it reaches")
 					return
 				}
-				answers[i] = answer
+				s.recordReached(time.Now(), &result, m, answer)
 			})
 		}
 		calls.Wait()
-		for _, a := range answers {
-			for i := range a.Reached {
-				result.byOthers[i] = result.byOthers[i] || a.Reached[i]
-			}
-		}
 		s.node.mu.Lock()
 		defer s.node.mu.Unlock()
+		if s.node.reachability.CutOff(time.Now()) {
+			// Servers may accept connections and answer nothing.
+			clear(result.own)
+		}
 		s.contact.finishSurvey(time.Now(), result)
 		s.wakeNode()
 	})
 }
 
+// recordReached records which servers another process reaches. Its answer is used before the survey ends,
+// because a silent server takes this process longer than the time until the next order.
+func (s *executor) recordReached(now time.Time, result *survey, m election.Member, answer orderrelay.Answer) {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	s.contact.recordClock(now, m.Name, answer.Clock)
+	for i, server := range result.servers {
+		if !answer.Reached[i] {
+			continue
+		}
+		result.byOthers[i] = true
+		if s.contact.setRelay(server.Instance, m) {
+			s.markReachable(now, server.Instance)
+		}
+	}
+}
+
+// markReachable records that a silent server can be reached, so that it gets grants again.
+func (s *executor) markReachable(now time.Time, inst registry.Instance) {
+	for _, state := range s.services {
+		if state.coordinator != nil {
+			state.coordinator.MarkReachable(now, inst)
+		}
+	}
+}
+
 // otherMembers returns the other processes in random order, those that say that they reach no server last.
 // The node's lock must be held.
 func (n *Node) otherMembers() []election.Member {
--- a/entry/internal/gatewayprocess/coordinatorcut_test.go
+++ b/entry/internal/gatewayprocess/coordinatorcut_test.go
@@ -217,3 +217,38 @@
 	group.Wait()
 	c.mustBeServed(t, longest)
 }
+
+// Guards against keys that are not served because the coordinator does not reach their servers, while it
+// reaches others or can't give up its role because the store is down.
+func TestOrdersThroughOtherProcesses(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		state     pathState
+		servers   []int
+		storeDown bool
+	}{
+		"reset, two of three servers":     {pathReset, []int{0, 2}, false},
+		"silent, two of three servers":    {pathSilent, []int{0, 2}, false},
+		"silent, one of three servers":    {pathSilent, []int{1}, false},
+		"reset, all servers, store down":  {pathReset, []int{0, 1, 2}, true},
+		"silent, all servers, store down": {pathSilent, []int{0, 1, 2}, true},
+		"reset, two servers, store down":  {pathReset, []int{0, 1}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newRoleTest(t)
+			first := d.coordinator(t)
+			if c.storeDown {
+				d.store.setDown(true)
+			}
+			d.cut(t, first, c.state, c.servers...)
+			longest := d.sendAll(t, time.Now().Add(7*time.Second))
+			d.mustBeServed(t, longest)
+			must.Eq(t, first, d.coordinator(t), must.Sprint("the role stays"))
+			if c.storeDown {
+				d.store.setDown(false)
+				d.mustBeServed(t, d.sendAll(t, time.Now().Add(4*time.Second)))
+			}
+		})
+	}
+}
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -152,7 +152,8 @@
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
 	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, prober, p.orderRelays, logger)
+	grants := newGrantClient(&dialer.ResetOnClose{Dialer: d})
+	p.node = cluster.New(p.self, s.Cores, p.store, grants, p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, p.reachability, d, prober, p.orderRelays, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
@@ -161,7 +162,7 @@
 	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
-	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, p.relayServer), logger)
+	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, grants, p.relayServer), logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
--- a/entry/internal/orderrelay/messages.go
+++ b/entry/internal/orderrelay/messages.go
@@ -3,6 +3,9 @@
 import (
 	"net/netip"
 	"time"
+
+	"bramleystand.org/common/keyspace"
+	"bramleystand.org/platform"
 )
 
 // Query asks which servers a process reaches.
@@ -26,3 +29,47 @@
 	// SinceBoot is the time since the VM booted, including suspensions.
 	SinceBoot time.Duration
 }
+
+// Order is a grant or release that another process sends.
+type Order struct {
+	To       platform.Recipient
+	Release  bool
+	Keys     keyspace.Range
+	Fence    uint64
+	Hold     time.Duration
+	Handover string
+	// SendBefore is the reading of the sending process's clock until which a grant may be sent. It does not
+	// apply to a release.
+	SendBefore Clock
+	// Timeout bounds the call to the server.
+	Timeout time.Duration
+}
+
+// Outcome is the result of an order.
+type Outcome uint8
+
+// Outcomes. The numbers are part of the protocol between entry processes.
+const (
+	// Unknown means that the server may or may not have executed the order.
+	Unknown Outcome = iota
+	// Executed means that the server has executed the order.
+	Executed
+	// NotSent means that the server can't have received the order.
+	NotSent
+	// Late means that the order was not sent, because its time had passed.
+	Late
+	// Fenced means that the server has seen a higher fence.
+	Fenced
+	// Misdirected means that another instance listens at the server's address and has refused the order.
+	Misdirected
+)
+
+// Report is the response to an order.
+type Report struct {
+	Outcome  Outcome
+	Handover string
+	// Reason describes a failure.
+	Reason string
+	// Clock is the responding process's clock.
+	Clock Clock
+}
