--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -24,6 +24,8 @@
 	Limits map[registry.Instance]requestlimit.Limit
 	// CutOff is true if the process reaches no backend server.
 	CutOff bool
+	// Leaving are the servers that have stated in responses to the process lately that they leave.
+	Leaving []registry.Instance
 }
 
 // Load lists the requests for keys of a service since the last report.
