dispatch: hear from relayed responses that a server leaves

A process that is cut off from a server sends requests through a peer and passes the answers on to its clients. If such an answer says that the server leaves, the process did not know it and could send to the server itself after the cut.

TestLeavingInRelayedResponse before the change: expected [{a 1}], got an empty list.

--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -81,6 +81,7 @@
 	p.peer = r.Peer
 	p.steps[len(p.steps)-1].Peer = r.Peer
 	if r.Response != nil {
+		d.observeRelayed(time.Now(), r)
 		return r, false
 	}
 	if requestCtx.Err() != nil {
--- a/entry/internal/dispatch/statements.go
+++ b/entry/internal/dispatch/statements.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// observeRelayed records that the server of a response which another process has relayed leaves: this process
+// passes the response on too, and may send to the server itself later.
+func (d *Dispatcher) observeRelayed(now time.Time, r *Result) {
+	if leaving, err := d.backends.fields.IsLeaving(r.Response.Header); err != nil || !leaving {
+		return
+	}
+	for _, s := range d.view.Servers().Registered() {
+		if s.ID == r.Server {
+			d.statements.ObserveLeaving(now, s.Instance)
+		}
+	}
+}
+
 // allLeave reports whether all registered servers of the call's service leave, so that none can take its key.
 func allLeave(servers *view.Servers, c *Call) bool {
 	if len(servers.Service(c.Service)) > 0 {
