Send a server nothing until the Retry-After of its 503 has passed

The field was not read: requests went on to the server and were turned away, and callers were told to come back after 0.2 s.

A process that is turned away now sends the server nothing until that time, checked when a server is chosen and again when a slot has come. The request and later ones go to another server or, of a sharded service, through another process; if nobody can send them, they are refused at once with a Retry-After not before the end, spread by rank. Reports tell the coordinator of the holds; it takes a server to bear only the part of the load that comes from processes that it has not refused, so that keys leave a server that refuses most of them and come back afterwards. Fields that are no time are counted and logged once in 10 s.

The reports between processes have one field more; TestMalformedMessages sends it too.

--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -35,6 +35,7 @@
 	msgKeysMoving   = "keys moving"
 	msgKeysGranted  = "keys granted"
 	msgLeaving      = "server states that it leaves"
+	msgHeld         = "server takes no requests from this process for a time"
 )
 
 // Explanation says why a request ended as it did.
@@ -105,6 +106,8 @@
 		return r.explainNoSlot()
 	case "over limit":
 		return r.explainOverLimit()
+	case "held off":
+		return r.explainHeldOff()
 	case "servers leave":
 		return r.explainServersLeave()
 	case "no owner":
@@ -213,6 +216,17 @@
 	return fmt.Sprintf("all registered servers of %s leave; none could take key %d", r.Text("service"), r.numberOrZero("key")), true
 }
 
+// explainHeldOff explains a request whose servers took no requests from its process until a time.
+func (r *request) explainHeldOff() (string, bool) {
+	held := r.linesAround(causeWindow, func(l logline.Line) bool { return l.Message == msgHeld && l.Process == r.Process })
+	r.addRelated(held...)
+	text := fmt.Sprintf("the servers of %s that could run it took no requests from %s, as they had stated with a Retry-After", r.Text("service"), r.Process)
+	if server := lastServer(r.Line); server != "" {
+		text = fmt.Sprintf("%s took no requests from %s, as it had stated with a Retry-After", server, r.Process)
+	}
+	return fmt.Sprintf("%s; the client was told to try again after %d ms", text, r.numberOrZero("retry")), true
+}
+
 // describeContention counts the other requests of the service around this one that found no slot
 // and those that were served, which tells a single full server from a service without free slots.
 func (r *request) describeContention() string {
--- a/bramleyctl/internal/evidence/explanation_test.go
+++ b/bramleyctl/internal/evidence/explanation_test.go
@@ -45,6 +45,7 @@
 		found bool
 	}{
 		{"no slot in time", []string{failedRequest("full", `"chosen":"a"`), noSlotAtA, servedByA}, "no slot of a in time, after 500 ms; within 1s around it 1 other requests of desk found no slot, 1 of them at the same server, and 1 were served", true},
+		{"held off", []string{failedRequest("held off", `"chosen":"a","retry":2400`)}, "a took no requests from e1, as it had stated with a Retry-After; the client was told to try again after 2400 ms", true},
 		{"all servers leave", []string{failedRequest("servers leave", `"attempts":0`)}, "all registered servers of desk leave; none could take key 50", true},
 		{"over the limit of its server", []string{failedRequest("over limit", `"chosen":"a","rate":2.8,"heard":40`), keysMoving}, "a takes 2.8 requests a second from all processes together, as it had named 40 ms before, and had got as many", true},
 		{"given up at the end of its process", []string{failedRequest("given up", `"server":"a","attempts":1`)}, "its process ended before the answer came; server a had it (waited 0 ms for a slot); it may have run", true},
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -122,6 +122,7 @@
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now)
 	servers := s.node.view.Servers()
+	held := s.node.heldShares(now)
 	for name, service := range configuration.Services {
 		if !service.Sharded {
 			continue
@@ -143,6 +144,7 @@
 		if now.Sub(confirmed) > coordinator.MaxOfflineRenewal {
 			continue
 		}
+		state.demand.SetHeld(held)
 		for _, o := range state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime) {
 			group.Go(func() { s.execute(ctx, state, o) })
 		}
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -22,6 +22,7 @@
 
 	"github.com/apex/log"
 
+	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/follow"
@@ -142,6 +143,8 @@
 	lastReport time.Time
 	// cutOff is true if the process reaches no server.
 	cutOff bool
+	// holds are the servers that take no requests from the process, with the times until which they don't.
+	holds map[registry.Instance]time.Time
 }
 
 // Reachability tells whether this process reaches the servers.
@@ -378,7 +381,7 @@
 	loads, samples := n.loadCollector.TakeUnreported()
 	r := report.Report{
 		From: n.self, Cores: n.cores, Loads: loads, Samples: samples,
-		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), Leaving: n.statements.Leaving(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
+		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), Leaving: n.statements.Leaving(time.Now()), Holds: n.statements.Holds(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
 	}
 	if holding {
 		n.Report(time.Now(), r)
@@ -406,7 +409,7 @@
 	if !holding || n.executor == nil {
 		return report.Response{}
 	}
-	n.reporters[r.From.Name] = reporter{member: r.From, cores: r.Cores, lastReport: now, cutOff: r.CutOff}
+	n.reporters[r.From.Name] = reporter{member: r.From, cores: r.Cores, lastReport: now, cutOff: r.CutOff, holds: r.Holds}
 	n.executor.addReport(now, r)
 	n.crashes.AddReported(now, r.Crashes)
 	for inst, l := range r.Limits {
@@ -438,6 +441,20 @@
 	}
 }
 
+// heldShares returns the part of the members from which a server takes no requests, for the servers of which
+// there is any. The node's lock is held.
+func (n *Node) heldShares(now time.Time) map[registry.Instance]float64 {
+	shares := make(map[registry.Instance]float64)
+	for _, p := range n.reporters {
+		for inst, until := range p.holds {
+			if now.Before(until) {
+				shares[inst] += 1 / float64(len(n.reporters))
+			}
+		}
+	}
+	return shares
+}
+
 // StepDown gives up the role to a coordinator of a higher term. It implements report.Handler.
 func (n *Node) StepDown(now time.Time, request report.StepDown) report.StepDownResponse {
 	n.mu.Lock()
--- a/entry/internal/demand/histogram.go
+++ b/entry/internal/demand/histogram.go
@@ -60,6 +60,12 @@
 	return prefix, h.samples
 }
 
+// Total returns the load of all keys, as the last one of PrefixLoads.
+func (h *Histogram) Total(now time.Time) float64 {
+	h.decay(now)
+	return h.samples * h.meanServiceTime / h.window.Seconds()
+}
+
 // decay reduces the weight of earlier requests.
 func (h *Histogram) decay(now time.Time) {
 	elapsed := now.Sub(h.lastDecay)
--- a/entry/internal/demand/service.go
+++ b/entry/internal/demand/service.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"math"
 	"time"
 
 	"bramleystand.org/common/keyspace"
@@ -24,6 +25,7 @@
 	recent, steady *Histogram
 	speeds         *Speeds
 	limits         Limits
+	held           map[registry.Instance]float64
 	// meanServiceTime is the latest mean service time of a request in seconds; zero if there is none.
 	meanServiceTime float64
 }
@@ -65,14 +67,28 @@
 func (s *Service) SteadyLoad(now time.Time) ([]float64, float64) { return s.steady.PrefixLoads(now) }
 
 // MaxLoad returns the load at which a server gets as many requests as it takes in a second, or false if
-// it names no limit.
+// it names no limit. A server that takes no requests from a part of the processes is taken to bear the part of
+// all load that comes from the others.
 func (s *Service) MaxLoad(now time.Time, inst registry.Instance) (float64, bool) {
-	l := s.limits.Get(now, inst)
-	if !l.IsCurrent(now) || s.meanServiceTime == 0 {
+	if s.meanServiceTime == 0 {
 		return 0, false
 	}
-	return l.Rate() * s.meanServiceTime, true
+	load, limited := math.Inf(1), false
+	if l := s.limits.Get(now, inst); l.IsCurrent(now) {
+		load, limited = l.Rate()*s.meanServiceTime, true
+	}
+	if share := s.held[inst]; share > 0 {
+		load, limited = min(load, max(0, 1-share)*s.recent.Total(now)+minHeldRate*s.meanServiceTime), true
+	}
+	return load, limited
 }
 
+// minHeldRate is the number of requests a second that a server is taken to bear at least, so that it has a
+// capacity.
+const minHeldRate = 0.25
+
+// SetHeld replaces the parts of the processes from which servers take no requests now.
+func (s *Service) SetHeld(shares map[registry.Instance]float64) { s.held = shares }
+
 // Speed returns the speed of a server; 1 is the mean of the service.
 func (s *Service) Speed(inst registry.Instance) float64 { return s.speeds.Speed(inst) }
--- a/entry/internal/demand/service_test.go
+++ b/entry/internal/demand/service_test.go
@@ -41,4 +41,10 @@
 	must.Eq(t, -1, load("ended"))
 	must.Eq(t, -1, load("old"))
 	must.Eq(t, -1, load("unknown"))
+	// Two requests in a window of 1.2 s, of 0.125 s on average.
+	s.SetHeld(map[registry.Instance]float64{{ID: "ended"}: 0.5, {ID: "limited"}: 1, {ID: "none"}: 0.1})
+	must.InDelta(t, 0.0625+0.5*2*0.125/1.2, load("ended"), 1e-9)
+	must.InDelta(t, 0.0625, load("limited"), 1e-9)
+	must.InDelta(t, 0.0625, load("none"), 1e-9)
+	must.Eq(t, -1, load("unknown"))
 }
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -108,6 +108,10 @@
 type Statements interface {
 	// ObserveLeaving records that a server has stated that it leaves.
 	ObserveLeaving(now time.Time, inst registry.Instance)
+	// HoldOff records that a server takes no requests from this process until a time, and HeldUntil returns
+	// the time, or false if the server takes them.
+	HoldOff(now time.Time, inst registry.Instance, until time.Time)
+	HeldUntil(now time.Time, inst registry.Instance) (time.Time, bool)
 	// ObserveInvalid records a statement that can't be used.
 	ObserveInvalid(now time.Time, inst registry.Instance, err error)
 }
@@ -277,6 +281,10 @@
 		slot.Release(Outcome{})
 		return refusedResult(Unreachable, begin.Add(refusalRetryDelay), nil), true
 	}
+	if until, held := d.statements.HeldUntil(begin, b.server.Instance); held {
+		slot.Release(Outcome{})
+		return heldResult(c, until), true
+	}
 	b.requestStarted()
 	ended := d.reachability.RequestSent(begin, b.server.Instance)
 	p.server = b.server.ID
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -49,6 +49,11 @@
 
 func (testHeaderFields) IsLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
 
+func (testHeaderFields) RetryAfter(now time.Time, h http.Header) (time.Time, bool, error) {
+	left, err := time.ParseDuration(h.Get("Held"))
+	return now.Add(left), err == nil, nil
+}
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a backend server that counts the requests it receives.
@@ -143,6 +148,10 @@
 	return nil
 }
 
+func (noTracking) HoldOff(time.Time, registry.Instance, time.Time) {}
+func (noTracking) HeldUntil(time.Time, registry.Instance) (time.Time, bool) {
+	return time.Time{}, false
+}
 func (noTracking) ObserveLeaving(time.Time, registry.Instance)        {}
 func (noTracking) ObserveInvalid(time.Time, registry.Instance, error) {}
 
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -15,6 +15,8 @@
 	NoOwner Reason = "no owner"
 	// Unreachable means that no connection could be opened.
 	Unreachable Reason = "unreachable"
+	// HeldOff means that the servers which could run the request take none from this process for a time.
+	HeldOff Reason = "held off"
 	// NoSlot means that the wait for a slot would be too long.
 	NoSlot Reason = "full"
 	// OverLimit means that the server takes no more requests in a second than it has got.
--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -42,6 +42,9 @@
 	if d.reachability.Unreached(now, inst) {
 		return false
 	}
+	if _, held := d.statements.HeldUntil(now, inst); held {
+		return false
+	}
 	b := d.backends.find(inst)
 	if b == nil {
 		return true
@@ -51,9 +54,13 @@
 }
 
 // canRelay reports whether a call may be sent to a server through another process, because this one doesn't
-// reach it.
+// reach it or the server takes no requests from it.
 func (d *Dispatcher) canRelay(now time.Time, p *progress, s registry.Server) bool {
-	return !p.relayed && p.relays < maxRelays && d.reachability.Unreached(now, s.Instance) && d.relay.Available(now, s)
+	if p.relayed || p.relays >= maxRelays {
+		return false
+	}
+	_, held := d.statements.HeldUntil(now, s.Instance)
+	return (held || d.reachability.Unreached(now, s.Instance)) && d.relay.Available(now, s)
 }
 
 // attemptThroughPeer sends the call to a server through another process; retry tells whether another attempt
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -49,7 +49,7 @@
 			}
 			continue
 		}
-		if p.tried[s.Instance] {
+		if _, held := d.statements.HeldUntil(now, s.Instance); held || p.tried[s.Instance] {
 			continue
 		}
 		if until, inBackoff := b.backoff(now); inBackoff {
@@ -65,6 +65,9 @@
 		return unreached, nil
 	}
 	if best == nil {
+		if refusal := d.heldRefusal(now, servers.Service(p.call.Service), p.call); refusal != nil {
+			return nil, refusal
+		}
 		return nil, refusedResult(NoServer, retryAt, nil)
 	}
 	return best, nil
@@ -102,8 +105,15 @@
 		s, ok := d.lookupOwner(now, servers, p.call)
 		if ok {
 			b := d.backend(servers, s)
+			if d.canRelay(now, p, s) {
+				return b, nil
+			}
+			if until, held := d.statements.HeldUntil(now, s.Instance); held {
+				p.steps = append(p.steps, Step{Server: s.ID, Reason: HeldOff})
+				return nil, heldResult(p.call, until)
+			}
 			until, inBackoff := b.backoff(now)
-			if !inBackoff || d.canRelay(now, p, s) {
+			if !inBackoff {
 				return b, nil
 			}
 			p.steps = append(p.steps, Step{Server: s.ID, Reason: Unreachable})
--- a/entry/internal/dispatch/statements.go
+++ b/entry/internal/dispatch/statements.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -9,6 +10,13 @@
 	"bramleystand.org/entry/internal/view"
 )
 
+const (
+	// heldSpread is the time over which the requests of one rank that a server has held off are spread after
+	// the end of its hold. Ranks above maxSpreadRank count as that.
+	heldSpread    = 200 * time.Millisecond
+	maxSpreadRank = 3
+)
+
 // leavingRetryDelay is the time after which a client may try again when the server that holds the key
 // leaves and no other server of the service is registered.
 const leavingRetryDelay = time.Second
@@ -24,6 +32,39 @@
 	if r.Leaving {
 		d.statements.ObserveLeaving(now, inst)
 	}
+	if r.HeldErr != nil {
+		d.statements.ObserveInvalid(now, inst, r.HeldErr)
+	}
+	if !r.HeldUntil.IsZero() {
+		d.statements.HoldOff(now, inst, r.HeldUntil)
+	}
+}
+
+// heldResult returns the refusal of a call whose servers take no requests from this process until the given
+// time. The times at which clients may try again are spread, urgent ranks first, so that the requests which
+// were refused don't come back at once.
+func heldResult(c *Call, until time.Time) *Result {
+	spread := time.Duration(min(c.Route.Rank, maxSpreadRank))*heldSpread + rand.N(heldSpread)
+	return refusedResult(HeldOff, until.Add(spread), nil)
+}
+
+// heldRefusal returns the refusal of a call of a service whose servers all take no requests from this process
+// now, with the end of the hold that ends first, or nil if one of them takes them.
+func (d *Dispatcher) heldRefusal(now time.Time, servers []registry.Server, c *Call) *Result {
+	var first time.Time
+	for _, s := range servers {
+		until, held := d.statements.HeldUntil(now, s.Instance)
+		if !held {
+			return nil
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return nil
+	}
+	return heldResult(c, first)
 }
 
 // observeRelayed records that the server of a response which another process has relayed leaves: this process
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -38,7 +38,11 @@
 func (originFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
 func (originFields) IsLeaving(http.Header) (bool, error) { return false, nil }
-func (originFields) HasProof(h http.Header) bool         { return h.Get("Proof") != "" }
+func (originFields) RetryAfter(time.Time, http.Header) (time.Time, bool, error) {
+	return time.Time{}, false, nil
+}
+
+func (originFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // noLimits has a slot for every request and tracks nothing.
 type noLimits struct{}
@@ -65,6 +69,10 @@
 	return nil
 }
 
+func (noLimits) HoldOff(time.Time, registry.Instance, time.Time) {}
+func (noLimits) HeldUntil(time.Time, registry.Instance) (time.Time, bool) {
+	return time.Time{}, false
+}
 func (noLimits) ObserveLeaving(time.Time, registry.Instance)        {}
 func (noLimits) ObserveInvalid(time.Time, registry.Instance, error) {}
 
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -23,10 +23,20 @@
 	d["tables"] = tables
 	d["servers"] = p.view.Servers().Registered()
 	d["reachability"] = p.reachabilityCounts(time.Now())
+	d["holds"] = p.dumpHolds(time.Now())
 	d["limits"] = p.dumpLimits(time.Now())
 	return d
 }
 
+// dumpHolds returns the servers that take no requests from this process, with the time in ms until they do.
+func (p *Process) dumpHolds(now time.Time) map[string]any {
+	holds := make(map[string]any)
+	for inst, until := range p.statements.Holds(now) {
+		holds[inst.ID] = map[string]any{"incarnation": inst.Incarnation, "left": until.Sub(now).Milliseconds()}
+	}
+	return holds
+}
+
 // dumpLimits returns the request limits of servers that the process knows of, with the time in ms since
 // a response last named them and the requests that this process has refused as an allocator.
 func (p *Process) dumpLimits(now time.Time) map[string]any {
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -289,6 +289,9 @@
 	limit string
 	// header has further fields of all responses to requests.
 	header http.Header
+	// turnAway returns the Retry-After with which a request from an IP address is turned away, or "" for one
+	// that is not; nil if none is.
+	turnAway func(from string) string
 	// plain is true if the server runs requests without grants.
 	plain bool
 	// requests has the requests that arrived, and the time at which each did.
@@ -301,6 +304,39 @@
 type arrivedRequest struct {
 	id string
 	at time.Time
+	// from is the IP address of the process that sent it, and retryAfter with what it was turned away.
+	from, retryAfter string
+}
+
+// setTurnAway changes from now on which requests are turned away.
+func (b *fakeBackend) setTurnAway(f func(from string) string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turnAway = f
+}
+
+// arrivedWhileHeld returns how many requests arrived from a process between half a second after one of its
+// requests was turned away and the end of the time that was stated, the largest number for any of these.
+func (b *fakeBackend) arrivedWhileHeld(t *testing.T) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := 0
+	for i, refused := range b.requests {
+		if refused.retryAfter == "" {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(refused.retryAfter, 64)
+		must.NoError(t, err)
+		from, until := refused.at.Add(500*time.Millisecond), refused.at.Add(time.Duration(seconds*float64(time.Second)))
+		n := 0
+		for _, r := range b.requests[i:] {
+			if r.from == refused.from && r.at.After(from) && r.at.Before(until) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
 }
 
 // setHeader replaces the further fields of all responses from now on.
@@ -391,12 +427,23 @@
 		return
 	}
 	b.arrivals = append(b.arrivals, time.Now())
-	b.requests = append(b.requests, arrivedRequest{r.Header.Get("Bramleystand-Attempt-Id"), time.Now()})
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	arrived := arrivedRequest{id: r.Header.Get("Bramleystand-Attempt-Id"), at: time.Now(), from: from}
+	if b.turnAway != nil {
+		arrived.retryAfter = b.turnAway(from)
+	}
+	b.requests = append(b.requests, arrived)
 	maps.Copy(w.Header(), b.header)
 	if b.limit != "" {
 		w.Header().Set("Server-Limit", b.limit)
 	}
 	w.Header().Set("Bramleystand-Attempt-Id", r.Header.Get("Bramleystand-Attempt-Id"))
+	if arrived.retryAfter != "" {
+		w.Header().Set("Retry-After", arrived.retryAfter)
+		w.Header().Set("Bramleystand-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	key, err := strconv.Atoi(r.Header.Get("Bramleystand-Shard-Key"))
 	if r.Header.Get("Bramleystand-Expect-Instance") != b.id || !b.plain && (err != nil || !time.Now().Before(b.expiries[key])) {
 		w.Header().Set("Bramleystand-Not-Executed", "1")
--- a/entry/internal/gatewayprocess/malformed_test.go
+++ b/entry/internal/gatewayprocess/malformed_test.go
@@ -57,6 +57,7 @@
 		[]any{[]any{"a", 1, r.IntN(2) == 0, float(), integer()}},
 		r.IntN(2) == 0,
 		[]any{[]any{"unknown", integer()}},
+		[]any{[]any{"a", 1, integer()}},
 	}
 }
 
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -20,7 +20,7 @@
 		"age":           func(now time.Time) any { return p.copyAges(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
-		"statements":    func(time.Time) any { return p.statements.Counts() },
+		"statements":    func(now time.Time) any { return p.statements.Counts(now) },
 		"relay":         func(time.Time) any { return p.relayCounts() },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
 	} {
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -113,16 +113,7 @@
 
 // sendWithin is send with the time until the deadline of the request.
 func (p *testProcess) sendWithin(left time.Duration, path, id string, key int) (int, string) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+p.settings.ClientAddress.String()+path, strings.NewReader("body of "+id))
-	if err != nil {
-		return 0, err.Error()
-	}
-	r.Host = "h.example"
-	r.Header.Set("Bramleystand-Attempt-Id", id)
-	r.Header.Set("Bramleystand-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
-	r.Header.Set("Bramleystand-Shard-Key", fmt.Sprint(key))
-	r.Close = true
-	response, err := http.DefaultClient.Do(r)
+	response, err := p.exchange(left, path, id, key)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -134,6 +125,20 @@
 	return response.StatusCode, string(body)
 }
 
+// exchange sends a request on a connection of its own and returns the response, whose body must be closed.
+func (p *testProcess) exchange(left time.Duration, path, id string, key int) (*http.Response, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.settings.ClientAddress.String()+path, strings.NewReader("body of "+id))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "h.example"
+	r.Header.Set("Bramleystand-Attempt-Id", id)
+	r.Header.Set("Bramleystand-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
+	r.Header.Set("Bramleystand-Shard-Key", fmt.Sprint(key))
+	r.Close = true
+	return http.DefaultClient.Do(r)
+}
+
 func (p *testProcess) isReady() bool {
 	response, err := http.Get("http://" + p.settings.ReadyAddress.String() + "/v1/readyz")
 	if err != nil {
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -218,7 +218,9 @@
 		}
 		perSecond, named, limitErr := c.fields.RequestLimit(head.Header)
 		leaving, leavingErr := c.fields.IsLeaving(head.Header)
+		heldUntil, heldErr := c.heldUntil(head)
 		return &Response{
+			HeldUntil: heldUntil, HeldErr: heldErr,
 			Leaving: leaving, LeavingErr: leavingErr,
 			Status: head.StatusCode, Header: head.Header, Body: body,
 			Limit:          Limit{PerSecond: perSecond, Named: named, Err: limitErr},
@@ -229,6 +231,19 @@
 	return nil, false, errWrongRequestID
 }
 
+// heldUntil returns the time until which the server wants no request, or zero. Only a response with the status
+// 503 states that.
+func (c *Client) heldUntil(head *http.Response) (time.Time, error) {
+	if head.StatusCode != http.StatusServiceUnavailable {
+		return time.Time{}, nil
+	}
+	until, named, err := c.fields.RetryAfter(time.Now(), head.Header)
+	if err != nil || !named {
+		return time.Time{}, err
+	}
+	return until, nil
+}
+
 // readHead reads the head of the final response and skips interim (1xx) responses. It reads at most
 // maxHeadBytes from the server.
 func readHead(k *conn, method string) (*http.Response, error) {
--- a/entry/internal/origin/client_test.go
+++ b/entry/internal/origin/client_test.go
@@ -38,6 +38,10 @@
 
 func (testHeaderFields) IsLeaving(http.Header) (bool, error) { return false, nil }
 
+func (testHeaderFields) RetryAfter(time.Time, http.Header) (time.Time, bool, error) {
+	return time.Time{}, false, nil
+}
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a TCP server that counts its connections.
--- a/entry/internal/origin/fields.go
+++ b/entry/internal/origin/fields.go
@@ -22,6 +22,9 @@
 	// IsLeaving reports whether the server of a response states that it leaves. An error means that the
 	// statement can't be used.
 	IsLeaving(h http.Header) (bool, error)
+	// RetryAfter returns the time until which the server of a response that has arrived now wants no
+	// request, and whether the response names one. An error means that it can't be used.
+	RetryAfter(now time.Time, h http.Header) (at time.Time, named bool, err error)
 	// HasProof reports whether a response carries the server's proof that it made the response.
 	HasProof(h http.Header) bool
 }
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -1,6 +1,9 @@
 package origin
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Limit is the number of requests a second that a server takes from all processes together, as stated in
 // a response.
@@ -21,6 +24,10 @@
 	NotRun bool
 	// HasServerProof is true if the response carries the server's proof that it made the response.
 	HasServerProof bool
+	// HeldUntil is the time until which the server wants no request from this process, as it states when it
+	// turns a request away; zero if it states none. HeldErr is why its statement can't be used, or nil.
+	HeldUntil time.Time
+	HeldErr   error
 	// Reused is true if the connection had been used for an earlier request.
 	Reused bool
 	// Leaving is true if the server states that it leaves, and LeavingErr is why its statement can't be
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -24,6 +24,8 @@
 	Limits map[registry.Instance]requestlimit.Limit
 	// CutOff is true if the process reaches no backend server.
 	CutOff bool
+	// Holds are the servers that take no requests from the process, with the times until which they don't.
+	Holds map[registry.Instance]time.Time
 	// Leaving are the servers that have stated in responses to the process lately that they leave.
 	Leaving []registry.Instance
 }
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -49,6 +49,15 @@
 	Limits  []wireLimit
 	CutOff  bool
 	Leaving []wireInstance
+	Holds   []wireHold
+}
+
+// wireHold has the time until the end in microseconds.
+type wireHold struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Instance int64
+	Left     int64
 }
 
 type wireInstance struct {
@@ -155,6 +164,9 @@
 	for _, inst := range r.Leaving {
 		w.Leaving = append(w.Leaving, wireInstance{ID: inst.ID, Instance: inst.Incarnation})
 	}
+	for inst, until := range r.Holds {
+		w.Holds = append(w.Holds, wireHold{ID: inst.ID, Instance: inst.Incarnation, Left: until.Sub(now).Microseconds()})
+	}
 	return w
 }
 
@@ -181,6 +193,10 @@
 	for _, l := range w.Leaving {
 		r.Leaving = append(r.Leaving, registry.Instance{ID: l.ID, Incarnation: l.Instance})
 	}
+	r.Holds = make(map[registry.Instance]time.Time, len(w.Holds))
+	for _, h := range w.Holds {
+		r.Holds[registry.Instance{ID: h.ID, Incarnation: h.Instance}] = now.Add(time.Duration(h.Left) * time.Microsecond)
+	}
 	return r
 }
 
--- a/entry/internal/report/wire_internal_test.go
+++ b/entry/internal/report/wire_internal_test.go
@@ -19,3 +19,12 @@
 	limit.HeardAt = received.Add(-time.Second)
 	must.Eq(t, map[registry.Instance]requestlimit.Limit{inst: limit}, got.Limits)
 }
+
+// Guards against a hold whose end moves with the clocks of two VMs, and against a statement of leaving that is lost.
+func TestReportedStatements(t *testing.T) {
+	sent, received := time.Unix(1000, 0), time.Unix(5000, 0)
+	inst := registry.Instance{ID: "a", Incarnation: 7}
+	got := decodeReport(received, encodeReport(sent, Report{Holds: map[registry.Instance]time.Time{inst: sent.Add(1500 * time.Millisecond)}, Leaving: []registry.Instance{inst}}))
+	must.Eq(t, map[registry.Instance]time.Time{inst: received.Add(1500 * time.Millisecond)}, got.Holds)
+	must.Eq(t, []registry.Instance{inst}, got.Leaving)
+}
--- a/entry/internal/statement/table.go
+++ b/entry/internal/statement/table.go
@@ -1,16 +1,23 @@
-// Package statement handles what backend servers state about themselves in their responses: that they leave.
+// Package statement handles what backend servers state about themselves in their responses: that they leave,
+// or that they take no requests from this process until a time.
 //
-// A statement is evidence of its own beside the server's entry in the store, whichever comes first. It
+// That a server leaves is evidence of its own beside the server's entry in the store, whichever comes first. It
 // is final for the instance, and holds without the store and without other processes: the process marks the
 // server as draining in its view, so that its own requests to it stop. Each process reports the servers that
 // it has heard to the coordinator, which moves their keys.
 //
+// A hold binds only the process that has got the response, and the instance that has made it. It ends at the
+// time that was stated; a later response does not shorten it. Reports tell the coordinator of the holds,
+// so that it gives a server that many processes may not send to fewer keys.
+//
 // # Usage
 //
 //	table := statement.NewTable(view, logger)
 //	table.ObserveLeaving(now, instance)
 //	report.Leaving = table.Leaving(now)
 //	table.MergeLeaving(now, instance, reporter)
+//	table.HoldOff(now, instance, until)
+//	until, held := table.HeldUntil(now, instance)
 package statement
 
 import (
@@ -27,6 +34,10 @@
 	// coordinator learns of it too. maxReported limits the servers in one report.
 	reportTime  = 5 * time.Second
 	maxReported = 256
+	// maxHolds limits the holds that are kept, and holdLogInterval is the time between two log lines about
+	// holds of the same server.
+	maxHolds        = 1024
+	holdLogInterval = 10 * time.Second
 	// invalidLogInterval is the time between two log lines about unusable statements.
 	invalidLogInterval = 10 * time.Second
 )
@@ -45,6 +56,9 @@
 	mu sync.Mutex
 	// heard holds the time of the last response that stated that its server leaves.
 	heard map[registry.Instance]time.Time
+	holds map[registry.Instance]hold
+	// held counts the responses that have stated a hold.
+	held int
 	// servers counts the servers that were marked as leaving, and invalid the responses with a statement
 	// that can't be used.
 	servers        int
@@ -52,9 +66,15 @@
 	nextInvalidLog time.Time
 }
 
+// hold is the time until which a server takes no requests from this process.
+type hold struct {
+	until   time.Time
+	nextLog time.Time
+}
+
 // NewTable returns a table without statements.
 func NewTable(v View, logger log.Interface) *Table {
-	return &Table{view: v, logger: logger, heard: make(map[registry.Instance]time.Time)}
+	return &Table{view: v, logger: logger, heard: make(map[registry.Instance]time.Time), holds: make(map[registry.Instance]hold)}
 }
 
 // ObserveLeaving records that a response that has arrived now states that its server leaves.
@@ -85,6 +105,65 @@
 	t.logger.WithFields(fields).Info("server states that it leaves")
 }
 
+// HoldOff records that a server takes no requests from this process until a time.
+func (t *Table) HoldOff(now time.Time, inst registry.Instance, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held++
+	h, known := t.holds[inst]
+	if !until.After(now) || !until.After(h.until) {
+		return
+	}
+	if !known && len(t.holds) >= maxHolds {
+		t.dropHold(now)
+	}
+	h.until = until
+	if !now.Before(h.nextLog) {
+		h.nextLog = now.Add(holdLogInterval)
+		t.logger.WithFields(log.Fields{"server": inst.ID, "life": inst.Incarnation, "ms": until.Sub(now).Milliseconds()}).Info("server takes no requests from this process for a time")
+	}
+	t.holds[inst] = h
+}
+
+// dropHold makes room for another hold: it drops those that have ended or, if there is none, the one that ends
+// first. The lock is held.
+func (t *Table) dropHold(now time.Time) {
+	var first registry.Instance
+	var firstEnd time.Time
+	for inst, h := range t.holds {
+		if !now.Before(h.until) {
+			delete(t.holds, inst)
+		} else if firstEnd.IsZero() || h.until.Before(firstEnd) {
+			first, firstEnd = inst, h.until
+		}
+	}
+	if len(t.holds) >= maxHolds {
+		delete(t.holds, first)
+	}
+}
+
+// HeldUntil returns the time until which a server takes no requests from this process, or false if it takes
+// them.
+func (t *Table) HeldUntil(now time.Time, inst registry.Instance) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.holds[inst]
+	return h.until, now.Before(h.until)
+}
+
+// Holds returns the servers that take no requests from this process, with the times until which they don't.
+func (t *Table) Holds(now time.Time) map[registry.Instance]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[registry.Instance]time.Time)
+	for inst, h := range t.holds {
+		if now.Before(h.until) {
+			out[inst] = h.until
+		}
+	}
+	return out
+}
+
 // ObserveInvalid counts a response whose statement can't be used. Such a response changes nothing.
 func (t *Table) ObserveInvalid(now time.Time, inst registry.Instance, err error) {
 	t.mu.Lock()
@@ -112,10 +191,11 @@
 	return out
 }
 
-// Counts returns the number of servers that were marked as leaving and of responses with a statement that
-// can't be used.
-func (t *Table) Counts() map[string]int {
+// Counts returns the numbers of servers that were marked as leaving, of servers that take no requests from this
+// process now, of responses that have stated so, and of responses with a statement that can't be used.
+func (t *Table) Counts(now time.Time) map[string]int {
+	held := len(t.Holds(now))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return map[string]int{"servers": t.servers, "invalid": t.invalid}
+	return map[string]int{"servers": t.servers, "held": held, "holds": t.held, "invalid": t.invalid}
 }
