--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -42,6 +42,7 @@
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/operator"
+	"bramleystand.org/entry/internal/orderrelay"
 	"bramleystand.org/entry/internal/reachability"
 	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
@@ -95,15 +96,16 @@
 	self          election.Member
 	logger        log.Interface
 
-	view       *view.View
-	replica    *replica.Replica
-	store      *storemetrics.Store
-	node       *cluster.Node
-	peerClient *report.Client
-	allocator  *slots.Allocator
-	limiter    *slots.Limiter
-	limits     *requestlimit.Table
-	statements *statement.Table
+	view        *view.View
+	replica     *replica.Replica
+	store       *storemetrics.Store
+	node        *cluster.Node
+	peerClient  *report.Client
+	orderRelays *orderrelay.Client
+	allocator   *slots.Allocator
+	limiter     *slots.Limiter
+	limits      *requestlimit.Table
+	statements  *statement.Table
 	// reachability tells which servers this process reaches.
 	reachability *reachability.Monitor
 	relayClient  *relay.Client
@@ -146,12 +148,14 @@
 	p.replica = replica.New(p.view, logger)
 	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)), logger)
 	p.peerClient = report.NewClient(d)
+	p.orderRelays = orderrelay.NewClient(p.peerClient)
+	prober := serverprobe.New(d, p.view)
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
 	p.statements = statement.NewTable(p.view, logger)
-	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, serverprobe.New(d, p.view), logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, tracker, p.reachability, d, logger)
+	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, tracker, p.reachability, d, prober, p.orderRelays, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
@@ -160,7 +164,7 @@
 	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient, p.statements)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
-	p.peerServer = report.NewServer(p.node, p.relayServer, logger)
+	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, p.relayServer), logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
@@ -372,7 +376,7 @@
 func (p *Process) close() {
 	p.cancelLoops()
 	p.loops.Wait()
-	for _, c := range []io.Closer{p.relayClient, p.peerClient} {
+	for _, c := range []io.Closer{p.relayClient, p.orderRelays, p.peerClient} {
 		if err := c.Close(); err != nil {
 			p.logger.WithError(err).Warn("closing the connections to peers failed")
 		}
