--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -195,7 +195,7 @@
 		return false
 	}
 	switch r.Reason {
-	case dispatch.Unreachable, dispatch.CutOff, dispatch.NoServer, dispatch.Stopping, dispatch.RelayFull:
+	case dispatch.Unreachable, dispatch.CutOff, dispatch.HeldOff, dispatch.NoServer, dispatch.Stopping, dispatch.RelayFull:
 		return true
 	}
 	return false
