--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -20,7 +20,7 @@
 		"age":           func(now time.Time) any { return p.copyAges(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
-		"statements":    func(time.Time) any { return p.statements.Counts() },
+		"statements":    func(now time.Time) any { return p.statements.Counts(now) },
 		"relay":         func(time.Time) any { return p.relayCounts() },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
 	} {
@@ -28,10 +28,10 @@
 	}
 }
 
-// reachabilityCounts returns whether the process is cut off from the backend servers (1 or 0), the number of
-// servers that it doesn't reach and the number of members that are cut off.
+// reachabilityCounts returns whether the process is cut off from all backend servers (1 or 0), the numbers of
+// services and servers that it doesn't reach, and the number of members that are cut off from all.
 func (p *Process) reachabilityCounts(now time.Time) map[string]int {
-	counts := map[string]int{"cutOff": 0, "servers": p.reachability.UnreachedServers(), "members": len(p.node.CutOffMembers())}
+	counts := map[string]int{"cutOff": 0, "services": len(p.reachability.CutOffServices()), "servers": p.reachability.UnreachedServers(), "members": len(p.node.CutOffMembers())}
 	if p.reachability.CutOff(now) {
 		counts["cutOff"] = 1
 	}
