dispatch: Retry-After of a lost owner names when its keys have another one

Requests for the keys of a lost server were told to come back after 100 to 800 ms.

From the third failure in a row to reach the owner, the client is told to come back 4.2 s after the first: 0.9 s until the server counts as silent, 3.2 s until its last grant has expired, 0.1 s until the next plan.

--- a/entry/internal/dispatch/backend.go
+++ b/entry/internal/dispatch/backend.go
@@ -16,6 +16,12 @@
 	// averageSamples sets the weight of a new sample in the moving average of a server's
 	// response times: 1/averageSamples.
 	averageSamples = 20
+	// ownerLossTime is how long the keys of a server that can't be reached stay without another owner: it
+	// counts as silent after 0.9 s, its last grant expires within 3.2 s, and a plan is made each 0.1 s.
+	ownerLossTime = 4200 * time.Millisecond
+	// lostFailures is the number of consecutive failures from which a server is taken for lost. With the
+	// back-off between them they take 0.3 s, longer than a full queue of connections.
+	lostFailures = 3
 )
 
 // backend is a backend server with its client and the response times seen by this process.
@@ -29,6 +35,8 @@
 	// failures is the number of consecutive failures to reach the server.
 	failures   int
 	backoffEnd time.Time
+	// unreachableSince is the time of the first of these failures.
+	unreachableSince time.Time
 }
 
 // backoff returns the end of the server's back-off, and whether it is still ahead.
@@ -38,6 +46,17 @@
 	return b.backoffEnd, now.Before(b.backoffEnd)
 }
 
+// keysReturn returns when a client should try again for a key of the server, which can't be reached: at the
+// given time, or when another server has got the keys.
+func (b *backend) keysReturn(at time.Time) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if moved := b.unreachableSince.Add(ownerLossTime); b.failures >= lostFailures && moved.After(at) {
+		return moved
+	}
+	return at
+}
+
 // requestStarted records that a request is being sent.
 func (b *backend) requestStarted() {
 	b.mu.Lock()
@@ -58,6 +77,9 @@
 		b.meanTime += (serviceTime - b.meanTime) / averageSamples
 		return
 	}
+	if b.failures == 0 {
+		b.unreachableSince = now
+	}
 	b.failures++
 	b.backoffEnd = now.Add(min(maxBackoff, minBackoff<<min(b.failures-1, 4)))
 }
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -394,7 +394,11 @@
 			return d.contextDone(ctx, p), false
 		}
 		now := time.Now()
-		return refusedResult(Unreachable, now.Add(refusalRetryDelay), f), !d.isSharded(p.call) || d.canRelay(now, p, b.server)
+		retryAt := now.Add(refusalRetryDelay)
+		if d.isSharded(p.call) {
+			retryAt = b.keysReturn(retryAt)
+		}
+		return refusedResult(Unreachable, retryAt, f), !d.isSharded(p.call) || d.canRelay(now, p, b.server)
 	}
 	if isCutOff(ctx) {
 		return unknownResult(http.StatusBadGateway, CutOff, f), p.call.Route.Kind.Retryable()
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -117,14 +117,14 @@
 				return b, nil
 			}
 			p.steps = append(p.steps, Step{Server: s.ID, Reason: Unreachable})
-			return nil, refusedResult(Unreachable, until, errBackoff)
+			return nil, refusedResult(Unreachable, b.keysReturn(until), errBackoff)
 		}
 		if allLeave(servers, p.call) {
 			return nil, refusedResult(ServersLeave, now.Add(leavingRetryDelay), nil)
 		}
 		left := limit.Sub(now)
-		if left <= 0 || d.ownerUnreachable(now, servers, p.call) {
-			return nil, refusedResult(NoOwner, now.Add(refusalRetryDelay), nil)
+		if retryAt, unreachable := d.ownerUnreachable(now, servers, p.call); left <= 0 || unreachable {
+			return nil, refusedResult(NoOwner, retryAt, nil)
 		}
 		timer := time.NewTimer(left)
 		select {
@@ -161,28 +161,30 @@
 	return servers.Find(now, owner.Instance)
 }
 
-// ownerUnreachable reports whether it is useless to wait for an owner of the call's key: the
-// service has no ownership table, or a server that still holds the key is in back-off. Such a
-// server stays unreachable for longer than a request can wait.
-func (d *Dispatcher) ownerUnreachable(now time.Time, servers *view.Servers, c *Call) bool {
+// ownerUnreachable reports whether it is useless to wait for an owner of the call's key, and when the
+// client should try again: the service has no ownership table, or a server that still holds the key is in
+// back-off. Such a server stays unreachable for longer than a request can wait.
+func (d *Dispatcher) ownerUnreachable(now time.Time, servers *view.Servers, c *Call) (retryAt time.Time, unreachable bool) {
+	retryAt = now.Add(refusalRetryDelay)
 	table := d.view.Table(c.Service)
 	if table == nil {
-		return true
+		return retryAt, true
 	}
 	a := table.Find(c.Key)
-	if a == nil || len(a.Holders) == 0 {
-		return false
+	if a == nil {
+		return retryAt, false
 	}
 	for _, h := range a.Holders {
 		s, ok := servers.Find(now, h.Instance)
 		if !ok {
 			continue
 		}
-		if _, inBackoff := d.backend(servers, s).backoff(now); inBackoff {
-			return true
+		b := d.backend(servers, s)
+		if _, inBackoff := b.backoff(now); inBackoff {
+			return b.keysReturn(retryAt), true
 		}
 	}
-	return false
+	return retryAt, false
 }
 
 // isUsable reports whether a server may still be sent a call that has waited for its slot: it
