cluster: a coordinator on a small VM hands its role to a large one

A coordinator with less than half of the processor time of the largest member now gives the role up after 3 s, as one that is cut off from the servers does, at most once in 10 s.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -49,6 +49,8 @@
 type executor struct {
 	node *Node
 	term uint64
+	// began is when the term began.
+	began time.Time
 	// era is the era of the store in which the term began.
 	era uint64
 	// earlierErasUntil is the time by which all grants of the coordinators of earlier eras have
@@ -96,7 +98,7 @@
 	if former.Name != "" {
 		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
 	}
-	s := &executor{node: n, term: l.Term, era: l.Era, former: former, wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
+	s := &executor{node: n, term: l.Term, began: now, era: l.Era, former: former, wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
 	n.era.observe(now, s.era)
 	if !l.Settled {
 		s.earlierErasUntil = n.era.earlierGrantsUntil()
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -465,6 +465,7 @@
 		}
 	}
 	n.setCutOffMembers(cutOff)
+	n.largestCores = largest
 	// The other processes choose their allocators again only if the members have changed.
 	slices.SortFunc(n.members, func(a, b election.Member) int { return cmp.Compare(a.Name, b.Name) })
 	return report.Response{
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -141,10 +141,14 @@
 	return append(connected, cutOff...)
 }
 
-// handOver gives up the coordinator's role if this process is cut off from the servers, and remains a
-// candidate. If the store can't be reached, it keeps the role. The node's lock must be held.
+// handOver gives up the coordinator's role if this process is cut off from the servers or on a small VM, and
+// remains a candidate. If the store can't be reached, it keeps the role. The node's lock must be held.
 func (n *Node) handOver(ctx context.Context, group *sync.WaitGroup, now time.Time) {
-	if n.lockCallPending || n.resigning || now.Before(n.nextHandOver) || !n.executor.contact.isCutOff(now) {
+	if n.lockCallPending || n.resigning || now.Before(n.nextHandOver) {
+		return
+	}
+	cutOff := n.executor.contact.isCutOff(now)
+	if !cutOff && !n.isOutgrown(now) {
 		return
 	}
 	l, revision, ok := n.election.Resign()
@@ -152,7 +156,11 @@
 		return
 	}
 	n.lockCallPending, n.handingOver, n.nextHandOver = true, true, now.Add(handOverInterval)
-	fields := log.Fields{"term": l.Term, "servers": len(n.executor.contact.suspects), "ms": now.Sub(n.executor.contact.cutOffSince).Milliseconds()}
+	fields, message := log.Fields{"term": l.Term, "cores": n.cores, "largest": n.largestCores}, "coordinator's role given up: another VM has more processor time"
+	if cutOff {
+		fields = log.Fields{"term": l.Term, "servers": len(n.executor.contact.suspects), "ms": now.Sub(n.executor.contact.cutOffSince).Milliseconds()}
+		message = "coordinator's role given up: no server answers this process, and other processes reach them"
+	}
 	group.Go(func() {
 		o, err := n.putLock(ctx, l, revision)
 		n.mu.Lock()
@@ -163,16 +171,24 @@
 			n.handleResignError(err)
 			return
 		}
-		n.logger.WithFields(fields).Warn("coordinator's role given up: no server answers this process, and other processes reach them")
+		n.logger.WithFields(fields).Warn(message)
 		n.nextHandOver = time.Now().Add(handOverPause)
 		n.handOvers++
-		n.reach = candidacy{cutOff: true, checked: time.Now()}
+		if cutOff {
+			n.reach = candidacy{cutOff: true, checked: time.Now()}
+		}
 		n.updateTakeoverDelay()
 		n.election.RemainCandidate(now, l, o.Revision)
 		n.endRole()
 	})
 }
 
+// isOutgrown reports whether the coordinator is on a small VM while a large one is alive that has had time to
+// report. The node's lock must be held.
+func (n *Node) isOutgrown(now time.Time) bool {
+	return n.cores < smallVMFraction*n.largestCores && now.Sub(n.executor.began) > smallVMTerm
+}
+
 // endRole forgets the state of the coordinator, and tells the processes that follow it that the role is
 // free. The node's lock must be held.
 func (n *Node) endRole() {
--- a/entry/internal/cluster/takeover.go
+++ b/entry/internal/cluster/takeover.go
@@ -10,6 +10,9 @@
 	// smallVMFraction is the fraction of the largest VM's processor time below which a VM counts as
 	// small.
 	smallVMFraction = 0.5
+	// smallVMTerm is how long a small VM keeps the coordinator's role at least, so that it does not give
+	// it up to a large one that is about to stop too.
+	smallVMTerm = 3 * time.Second
 	// largeVMCores is the processor time, in cores, from which a VM takes the lock at once while it
 	// knows no other VM.
 	largeVMCores = 0.5
