A fence goes out again only on the connection on which it was accepted

Users saw keys that one life of a server had given to the next life of the same id, with the same fence. Expect-Instance can't tell the two apart.

A renewal keeps its fence, and any connection to the address carried it. A connection ends with the process at its other end, so each holder's fence is now bound to the connection on which the server last accepted it. Package grantpool numbers the connections and never opens one again: a refused redial also stops the standard transport from repeating an unsent POST on a new connection. If the connection has ended, or stays in use for 100 ms behind a grant without an answer, the order isn't sent and the coordinator sends one with a new fence at once, on any connection. Whether a fence of the term was accepted, which moves and renewals during outages need, stays a separate fact.

TestRepeatedMisdirectedResponse moved from platform to grantpool, unchanged in what it checks, as the connections are kept there now.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -355,12 +355,13 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), hold, o.Handover)
+		r.Connection, r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), hold, o.Handover, o.Connection)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
+	r.ConnectionEnded = errors.Is(r.Err, platform.ErrConnectionEnded)
 	r.Misdirected = errors.Is(r.Err, platform.ErrMisdirected)
 	r.Unsent = r.Unsent || errors.Is(r.Err, platform.ErrNotSent)
-	if r.Err != nil {
+	if r.Err != nil && !r.ConnectionEnded {
 		s.node.logger.WithError(r.Err).WithFields(log.Fields{
 			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
 			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected,
@@ -368,9 +369,14 @@
 	}
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	s.node.orders[orderKind(o)]++
-	if r.Err != nil {
+	switch {
+	case r.ConnectionEnded:
+		s.node.orders[orderKind(o)+" without its connection"]++
+	case r.Err != nil:
+		s.node.orders[orderKind(o)]++
 		s.node.orders[orderKind(o)+" failed"]++
+	default:
+		s.node.orders[orderKind(o)]++
 	}
 	state.coordinator.HandleResult(time.Now(), r)
 	s.wakeNode()
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -185,7 +185,7 @@
 	return g
 }
 
-func (g *recordedGrants) Grant(_ context.Context, recipient platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, _ string) error {
+func (g *recordedGrants) Grant(_ context.Context, recipient platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, _ string, _ uint64) (uint64, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	to := recipient.Address
@@ -205,7 +205,7 @@
 		}
 		holders[to] = sent.at.Add(hold)
 	}
-	return nil
+	return 1, nil
 }
 
 func (g *recordedGrants) Release(_ context.Context, recipient platform.Recipient, keys keyspace.Range, _ uint64) (string, error) {
@@ -361,7 +361,8 @@
 		n := newTestNode("n", store, grants, 2)
 		n.replica.UpdateTable(moved(1, 5, revision.New(1, 40), 1))
 		// The lost coordinator has granted the keys just before.
-		must.NoError(t, grants.Grant(t.Context(), platform.Recipient{ID: backend(1).ID, Address: backendAddress(1)}, keyspace.Range{Last: keyspace.Last}, 5, coordinator.HoldDuration, ""))
+		_, err := grants.Grant(t.Context(), platform.Recipient{ID: backend(1).ID, Address: backendAddress(1)}, keyspace.Range{Last: keyspace.Last}, 5, coordinator.HoldDuration, "", 0)
+		must.NoError(t, err)
 		started := time.Now().Add(time.Millisecond)
 		defer run(t, n)()
 		time.Sleep(5 * time.Second)
--- a/entry/internal/cluster/settled_internal_test.go
+++ b/entry/internal/cluster/settled_internal_test.go
@@ -32,11 +32,11 @@
 	lost netip.AddrPort
 }
 
-func (g lossyGrants) Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, handover string) error {
+func (g lossyGrants) Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, f uint64, hold time.Duration, handover string, connection uint64) (uint64, error) {
 	if to.Address == g.lost {
-		return errUnreachable
+		return 0, errUnreachable
 	}
-	return g.recordedGrants.Grant(ctx, to, keys, f, hold, handover)
+	return g.recordedGrants.Grant(ctx, to, keys, f, hold, handover, connection)
 }
 
 func (g lossyGrants) Release(ctx context.Context, to platform.Recipient, keys keyspace.Range, f uint64) (string, error) {
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		status := c.statusOf(h.server)
-		if status == ended || !h.callPending && !now.Before(h.heldUntil) {
+		if status == ended && !h.grantPending || !h.callPending && !now.Before(h.heldUntil) {
 			h.keysReleased = true
 			c.recordLoss(s, h, status == ended)
 			continue
@@ -261,14 +261,14 @@
 
 // grantOrder returns an order that grants the keys of a range to a server.
 func (c *Coordinator) grantOrder(now time.Time, s *rangeState, h *holder, handover string) Order {
-	if !h.fenceAccepted {
-		h.fence = c.nextFence()
+	if !h.fenceAccepted || h.connection == 0 {
+		h.fence, h.connection = c.nextFence(), 0
 	}
 	before := h.heldUntil
 	h.heldUntil = maxTime(before, now.Add(MaxGrantLifetime()))
 	h.inherited = false
 	h.nextCall = now.Add(renewInterval)
-	o := c.issueOrder(now, s, h, Order{Server: h.server, Keys: s.keys, Fence: h.fence, Handover: handover})
+	o := c.issueOrder(now, s, h, Order{Server: h.server, Keys: s.keys, Fence: h.fence, Connection: h.connection, Handover: handover})
 	p := c.pending[o.Number]
 	p.heldBefore = before
 	c.pending[o.Number] = p
@@ -287,7 +287,7 @@
 func (c *Coordinator) issueOrder(now time.Time, s *rangeState, h *holder, o Order) Order {
 	c.lastOrder++
 	o.Number, o.SendBy = c.lastOrder, now.Add(sendMargin)
-	h.callPending = true
+	h.callPending, h.grantPending = true, !o.Release
 	c.pending[o.Number] = pending{rangeState: s, holder: h, order: o, heldBefore: h.heldUntil}
 	return o
 }
@@ -305,8 +305,11 @@
 	}
 	delete(c.pending, r.Number)
 	s, h := p.rangeState, p.holder
-	h.callPending = false
-	if r.Expired {
+	h.callPending, h.grantPending = false, false
+	if r.ConnectionEnded {
+		h.connection = 0
+	}
+	if r.Expired || r.ConnectionEnded {
 		h.heldUntil, h.nextCall = p.heldBefore, now
 		return
 	}
@@ -325,7 +328,7 @@
 	case r.Fenced:
 		// The server has seen a grant of an earlier term with a higher fence than any of this term.
 		// The next fence is above it.
-		h.fenceAccepted, h.nextCall = false, now.Add(retryInterval)
+		h.fenceAccepted, h.connection, h.nextCall = false, 0, now.Add(retryInterval)
 	case r.Err != nil:
 		c.handleFailure(now, s, h, p, r)
 	case p.order.Release:
@@ -334,7 +337,7 @@
 	case p.order.FenceOnly:
 		h.keysReleased = true
 	default:
-		h.fenceAccepted, h.maybeGranted, h.confirmed = true, false, true
+		h.fenceAccepted, h.connection, h.maybeGranted, h.confirmed = true, r.Connection, false, true
 		if !s.isStable() && s.generation <= c.storedGeneration {
 			// The next call of a move does not wait for the renewal interval.
 			h.nextCall = now
@@ -393,7 +396,7 @@
 	if r.Unsent {
 		h.heldUntil = p.heldBefore
 	} else {
-		h.fenceAccepted = false
+		h.fenceAccepted, h.connection = false, 0
 	}
 	if h == s.target {
 		c.dropUnresponsiveTarget(now, s)
--- a/entry/internal/coordinator/order.go
+++ b/entry/internal/coordinator/order.go
@@ -20,6 +20,10 @@
 	Fence     fence.Fence
 	// Handover is the data that the last holder returned with its release for the next one.
 	Handover string
+	// Connection is the number of the connection on which the server has accepted a grant with the same
+	// fence, or zero for a new fence, which may go out on any connection. A fence must not reach a later
+	// life of the server, and a connection ends with the process at its other end.
+	Connection uint64
 	// SendBy is the latest time at which the order may be sent. A grant sent later would run for
 	// longer than the coordinator assumes.
 	SendBy time.Time
@@ -29,6 +33,11 @@
 type Result struct {
 	Number   uint64
 	Handover string
+	// Connection is the number of the connection on which a grant was accepted.
+	Connection uint64
+	// ConnectionEnded is true if the order was not sent because its connection has ended or is in use. It
+	// says nothing about the server.
+	ConnectionEnded bool
 	// Fenced is true if the server has seen a higher fence.
 	Fenced bool
 	// Misdirected is true if another instance listens at the server's address and has refused the order.
--- a/entry/internal/coordinator/range_state.go
+++ b/entry/internal/coordinator/range_state.go
@@ -29,12 +29,17 @@
 	// fenceAccepted is true once the server has accepted a fence of this term. From then on it
 	// refuses the grants of earlier coordinators.
 	fenceAccepted bool
+	// connection is the number of the connection on which the server has accepted the latest fence, or
+	// zero if it has not, or if that connection has ended. The next grant then needs a new fence.
+	connection uint64
 	// keysReleased is true once the server certainly no longer holds the keys.
 	keysReleased bool
 	// heldUntil is the time by which the last grant sent has expired.
 	heldUntil   time.Time
 	nextCall    time.Time
 	callPending bool
+	// grantPending is true while the result of a grant is not known.
+	grantPending bool
 	// confirmed is true once the server has accepted a grant of the keys.
 	confirmed bool
 	// inherited is true until a coordinator of this term grants the keys to the server.
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -39,6 +39,7 @@
 	"bramleystand.org/entry/internal/fleetsize"
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
+	"bramleystand.org/entry/internal/grantpool"
 	"bramleystand.org/entry/internal/operator"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
@@ -157,21 +158,21 @@
 
 // newClient returns an HTTP client for calls to the store and for grants to backend servers.
 func newClient(d cluster.Dialer) *http.Client {
-	return &http.Client{Transport: newTransport(d)}
+	return &http.Client{Transport: newTransport(d.DialContext)}
 }
 
-func newTransport(d cluster.Dialer) *http.Transport {
+func newTransport(dial grantpool.DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext: d.DialContext, DisableCompression: true,
+		DialContext: dial, DisableCompression: true,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 3 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
 // newGrantClient returns a client for orders to backend servers.
 func newGrantClient(d cluster.Dialer) *platform.GrantClient {
-	single := newTransport(d)
+	single := newTransport(d.DialContext)
 	single.DisableKeepAlives = true
-	return platform.NewGrantClient(&http.Client{Transport: single}, newClient(d))
+	return platform.NewGrantClient(single, grantpool.New(d.DialContext, newTransport))
 }
 
 func (p *Process) openListeners() error {
--- a/platform/misdirected_test.go
+++ b/entry/internal/grantpool/misdirected_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package grantpool_test
 
 import (
 	"bufio"
@@ -12,7 +12,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"bramleystand.org/common/keyspace"
 	"bramleystand.org/platform"
 )
 
@@ -32,10 +31,11 @@
 		}
 	}()
 	address := netip.MustParseAddrPort(l.Addr().String())
-	g := platform.NewGrantClient(nil, &http.Client{Transport: &http.Transport{}})
-	keys := keyspace.Range{First: 4096, Last: 8191}
-	must.ErrorIs(t, g.Grant(t.Context(), platform.Recipient{ID: "i-1", Address: address}, keys, 12, time.Second, ""), platform.ErrMisdirected)
-	must.NoError(t, g.Grant(t.Context(), platform.Recipient{ID: "i-2", Address: address}, keys, 13, time.Second, ""))
+	g := newClient()
+	_, err = g.Grant(t.Context(), platform.Recipient{ID: "i-1", Address: address}, keys, 12, time.Second, "", 0)
+	must.ErrorIs(t, err, platform.ErrMisdirected)
+	_, err = g.Grant(t.Context(), platform.Recipient{ID: "i-2", Address: address}, keys, 13, time.Second, "", 0)
+	must.NoError(t, err)
 }
 
 // answerTwice answers the orders on a connection as the given instance, and sends a second copy of each
