--- a/entry/internal/coordinator/timing.go
+++ b/entry/internal/coordinator/timing.go
@@ -19,10 +19,16 @@
 	// silenceTimeout is the time without a response after which a server gets no more grants, so
 	// that its grants expire and its keys can go to another server.
 	silenceTimeout = 900 * time.Millisecond
+	// trialInterval is the time between two grants to a server that accepts connections but answers no
+	// grants. It is longer than a grant lasts, so that the keys of the first one become free.
+	trialInterval = 4 * time.Second
 	// propagationDelay is the time in which entry VMs read a change of the table from the store.
 	propagationDelay = 25 * time.Millisecond
 	// planInterval is the time between two plans by the load of the last second.
 	planInterval = 400 * time.Millisecond
+	// urgentPlanInterval is the time between two plans while a range has no usable owner. Such a range may
+	// stay so for as long as an order to its holder is unanswered.
+	urgentPlanInterval = 100 * time.Millisecond
 	// steadyPlanInterval is the time between two plans by the load of the last seconds.
 	steadyPlanInterval = 2 * time.Second
 	// initialAssignmentDelay is how long a service without a table waits for more servers to
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -47,6 +47,8 @@
 	return perSecond, err == nil, nil
 }
 
+func (testHeaderFields) IsLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
+
 func (testHeaderFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // testServer is a backend server that counts the requests it receives.
@@ -120,13 +122,29 @@
 	return nil, &dispatch.RefusalError{RetryAt: time.Now().Add(time.Second)}
 }
 
-// noTracking is an observer that ignores everything and a crash tracker that blocks no request.
+// noTracking is an observer that ignores everything, a crash tracker that blocks no request, a
+// reachability that takes no server for unreached and a relay that is never available.
 type noTracking struct{}
 
 func (noTracking) AttemptEnded(dispatch.Observation)                  {}
 func (noTracking) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noTracking) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noTracking) RecordResponse(suspect.Fingerprint)                 {}
+func (noTracking) RequestSent(time.Time, registry.Instance) func()    { return func() {} }
+func (noTracking) RecordReached(time.Time, registry.Instance)         {}
+func (noTracking) RecordAnswer(time.Time, registry.Instance)          {}
+func (noTracking) RecordUnreached(time.Time, registry.Instance)       {}
+func (noTracking) RecordReset(time.Time, registry.Instance)           {}
+func (noTracking) Unreached(time.Time, registry.Instance) bool        { return false }
+func (noTracking) CutOff(time.Time) bool                              { return false }
+func (noTracking) Connected() context.Context                         { return context.Background() }
+func (noTracking) Available(time.Time, registry.Server) bool          { return false }
+func (noTracking) Do(context.Context, *dispatch.Call, registry.Server, int) *dispatch.Result {
+	return nil
+}
+
+func (noTracking) ObserveLeaving(time.Time, registry.Instance)        {}
+func (noTracking) ObserveInvalid(time.Time, registry.Instance, error) {}
 
 // fixture is a dispatcher with its view of the configuration, the servers and their keys.
 type fixture struct {
@@ -147,7 +165,7 @@
 		list = append(list, s.Server)
 	}
 	v.SetServers(time.Now(), list)
-	return &fixture{t: t, view: v, dispatcher: dispatch.New(v, l, retry.New(limit), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{})}
+	return &fixture{t: t, view: v, dispatcher: dispatch.New(v, l, retry.New(limit), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, noTracking{}, noTracking{}, noTracking{})}
 }
 
 // setOwner makes a server the owner of all keys, or marks all keys as moving to it.
@@ -355,7 +373,7 @@
 	}()
 	f := newFixture(t, false, unlimited{}, ampleBudget, s)
 	tracker := &fakeCrashTracker{crashes: make(map[suspect.Fingerprint]int)}
-	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker)
+	f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, tracker, noTracking{}, noTracking{}, noTracking{})
 	must.Eq(t, http.StatusBadGateway, f.call(traffic.NonIdempotent).Status)
 	r := f.call(traffic.NonIdempotent)
 	must.Eq(t, http.StatusServiceUnavailable, r.Status)
--- a/entry/internal/dispatch/reason.go
+++ b/entry/internal/dispatch/reason.go
@@ -9,6 +9,8 @@
 	Answered Reason = "answered"
 	// NoServer means that no server of the service accepts requests.
 	NoServer Reason = "no server"
+	// ServersLeave means that all servers of the service leave, so that none can become the owner of the key.
+	ServersLeave Reason = "servers leave"
 	// NoOwner means that no server became the owner of the key in time.
 	NoOwner Reason = "no owner"
 	// Unreachable means that no connection could be opened.
@@ -31,4 +33,12 @@
 	Stopping Reason = "stopping"
 	// GivenUp means that the process ends before the server has answered.
 	GivenUp Reason = "given up"
+	// CutOff means that the request was given up at a server because the process found that it reaches
+	// none.
+	CutOff Reason = "cut off"
+	// PeerLost means that the entry process through which the request was sent was lost before its
+	// result.
+	PeerLost Reason = "peer lost"
+	// RelayFull means that the entry process through which the request was to be sent has no memory for it.
+	RelayFull Reason = "relay full"
 )
--- a/entry/internal/gatewayprocess/malformed_test.go
+++ b/entry/internal/gatewayprocess/malformed_test.go
@@ -55,6 +55,8 @@
 		[]any{[]any{"keyed", "a", 1, integer(), float()}, []any{"keyed", "b", integer(), integer(), float()}},
 		[]any{[]any{r.Uint64(), "a", integer(), r.IntN(2) == 0}},
 		[]any{[]any{"a", 1, r.IntN(2) == 0, float(), integer()}},
+		r.IntN(2) == 0,
+		[]any{[]any{"unknown", integer()}},
 	}
 }
 
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -31,6 +32,7 @@
 	"github.com/rotisserie/eris"
 
 	"bramleystand.org/common/gatewaysettings"
+	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/cluster"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/dialer"
@@ -41,11 +43,16 @@
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/grantpool"
 	"bramleystand.org/entry/internal/operator"
+	"bramleystand.org/entry/internal/orderrelay"
+	"bramleystand.org/entry/internal/reachability"
+	"bramleystand.org/entry/internal/relay"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/retry"
+	"bramleystand.org/entry/internal/serverprobe"
 	"bramleystand.org/entry/internal/slots"
+	"bramleystand.org/entry/internal/statement"
 	"bramleystand.org/entry/internal/storemetrics"
 	"bramleystand.org/entry/internal/view"
 	"bramleystand.org/platform"
@@ -90,17 +97,23 @@
 	self          election.Member
 	logger        log.Interface
 
-	view       *view.View
-	replica    *replica.Replica
-	store      *storemetrics.Store
-	node       *cluster.Node
-	peerClient *report.Client
-	allocator  *slots.Allocator
-	limiter    *slots.Limiter
-	limits     *requestlimit.Table
-	dispatcher *dispatch.Dispatcher
-	handler    *gateway.Handler
-	peerServer *report.Server
+	view        *view.View
+	replica     *replica.Replica
+	store       *storemetrics.Store
+	node        *cluster.Node
+	peerClient  *report.Client
+	orderRelays *orderrelay.Client
+	allocator   *slots.Allocator
+	limiter     *slots.Limiter
+	limits      *requestlimit.Table
+	statements  *statement.Table
+	// reachability tells which servers this process reaches.
+	reachability *reachability.Monitor
+	relayClient  *relay.Client
+	relayServer  *relay.Server
+	dispatcher   *dispatch.Dispatcher
+	handler      *gateway.Handler
+	peerServer   *report.Server
 	// followers keep the copies of the store's objects up to date. The keys are the names of the
 	// copies in the metrics.
 	followers map[string]*follow.Follower
@@ -136,17 +149,23 @@
 	p.replica = replica.New(p.view, logger)
 	p.store = storemetrics.New(platform.NewStore(s.Store, newClient(d)), logger)
 	p.peerClient = report.NewClient(d)
+	p.orderRelays = orderrelay.NewClient(p.peerClient)
+	prober := serverprobe.New(d, p.view)
 	loadCollector := cluster.NewLoadCollector()
 	tracker := crashes.NewTracker()
 	p.limits = requestlimit.NewTable(logger)
-	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, tracker, d, logger)
+	p.statements = statement.NewTable(p.view, logger)
+	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, newGrantClient(&dialer.ResetOnClose{Dialer: d}), p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, tracker, p.reachability, d, prober, p.orderRelays, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker)
+	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient, p.statements)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
-	p.peerServer = report.NewServer(p.node, p.allocator, logger)
+	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
+	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, p.relayServer), logger)
 	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
@@ -277,6 +296,7 @@
 	p.runInBackground(p.node.Run)
 	p.runInBackground(p.allocator.Run)
 	p.runInBackground(p.limiter.Run)
+	p.runInBackground(p.reachability.Run)
 	p.runInBackground(p.loadFromPeers)
 	p.runInBackground(p.watchSettings)
 	p.runInBackground(p.watchMembers)
@@ -357,7 +377,9 @@
 func (p *Process) close() {
 	p.cancelLoops()
 	p.loops.Wait()
-	if err := p.peerClient.Close(); err != nil {
-		p.logger.WithError(err).Warn("closing the connections to peers failed")
+	for _, c := range []io.Closer{p.relayClient, p.orderRelays, p.peerClient} {
+		if err := c.Close(); err != nil {
+			p.logger.WithError(err).Warn("closing the connections to peers failed")
+		}
 	}
 }
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -133,8 +133,10 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	k, err := c.getConn(ctx, r)
 	if err != nil {
-		return nil, &Error{Unreachable: !errors.Is(err, errConnectionLimit), Cause: err}
+		return nil, &Error{Unreachable: !errors.Is(err, errConnectionLimit) && !errors.Is(err, errClosed), Cause: err}
 	}
+	reused := k.reused
+	k.markCarried(r.ID)
 	stop := context.AfterFunc(ctx, k.abort)
 	response, reusable, err := c.roundTrip(k, r)
 	if !stop() {
@@ -145,8 +147,9 @@
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
-		return nil, &Error{Sent: true, Reused: k.reused, Cause: err}
+		return nil, &Error{Sent: true, Reused: reused, Unanswered: !k.answered(), Cause: err}
 	}
+	response.Reused = reused
 	return response, nil
 }
 
@@ -194,7 +197,7 @@
 
 // readResponse reads responses until the one that belongs to the request.
 func (c *Client) readResponse(k *conn, r *Request) (*Response, bool, error) {
-	for range maxResponses {
+	for k.heads = 0; k.heads < maxResponses; k.heads++ {
 		head, err := readHead(k, r.Method)
 		if err != nil {
 			return nil, false, err
@@ -214,7 +217,9 @@
 			return nil, false, err
 		}
 		perSecond, named, limitErr := c.fields.RequestLimit(head.Header)
+		leaving, leavingErr := c.fields.IsLeaving(head.Header)
 		return &Response{
+			Leaving: leaving, LeavingErr: leavingErr,
 			Status: head.StatusCode, Header: head.Header, Body: body,
 			Limit:          Limit{PerSecond: perSecond, Named: named, Err: limitErr},
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
@@ -262,7 +267,7 @@
 	k.limited.N = maxBodyTransfer
 	body, err := readAll(head.Body, r.Memory, limit)
 	if err := bodyError(k, int64(len(body)), err); err != nil {
-		r.Memory.Release(countedSize(int64(cap(body))))
+		r.Memory.Release(CountedSize(int64(cap(body))))
 		return nil, err
 	}
 	return body, nil
@@ -275,11 +280,11 @@
 	for int64(len(body)) <= limit {
 		if len(body) == cap(body) {
 			size := min(max(firstBodyBuffer, 2*int64(cap(body))), limit+1)
-			if !account.Reserve(countedSize(size)) {
+			if !account.Reserve(CountedSize(size)) {
 				return body, errMemoryLimit
 			}
 			larger := append(make([]byte, 0, size), body...)
-			account.Release(countedSize(int64(cap(body))))
+			account.Release(CountedSize(int64(cap(body))))
 			body = larger
 		}
 		n, err := from.Read(body[len(body):cap(body)])
@@ -294,8 +299,8 @@
 	return body, nil
 }
 
-// countedSize returns how much of a buffer is reserved.
-func countedSize(size int64) int64 {
+// CountedSize returns how much of a buffer is reserved.
+func CountedSize(size int64) int64 {
 	if size <= maxUncountedBody {
 		return 0
 	}
@@ -324,14 +329,17 @@
 	return nil
 }
 
-// takeIdle returns the idle connection that was used last, or nil if none can be used. It closes the others
-// that it finds. The lock is held.
-func (c *Client) takeIdle(now time.Time, fresh bool) *conn {
-	for len(c.idle) > 0 {
-		last := len(c.idle) - 1
-		k := c.idle[last]
-		c.idle = c.idle[:last]
-		if k.isReusable(now, fresh) {
+// takeIdle returns the idle connection that was used last, or nil if none can be used for the request. It
+// closes those that it finds expired. The lock is held.
+func (c *Client) takeIdle(now time.Time, r *Request) *conn {
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		k := c.idle[i]
+		if k.hasCarried(r.ID) {
+			// A second copy of the earlier response would be taken for the response to this request.
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
+		if k.isReusable(now, r.Fresh) {
 			return k
 		}
 		_ = k.Close()
@@ -349,7 +357,7 @@
 	}
 	now := time.Now()
 	if !r.Repeated {
-		if k := c.takeIdle(now, r.Fresh); k != nil {
+		if k := c.takeIdle(now, r); k != nil {
 			c.mu.Unlock()
 			return k, nil
 		}
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -47,6 +47,14 @@
 	Samples []wireSample
 	Crashes []wireCrash
 	Limits  []wireLimit
+	CutOff  bool
+	Leaving []wireInstance
+}
+
+type wireInstance struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Instance int64
 }
 
 // wireLimit has the age of the statement in microseconds, because the clocks of two VMs differ.
@@ -74,6 +82,7 @@
 	Confirmed   bool
 	Members     []wireMember
 	Cores       float64
+	CutOff      []string
 }
 
 type wireObject struct {
@@ -130,7 +139,7 @@
 
 // encodeReport returns a report as it is sent now.
 func encodeReport(now time.Time, r Report) *wireReport {
-	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores}
+	w := &wireReport{From: encodeMember(r.From), Cores: r.Cores, CutOff: r.CutOff}
 	for _, l := range r.Loads {
 		w.Loads = append(w.Loads, wireLoad{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
 	}
@@ -143,12 +152,15 @@
 	for inst, l := range r.Limits {
 		w.Limits = append(w.Limits, wireLimit{ID: inst.ID, Instance: inst.Incarnation, InForce: l.InForce, PerSecond: l.PerSecond, Age: now.Sub(l.HeardAt).Microseconds()})
 	}
+	for _, inst := range r.Leaving {
+		w.Leaving = append(w.Leaving, wireInstance{ID: inst.ID, Instance: inst.Incarnation})
+	}
 	return w
 }
 
 // decodeReport returns a report that has been received now.
 func decodeReport(now time.Time, w *wireReport) Report {
-	r := Report{From: decodeMember(w.From), Cores: w.Cores}
+	r := Report{From: decodeMember(w.From), Cores: w.Cores, CutOff: w.CutOff}
 	for _, l := range w.Loads {
 		r.Loads = append(r.Loads, Load{Service: l.Service, Keys: l.Keys, MeanServiceTime: l.MeanServiceTime})
 	}
@@ -166,11 +178,14 @@
 			InForce: l.InForce, PerSecond: l.PerSecond, HeardAt: now.Add(-time.Duration(l.Age) * time.Microsecond),
 		}
 	}
+	for _, l := range w.Leaving {
+		r.Leaving = append(r.Leaving, registry.Instance{ID: l.ID, Incarnation: l.Instance})
+	}
 	return r
 }
 
 func encodeResponse(r Response) *wireResponse {
-	w := &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Cores: r.Cores}
+	w := &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Cores: r.Cores, CutOff: r.CutOff}
 	for _, m := range r.Members {
 		w.Members = append(w.Members, encodeMember(m))
 	}
@@ -178,7 +193,7 @@
 }
 
 func decodeResponse(w *wireResponse) Response {
-	r := Response{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores}
+	r := Response{Coordinator: w.Coordinator, Term: w.Term, Confirmed: w.Confirmed, Cores: w.Cores, CutOff: w.CutOff}
 	for _, m := range w.Members {
 		r.Members = append(r.Members, decodeMember(m))
 	}
