--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -372,12 +372,15 @@
 	switch {
 	case err != nil:
 		r.Err, r.Unsent = err, true
+	case relayed && o.Connection != 0:
+		// The other process has no connection on which the server has accepted the fence.
+		r.Err, r.ConnectionEnded = platform.ErrConnectionEnded, true
 	case relayed:
 		r = s.sendThrough(ctx, relay, to, o)
 	default:
 		r = s.send(ctx, to, o)
 	}
-	if r.Err != nil {
+	if r.Err != nil && !r.ConnectionEnded {
 		s.node.logger.WithError(r.Err).WithFields(log.Fields{
 			"server": o.Server.ID, "life": o.Server.Incarnation, "first": uint64(o.Keys.First), "last": uint64(o.Keys.Last),
 			"fence": o.Fence.String(), "term": s.term, "reason": orderKind(o), "unsent": r.Unsent, "misdirected": r.Misdirected, "through": relay.Name,
@@ -395,6 +398,10 @@
 
 // countOrder counts an order for the metrics. The node's lock must be held.
 func (s *executor) countOrder(o coordinator.Order, r coordinator.Result, relayed bool) {
+	if r.ConnectionEnded {
+		s.node.orders[orderKind(o)+" without its connection"]++
+		return
+	}
 	kinds := []string{orderKind(o)}
 	if relayed {
 		kinds = append(kinds, orderKind(o)+" relayed")
@@ -424,9 +431,10 @@
 	default:
 		bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
-		r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), holdOf(o), o.Handover)
+		r.Connection, r.Err = s.node.grants.Grant(bounded, to, o.Keys, uint64(o.Fence), holdOf(o), o.Handover, o.Connection)
 	}
 	r.Fenced = errors.Is(r.Err, platform.ErrFenced)
+	r.ConnectionEnded = errors.Is(r.Err, platform.ErrConnectionEnded)
 	r.Misdirected = errors.Is(r.Err, platform.ErrMisdirected)
 	r.Unsent = errors.Is(r.Err, platform.ErrNotSent)
 	return r
@@ -441,9 +449,11 @@
 }
 
 // recordContact records whether the server has answered an order. A release waits for the running
-// requests, so one without an answer says nothing. The node's lock must be held.
+// requests, so one without an answer says nothing, and neither does one that was not sent because its connection
+// has ended, or one that another instance has answered. The node's lock must be held.
 func (s *executor) recordContact(o coordinator.Order, address netip.AddrPort, r coordinator.Result) {
 	switch {
+	case r.ConnectionEnded:
 	case r.Err == nil || r.Fenced || r.Misdirected:
 		s.contact.recordAnswer(o.Server.Instance)
 	case !r.Expired && address.IsValid() && (!o.Release || r.Unsent):
