--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -123,6 +123,7 @@
 // meanwhile: 60 servers send 2 MiB each and then nothing more.
 func TestMemoryForResponses(t *testing.T) {
 	const requests, sentBytes, limit, slack = 60, 2 << 20, 32 << 20, 16 << 20
+	const maxWait = 30 * time.Second
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("a", 64<<10))
 	settled, release := make(chan string, 2*requests), make(chan struct{})
 	s := startGateway(t, traffic.NonIdempotent, func(c net.Conn, id string) {
@@ -142,11 +143,12 @@
 	t.Cleanup(func() { close(release) })
 	before := heapInUse()
 	statuses := make(chan string, requests)
+	deadline := time.Now().Add(maxWait)
 	for i := range requests {
 		go func() {
-			for _, r := range sendRaw(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i))) {
+			defer func() { settled <- fmt.Sprint(i) }()
+			for _, r := range sendRawUntil(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i)), deadline) {
 				statuses <- r.Status
-				settled <- fmt.Sprint(i)
 			}
 		}()
 	}
