--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -286,7 +286,7 @@
 	c.SetPhase(AwaitsResponse, b.server.ID)
 	boundedCtx, cancel := d.withRequest(ctx, c)
 	defer cancel()
-	requestCtx, stop := d.withCutOff(boundedCtx, c)
+	requestCtx, stop := d.withCutOff(boundedCtx, p)
 	defer stop()
 	response, err := b.client.Do(requestCtx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -13,7 +13,7 @@
 const (
 	// maxRelays is the number of attempts to send a call through other processes.
 	maxRelays = 2
-	// cutOffGrace is how long a request that must not run twice still waits for its response after the
+	// cutOffGrace is how long a request that can't be sent again still waits for its response after the
 	// process was found to be cut off from its servers.
 	cutOffGrace = 700 * time.Millisecond
 )
@@ -96,14 +96,15 @@
 // returned. A request that may be sent again is given up at once, another one only if connections hang: a
 // server that only answers late may still run it. One that is sent while the process is cut
 // off goes on: no other process could take it.
-func (d *Dispatcher) withCutOff(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
+func (d *Dispatcher) withCutOff(ctx context.Context, p *progress) (context.Context, context.CancelFunc) {
+	c := p.call
 	connected := d.reachability.Connected(c.Service)
 	if connected.Err() != nil {
 		return ctx, func() {}
 	}
 	requestCtx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(connected, func() {
-		if c.Route.Kind.Retryable() {
+		if c.Route.Kind.Retryable() && p.attempts+1 < c.Route.Attempts {
 			cancel(errCutOff)
 			return
 		}
--- a/entry/internal/reachability/monitor.go
+++ b/entry/internal/reachability/monitor.go
@@ -37,6 +37,9 @@
 	// answer in between before the process counts as cut off.
 	minFailedServers = 2
 	maxFailedServers = 3
+	// minSilence is the time without an answer of any server after which the process may count as cut off.
+	// Connection attempts that began together fail together, between the answers of other servers.
+	minSilence = 300 * time.Millisecond
 	// resetsUntilUnreached is the number of new connections in a row that must end without a byte
 	// before a server counts as unreached. An overloaded server resets single ones.
 	resetsUntilUnreached = 2
@@ -235,7 +238,7 @@
 		service.nextRound = now
 	}
 	for _, g := range []*group{service, m.all} {
-		if g.isCutOff() || !m.isDisconnected(g, server.Service) {
+		if g.isCutOff() || now.Sub(g.lastAnswer) < minSilence || !m.isDisconnected(g, server.Service) {
 			continue
 		}
 		g.cutOffSince, g.silent = now, m.anySilent(g, server.Service)
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -50,10 +50,14 @@
 	silenceTimeout = 4 * aliveInterval
 	// maxProcesses is the number of processes that a call is offered to.
 	maxProcesses = 3
+	// offerTime is the time after which a call is not offered to another process.
+	offerTime = 300 * time.Millisecond
 	// avoidTime is how long a process that has not accepted a call, or is itself cut off from a service, is
 	// not used, and uselessTime how long calls for a server are not relayed after no process could reach it.
 	avoidTime   = time.Second
 	uselessTime = 300 * time.Millisecond
+	// forgetTime is how long after that a process may be offered only one call until it accepts one.
+	forgetTime = 10 * time.Second
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 10 * time.Second
 	// maxIdleConnections limits the unused connections to one process.
@@ -161,8 +165,15 @@
 // it to a server or it may have been sent.
 func (c *Client) Do(ctx context.Context, call *dispatch.Call, s registry.Server, attempts int) *dispatch.Result {
 	var refusal *dispatch.Result
-	candidates := c.candidates(time.Now(), s)
+	begin := time.Now()
+	candidates := c.candidates(begin, s)
 	for _, m := range candidates[:min(len(candidates), maxProcesses)] {
+		if time.Since(begin) > offerTime {
+			break
+		}
+		if !c.try(m.Name) {
+			continue
+		}
 		r, err := c.offer(ctx, m, call, s, attempts)
 		if ctx.Err() != nil && r == nil {
 			return refusal
@@ -173,6 +184,7 @@
 			c.avoid(use{m.Name, ""})
 			continue
 		}
+		c.accepted(m.Name)
 		r.Peer = m.Name
 		if !isElsewherePossible(r) {
 			return r
@@ -207,13 +219,38 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	for old, until := range c.avoided {
-		if now.After(until) {
+		// The end of an entry is looked at by try until the process has left.
+		if now.Sub(until) > forgetTime {
 			delete(c.avoided, old)
 		}
 	}
 	c.avoided[u] = now.Add(avoidTime)
 }
 
+// try reports whether a call may be offered to a process. If the last one was not accepted, the process is
+// avoided again while this one is offered, so that not all calls wait for a process that is lost.
+func (c *Client) try(process string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, failed := c.avoided[use{process, ""}]
+	if !failed {
+		return true
+	}
+	now := time.Now()
+	if now.Before(until) {
+		return false
+	}
+	c.avoided[use{process, ""}] = now.Add(avoidTime)
+	return true
+}
+
+// accepted records that a process has accepted or refused a call.
+func (c *Client) accepted(process string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.avoided, use{process, ""})
+}
+
 // markUseless records that no process reaches a server.
 func (c *Client) markUseless(now time.Time, inst registry.Instance) {
 	c.mu.Lock()
