--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -37,7 +37,7 @@
 }
 
 // CheckReach returns an empty reason if requests to a server of a service may be sent by this process now,
-// CutOff if it reaches no server of the service, and otherwise Unreachable.
+// CutOff if it reaches no server of the service, and otherwise Unreachable or HeldOff.
 func (d *Dispatcher) CheckReach(now time.Time, service string, inst registry.Instance) Reason {
 	if d.reachability.CutOffFrom(service) {
 		return CutOff
@@ -45,6 +45,9 @@
 	if d.reachability.Unreached(now, registry.Server{Instance: inst, Service: service}) {
 		return Unreachable
 	}
+	if _, held := d.statements.HeldUntil(now, inst); held {
+		return HeldOff
+	}
 	if b := d.backends.find(inst); b != nil {
 		if _, inBackoff := b.backoff(now); inBackoff {
 			return Unreachable
@@ -54,9 +57,13 @@
 }
 
 // canRelay reports whether a call may be sent to a server through another process, because this one doesn't
-// reach it.
+// reach it or the server takes no requests from it.
 func (d *Dispatcher) canRelay(now time.Time, p *progress, s registry.Server) bool {
-	return !p.relayed && p.relays < maxRelays && d.reachability.Unreached(now, s) && d.relay.Available(now, s)
+	if p.relayed || p.relays >= maxRelays {
+		return false
+	}
+	_, held := d.statements.HeldUntil(now, s.Instance)
+	return (held || d.reachability.Unreached(now, s)) && d.relay.Available(now, s)
 }
 
 // attemptThroughPeer sends the call to a server through another process; retry tells whether another attempt
@@ -84,6 +91,7 @@
 	p.peer = r.Peer
 	p.steps[len(p.steps)-1].Peer = r.Peer
 	if r.Response != nil {
+		d.observeRelayed(time.Now(), r)
 		return r, false
 	}
 	if requestCtx.Err() != nil {
