--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -110,9 +110,10 @@
 	if connected.Err() != nil {
 		return ctx, func() {}
 	}
+	resendable := c.Route.Kind.Retryable() && p.attempts+1 < c.Route.Attempts
 	requestCtx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(connected, func() {
-		if c.Route.Kind.Retryable() && p.attempts+1 < c.Route.Attempts {
+		if resendable {
 			cancel(errCutOff)
 			return
 		}
