--- a/entry/internal/orderrelay/server.go
+++ b/entry/internal/orderrelay/server.go
@@ -82,7 +82,7 @@
 
 // Grants sends orders to servers; platform.GrantClient implements it.
 type Grants interface {
-	Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string) error
+	Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string, connection uint64) (uint64, error)
 	Release(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64) (string, error)
 }
 
@@ -163,7 +163,7 @@
 	if err := inTime(); err != nil {
 		return err
 	}
-	if err := s.grants.Grant(platform.WithSendCheck(ctx, inTime), o.To, o.Keys, o.Fence, o.Hold, o.Handover); err != nil {
+	if _, err := s.grants.Grant(platform.WithSendCheck(ctx, inTime), o.To, o.Keys, o.Fence, o.Hold, o.Handover, 0); err != nil {
 		return fmt.Errorf("orderrelay: %w", err)
 	}
 	return nil
