--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -162,7 +162,7 @@
 // configuredServers returns the registered servers of all configured services. An entry of another service
 // may be another writer's, and is no proof that the former server at its address has ended.
 func configuredServers(configuration *traffic.Configuration, servers *view.Servers) []registry.Server {
-	return slices.DeleteFunc(servers.Registered(), func(r registry.Server) bool {
+	return slices.DeleteFunc(slices.Clone(servers.Registered()), func(r registry.Server) bool {
 		_, configured := configuration.Services[r.Service]
 		return !configured
 	})
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -221,7 +221,7 @@
 	if n.reach.pending {
 		return
 	}
-	servers := n.view.Servers().Registered()
+	servers := slices.Clone(n.view.Servers().Registered())
 	shuffle(servers)
 	addresses := addressesOf(servers[:min(len(servers), reachServers)])
 	n.reach.pending, n.reach.checked = true, now
--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -13,6 +13,7 @@
 type Servers struct {
 	byInstance map[registry.Instance]*TrackedServer
 	byService  map[string][]registry.Server
+	registered []registry.Server
 }
 
 // TrackedServer is a server with the time until which it may be used.
@@ -41,16 +42,8 @@
 	return ok && t.UsableUntil.IsZero()
 }
 
-// Registered returns all registered servers, including those that are draining.
-func (s *Servers) Registered() []registry.Server {
-	out := make([]registry.Server, 0, len(s.byInstance))
-	for _, t := range s.byInstance {
-		if t.UsableUntil.IsZero() || t.Draining {
-			out = append(out, t.Server)
-		}
-	}
-	return out
-}
+// Registered returns all registered servers, including those that are draining. The list must not be changed.
+func (s *Servers) Registered() []registry.Server { return s.registered }
 
 // IsTracked reports whether a server is registered or left less than leaveGrace ago.
 func (s *Servers) IsTracked(inst registry.Instance) bool {
@@ -61,7 +54,7 @@
 // update returns the set for a new list of registered servers. A server that is not in the list stays
 // known for leaveGrace. Those in leaving count as draining since the given times.
 func (s *Servers) update(now time.Time, registered []registry.Server, leaving map[registry.Instance]time.Time) *Servers {
-	next := &Servers{byInstance: make(map[registry.Instance]*TrackedServer, len(registered)), byService: make(map[string][]registry.Server, len(s.byService))}
+	next := &Servers{byInstance: make(map[registry.Instance]*TrackedServer, len(registered)), byService: make(map[string][]registry.Server, len(s.byService)), registered: make([]registry.Server, 0, len(registered))}
 	for _, server := range registered {
 		leavingSince, isLeaving := leaving[server.Instance]
 		server.Draining = server.Draining || isLeaving
@@ -69,6 +62,9 @@
 		if end := leavingSince.Add(leaveGrace); isLeaving && end.Before(t.UsableUntil) {
 			t = &TrackedServer{Server: server, UsableUntil: end}
 		}
+		if _, known := next.byInstance[server.Instance]; !known {
+			next.registered = append(next.registered, t.Server)
+		}
 		next.byInstance[server.Instance] = t
 		if server.Draining {
 			continue
