--- a/entry/internal/place/plan.go
+++ b/entry/internal/place/plan.go
@@ -150,7 +150,7 @@
 func (p *plan) balance(l Limits) {
 	mean := p.total / p.capacity
 	chance := chanceDeviations * l.Noise
-	utilisationLimit := max(acceptableUtilisation, min(mean*(l.Tolerance+chance), max(overloadUtilisation, mean*(l.Tolerance+chance*min(1, 2*l.Noise)))))
+	utilisationLimit := max(acceptableUtilisation, min(mean*(l.Tolerance+chance), max(overloadUtilisation, mean*(l.Tolerance+chance*l.Noise))))
 	underusedLimit := min(underusedFraction, 1-chance)
 	for len(p.moves) < max(minMoveLimit, len(p.servers)/serversPerMove) {
 		to := p.leastUtilised()
