--- a/entry/internal/dispatch/statements_test.go
+++ b/entry/internal/dispatch/statements_test.go
@@ -113,7 +113,7 @@
 					must.Eq(t, c.reason, r.Reason)
 				}
 				must.Eq(t, 1, a.requests())
-				must.False(t, f.dispatcher.Reaches(time.Now(), a.Instance))
+				must.Eq(t, dispatch.HeldOff, f.dispatcher.CheckReach(time.Now(), "svc", a.Instance))
 			})
 		}
 	}
