--- a/entry/internal/dispatch/statementsoak_test.go
+++ b/entry/internal/dispatch/statementsoak_test.go
@@ -222,17 +222,15 @@
 	process *statementProcess
 }
 
-func (n soakNetwork) Unreached(time.Time, registry.Instance) bool {
+func (n soakNetwork) Unreached(time.Time, registry.Server) bool {
 	n.soak.mu.Lock()
 	defer n.soak.mu.Unlock()
 	return n.process.cut
 }
 
-func (n soakNetwork) CutOff(now time.Time) bool { return n.Unreached(now, registry.Instance{}) }
+func (n soakNetwork) CutOffFrom(string) bool { return n.Unreached(time.Now(), registry.Server{}) }
 
-func (n soakNetwork) Connected() context.Context                      { return context.Background() }
-func (n soakNetwork) Available(time.Time, registry.Server) bool       { return n.peer() != nil }
-func (n soakNetwork) RequestSent(time.Time, registry.Instance) func() { return func() {} }
+func (n soakNetwork) Available(time.Time, registry.Server) bool { return n.peer() != nil }
 
 // peer returns another process that is neither stopped nor cut off.
 func (n soakNetwork) peer() *statementProcess {
@@ -249,7 +247,7 @@
 
 func (n soakNetwork) Do(ctx context.Context, c *dispatch.Call, s registry.Server, attempts int) *dispatch.Result {
 	p := n.peer()
-	if p == nil || !p.dispatcher.Reaches(time.Now(), s.Instance) {
+	if p == nil || p.dispatcher.CheckReach(time.Now(), s.Service, s.Instance) != "" {
 		return nil
 	}
 	route := *c.Route
