dispatch: a refusal after all processes are held off names the end of the hold

If a server has held off a process and its peers too, the refusal of the last peer asked, with a Retry-After of 0.2 s, went to the client, who came back in vain until the hold had ended.

TestHeldServer/owner,_peers_held_off before the change: the Retry-After is an hour later: expected true, got false.

--- a/entry/internal/dispatch/relay.go
+++ b/entry/internal/dispatch/relay.go
@@ -75,11 +75,12 @@
 	requestCtx, cancel := d.withRequest(ctx, c)
 	defer cancel()
 	r = d.relay.Do(requestCtx, c, b.server, c.Route.Attempts-p.attempts)
-	if r == nil {
+	if r == nil || r.Reason == HeldOff && r.Attempts == 0 {
 		if requestCtx.Err() != nil {
 			return d.contextDone(requestCtx, p), false
 		}
-		// If this process can't reach the server either, the next selection refuses the call.
+		// If this process can't send to the server either, the next selection refuses the call with the time
+		// that it knows.
 		p.relays = maxRelays
 		p.tried[b.server.Instance] = true
 		return refusedResult(Unreachable, time.Now().Add(refusalRetryDelay), nil), true
--- a/entry/internal/dispatch/statements_test.go
+++ b/entry/internal/dispatch/statements_test.go
@@ -71,6 +71,11 @@
 	return h.until[inst], now.Before(h.until[inst])
 }
 
+// heldOffPeer returns the refusal of a process that the server has held off too.
+func heldOffPeer() *dispatch.Result {
+	return &dispatch.Result{Status: 503, Reason: dispatch.HeldOff, Peer: "p", RetryAt: time.Now().Add(200 * time.Millisecond)}
+}
+
 // turnAway handles requests by turning them away for an hour.
 func turnAway(_ int, w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Held", "1h")
@@ -82,13 +87,15 @@
 // that reach that server: the other server of the service, or another process, could run them.
 func TestHeldServer(t *testing.T) {
 	for name, c := range map[string]struct {
-		sharded, peer bool
-		status        int
-		reason        dispatch.Reason
+		sharded bool
+		peer    func() *dispatch.Result
+		status  int
+		reason  dispatch.Reason
 	}{
-		"other server":            {false, false, 200, dispatch.Answered},
-		"owner, through a peer":   {true, true, 200, dispatch.Answered},
-		"owner, no peer takes it": {true, false, 503, dispatch.HeldOff},
+		"other server":            {false, notTaken, 200, dispatch.Answered},
+		"owner, through a peer":   {true, servedByPeer, 200, dispatch.Answered},
+		"owner, no peer takes it": {true, notTaken, 503, dispatch.HeldOff},
+		"owner, peers held off":   {true, heldOffPeer, 503, dispatch.HeldOff},
 	} {
 		for _, kind := range []traffic.Kind{traffic.Idempotent, traffic.NonIdempotent} {
 			t.Run(name, func(t *testing.T) {
@@ -98,11 +105,7 @@
 					servers = append(servers, newServer(t, "b", handleOK))
 				}
 				f := newFixture(t, c.sharded, unlimited{}, ampleBudget, servers...)
-				result := notTaken
-				if c.peer {
-					result = servedByPeer
-				}
-				p, h := newPartition(result), newHolds()
+				p, h := newPartition(c.peer), newHolds()
 				f.dispatcher = dispatch.New(f.view, unlimited{}, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, p, p, h)
 				if c.sharded {
 					f.setOwner(a, false)
@@ -111,6 +114,7 @@
 					r := f.call(kind)
 					must.Eq(t, c.status, r.Status)
 					must.Eq(t, c.reason, r.Reason)
+					must.Eq(t, c.reason == dispatch.HeldOff, r.RetryAt.After(time.Now().Add(59*time.Minute)))
 				}
 				must.Eq(t, 1, a.requests())
 				must.Eq(t, dispatch.HeldOff, f.dispatcher.CheckReach(time.Now(), "svc", a.Instance))
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -182,7 +182,7 @@
 			c.avoid(use{m.Name, s.Service})
 		}
 	}
-	if refusal == nil || refusal.Reason == dispatch.Unreachable {
+	if refusal == nil || refusal.Reason == dispatch.Unreachable || refusal.Reason == dispatch.HeldOff {
 		c.markUseless(time.Now(), s.Instance)
 	}
 	return refusal
@@ -214,7 +214,7 @@
 	c.avoided[u] = now.Add(avoidTime)
 }
 
-// markUseless records that no process reaches a server.
+// markUseless records that no process can send to a server.
 func (c *Client) markUseless(now time.Time, inst registry.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
