gateway: do not pass on the Retry-After of a server that ran the request

A 503 of a server that ran the request is passed on as 502 without the server's proof. Its Retry-After was left on it, although it tells this process, not the client, when to send again.

TestNotRunStatusOfServer before the change: expected "", got "7".

--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -246,8 +246,9 @@
 	status := result.Response.Status
 	if meansNotRun(status) {
 		// The server has run the request, but the client would take this status to mean that it was
-		// not run.
+		// not run. Its Retry-After is for this process.
 		h.fields.RemoveProof(header)
+		header.Del("Retry-After")
 		status = http.StatusBadGateway
 	}
 	header.Set("Content-Length", strconv.Itoa(len(result.Response.Body)))
--- a/entry/internal/gateway/handler_test.go
+++ b/entry/internal/gateway/handler_test.go
@@ -143,15 +143,16 @@
 }
 
 // Guards against a 408, 421, 429 or 503 of the backend server that is passed on: to the client it would
-// mean that the request was not run. The proof of the server must not be on a status that the gateway
-// has changed.
+// mean that the request was not run. The proof of the server and its Retry-After, which is for this
+// process, must not be on a status that the gateway has changed.
 func TestNotRunStatusOfServer(t *testing.T) {
 	for _, status := range []int{408, 421, 429, 503} {
-		d := &fakeDispatcher{result: respondWith(status, http.Header{"Proof": {"s"}}, "x")}
+		d := &fakeDispatcher{result: respondWith(status, http.Header{"Proof": {"s"}, "Retry-After": {"7"}}, "x")}
 		s, _ := startHandler(t, d, newRoute(traffic.NonIdempotent))
 		r := sendRaw(t, s, getRequest("/p/x", "Id: 1\r\n"))[0]
 		must.Eq(t, http.StatusBadGateway, r.StatusCode)
 		must.Eq(t, "", r.Header.Get("Proof"))
+		must.Eq(t, "", r.Header.Get("Retry-After"))
 	}
 	d := &fakeDispatcher{result: respondWith(500, http.Header{"Proof": {"s"}, "X-Other": {"1"}, "Connection": {"X-Gone"}, "X-Gone": {"1"}}, "x")}
 	s, _ := startHandler(t, d, newRoute(traffic.NonIdempotent))
