--- a/entry/internal/dialer/dialer.go
+++ b/entry/internal/dialer/dialer.go
@@ -27,12 +27,14 @@
 
 const (
 	// probeInterval is the time between TCP keep-alive probes, and probeCount the number of
-	// unanswered probes after which a connection is closed. A peer that has gone silent is
+	// unanswered probes after which an accepted connection is closed. A peer that has gone silent is
 	// detected within 3 s.
 	probeInterval = time.Second
 	probeCount    = 2
-	// userTimeout is how long sent data may stay unacknowledged (TCP_USER_TIMEOUT).
-	userTimeout = 2 * time.Second
+	// userTimeout is how long sent data may stay unacknowledged (TCP_USER_TIMEOUT). On Linux it also
+	// decides when unanswered keep-alive probes close a connection, whatever their count. It is above
+	// the time of the second probe, so that one lost packet doesn't close an idle connection.
+	userTimeout = 2500 * time.Millisecond
 )
 
 // KeepAlive is the keep-alive configuration for all connections of a process, accepted ones included.
