--- a/bramleyctl/internal/evidence/explanation.go
+++ b/bramleyctl/internal/evidence/explanation.go
@@ -35,6 +35,8 @@
 	msgKeysMoving   = "keys moving"
 	msgKeysGranted  = "keys granted"
 	msgLeaving      = "server states that it leaves"
+	msgCutOff       = "cut off from backend servers"
+	msgNotAccepted  = "call not accepted by another process"
 	msgHeld         = "server takes no requests from this process for a time"
 )
 
@@ -116,6 +118,12 @@
 		return r.explainNoServer()
 	case "unreachable":
 		return r.explainUnreachable()
+	case "cut off":
+		return r.explainCutOff()
+	case "peer lost":
+		return r.explainUnanswered(fmt.Sprintf("%s sent it through %s, which was lost before the answer (%s)", r.Process, r.Text("peer"), r.Text("error")))
+	case "relay full":
+		return fmt.Sprintf("%s does not reach the server, and %s had no memory for the body of the request", r.Process, r.Text("peer")), true
 	case "not run by server":
 		return r.explainNotRun()
 	case "no usable answer":
@@ -310,6 +318,7 @@
 	failed := r.linesAround(causeWindow, func(l logline.Line) bool { return l.Message == msgOrderFailed && l.Text("server") == server })
 	reached := r.otherRequests(func(l logline.Line) bool { return l.Message == msgServed && l.Text("server") == server })
 	r.addRelated(failed...)
+	r.addRelated(r.partitionEvents()...)
 	switch {
 	case len(failed) > 0 && len(reached) > 0:
 		return text + "; the coordinator does not reach it either, but " + reached[0].Process + " does: a partition", true
@@ -326,6 +335,24 @@
 	return text, r.Text("error") != ""
 }
 
+// explainCutOff explains a request that could not be sent, or was given up, because its process reached no
+// server of the service.
+func (r *request) explainCutOff() (string, bool) {
+	r.addRelated(r.partitionEvents()...)
+	if peer := r.Text("peer"); peer != "" && r.numberOrZero("attempts") == 0 {
+		return fmt.Sprintf("%s and %s, the last process asked, reach no server of %s", r.Process, peer, r.Text("service")), true
+	}
+	return r.explainUnanswered(fmt.Sprintf("%s found that it reaches no server of %s, and gave up waiting for %s", r.Process, r.Text("service"), r.Text("server")))
+}
+
+// partitionEvents returns the lines in which a process found that it is cut off, or that a peer accepted no
+// call.
+func (r *request) partitionEvents() []logline.Line {
+	return r.linesAround(causeWindow, func(l logline.Line) bool {
+		return l.Message == msgCutOff || l.Message == msgNotAccepted && l.Process == r.Process
+	})
+}
+
 // explainNotRun explains a request that the server reported as not run.
 func (r *request) explainNotRun() (string, bool) {
 	text := fmt.Sprintf("server %s stated that it did not run the request", r.Text("server"))
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -23,6 +23,8 @@
 	d["tables"] = tables
 	d["servers"] = p.view.Servers().Registered()
 	d["reachability"] = p.reachabilityCounts(time.Now())
+	d["cutOff"] = p.reachability.CutOffServices()
+	d["relay"] = p.relayCounts()
 	d["holds"] = p.dumpHolds(time.Now())
 	d["limits"] = p.dumpLimits(time.Now())
 	return d
