--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -238,8 +238,11 @@
 		}
 		step := &p.steps[len(p.steps)-1]
 		step.Reason, step.Took = result.Reason, time.Since(begin)-step.Waited
-		if !retry {
+		switch {
+		case !retry && result.Response != nil:
 			return result
+		case !retry:
+			return p.finalResult(result)
 		}
 		p.fallback = p.finalResult(result)
 		if ctx.Err() != nil || p.attempts >= p.call.Route.Attempts {
--- a/entry/internal/dispatch/relay_test.go
+++ b/entry/internal/dispatch/relay_test.go
@@ -188,3 +188,52 @@
 		must.Eq(t, c.status == 200, len(p.attempts) == 1)
 	}
 }
+
+// Guards against a refusal, which says that the request has not run, after an earlier attempt may have run it.
+func TestRefusalAfterUnknownAttempt(t *testing.T) {
+	for name, closes := range map[string]bool{"connection refused": true, "no slot": false} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer l.Close()
+			a := newServer(t, "a", handleOK)
+			a.Address = l.Addr().(*net.TCPAddr).AddrPort()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1))
+				if closes {
+					_ = l.Close()
+				}
+				_ = c.Close()
+			}()
+			p := newPartition(notTaken)
+			p.available = false
+			f := partitionedFixture(t, p, true, a)
+			var limiter dispatch.Limiter = &singleSlot{}
+			if closes {
+				limiter = unlimited{}
+			}
+			f.dispatcher = dispatch.New(f.view, limiter, retry.New(ampleBudget), &net.Dialer{}, testHeaderFields{}, "x", noTracking{}, noTracking{}, p, p, noTracking{})
+			r := f.call(traffic.Idempotent)
+			must.Eq(t, http.StatusBadGateway, r.Status)
+			must.Eq(t, 1, r.Attempts)
+		})
+	}
+}
+
+// singleSlot is a limiter with a slot for the first request only.
+type singleSlot struct {
+	noSlots
+	used bool
+}
+
+func (s *singleSlot) Acquire(ctx context.Context, r dispatch.SlotRequest) (dispatch.Slot, error) {
+	if s.used {
+		return s.noSlots.Acquire(ctx, r)
+	}
+	s.used = true
+	return unlimitedSlot{}, nil
+}
