--- a/entry/internal/gatewayprocess/partitionsoak_test.go
+++ b/entry/internal/gatewayprocess/partitionsoak_test.go
@@ -62,7 +62,9 @@
 // step makes one random disturbance.
 func (s *partitionSoak) step(t *testing.T) {
 	n := s.random.IntN(len(s.processes))
-	log := func(what string) { t.Logf("%s %s: %s", time.Now().Format("05.000"), s.processes[n].settings.Name, what) }
+	log := func(what string) {
+		t.Logf("%s %s: %s", time.Now().Format("05.000"), s.processes[n].settings.Name, what)
+	}
 	switch k := s.random.IntN(20); {
 	case n == s.long:
 		// It stays partitioned.
