--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -112,8 +112,10 @@
 	reach     candidacy
 	// largestCores is the processor time of the largest VM, zero if it is not known.
 	largestCores float64
-	era          storeEra
-	members      []election.Member
+	// announced is the latest process that has announced itself as the coordinator.
+	announced report.StepDown
+	era       storeEra
+	members   []election.Member
 	// membersAt is when the coordinator last confirmed the members; zero if it never did.
 	membersAt time.Time
 	// cutOffMembers has the names of the members that reach no server.
@@ -293,7 +295,11 @@
 			return
 		}
 		n.lockCallPending = true
-		group.Go(func() { n.writeLock(ctx) })
+		group.Go(func() {
+			if n.writeLock(ctx) {
+				n.announceRole(ctx)
+			}
+		})
 	}
 }
 
@@ -319,7 +325,8 @@
 	n.election.ObserveLock(now, l, o.Revision)
 }
 
-func (n *Node) writeLock(ctx context.Context) {
+// writeLock writes the lock and reports whether the process has become the coordinator.
+func (n *Node) writeLock(ctx context.Context) bool {
 	n.mu.Lock()
 	now := time.Now()
 	former := n.election.FormerHolder()
@@ -345,8 +352,10 @@
 			previous := n.executor
 			n.executor = newExecutor(n, l, now, former)
 			n.executor.keepRenewing(previous, confirmed)
+			return true
 		}
 	}
+	return false
 }
 
 func (n *Node) putLock(ctx context.Context, l election.Lock, revision uint64) (platform.Object, error) {
@@ -394,7 +403,7 @@
 // report sends what was collected since the last report to the coordinator.
 func (n *Node) report(ctx context.Context) {
 	n.mu.Lock()
-	holder, ok := n.election.Holder()
+	holder, ok := n.holder()
 	_, holding := n.election.HeldTerm()
 	n.mu.Unlock()
 	if !ok && !holding {
@@ -456,6 +465,7 @@
 		}
 	}
 	n.setCutOffMembers(cutOff)
+	n.largestCores = largest
 	// The other processes choose their allocators again only if the members have changed.
 	slices.SortFunc(n.members, func(a, b election.Member) int { return cmp.Compare(a.Name, b.Name) })
 	return report.Response{
@@ -467,12 +477,16 @@
 // heldShares returns the part of the members from which a server takes no requests, for the servers of which
 // there is any. The node's lock is held.
 func (n *Node) heldShares(now time.Time) map[registry.Instance]float64 {
-	shares := make(map[registry.Instance]float64)
+	var shares map[registry.Instance]float64
 	for _, p := range n.reporters {
 		for inst, until := range p.holds {
-			if now.Before(until) {
-				shares[inst] += 1 / float64(len(n.reporters))
+			if !now.Before(until) {
+				continue
+			}
+			if shares == nil {
+				shares = make(map[registry.Instance]float64)
 			}
+			shares[inst] += 1 / float64(len(n.reporters))
 		}
 	}
 	return shares
@@ -487,6 +501,7 @@
 		n.logger.WithField("term", n.executor.term).WithField("successor", request.Term).Warn("no longer coordinator")
 		n.executor = nil
 	}
+	n.noteSuccessor(request)
 	return report.StepDownResponse{Incarnation: n.self.Incarnation, Stopped: stopped}
 }
 
