--- a/entry/internal/gatewayprocess/partition_test.go
+++ b/entry/internal/gatewayprocess/partition_test.go
@@ -206,3 +206,38 @@
 		})
 	}
 }
+
+// Guards against requests of other processes that end without an answer because the process that sends them to
+// a server has no clients of its own any more and stops.
+func TestRelayedRequestAnsweredBeforeStop(t *testing.T) {
+	t.Parallel()
+	partitionTests <- struct{}{}
+	t.Cleanup(func() { <-partitionTests })
+	s := newFakeStore(t)
+	a := newFakeBackend(t, "a")
+	relay := newCutRelay(t, a.address)
+	s.put("config", "main", strings.NewReplacer(`"timeoutMs":2000`, `"timeoutMs":60000`).Replace(fmt.Sprintf(configurationFormat, 3)))
+	s.put("servers", "a", strings.Replace(a.registryEntry("ready"), a.address.String(), relay.address.String(), 1))
+	const stop = 5 * time.Second
+	first := startProcessWithStop(t, stop, s.address, "first")
+	eventually(t, 10*time.Second, "first serves", func() bool { return first.servesAllKeys("start") })
+	second := startProcess(t, s, "second")
+	eventually(t, 10*time.Second, "second serves", func() bool { return second.servesAllKeys("start") })
+	relay.set(t, second.settings.ClientAddress.Addr(), partitionReset)
+	eventually(t, 10*time.Second, "second serves through first", func() bool { return second.servesAllKeys(fmt.Sprint("cut-", time.Now().UnixNano())) })
+	statuses := make(chan int, 1)
+	go func() {
+		status, _ := second.sendWithin(time.Minute, "/final/x", "slow-relayed", 1)
+		statuses <- status
+	}()
+	eventually(t, 5*time.Second, "the server runs the request", func() bool { return a.slow.Load() == 1 })
+	stopped := time.Now()
+	first.stop()
+	select {
+	case status := <-statuses:
+		t.Fatalf("the request ended with %d after %s", status, time.Since(stopped))
+	case <-time.After(stop * 7 / 10):
+	}
+	close(a.finishSlow)
+	must.Eq(t, http.StatusOK, <-statuses)
+}
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -234,7 +234,9 @@
 	p.logger.WithFields(log.Fields{"clients": p.clients.Addr().String(), "incarnation": p.self.Incarnation, "centre": p.self.DataCentre}).Info("started")
 	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
 	defer stop()
-	if err := app.Run(); err != nil && !errors.Is(err, context.Canceled) {
+	err := app.Run()
+	p.awaitRelayed()
+	if err != nil && !errors.Is(err, context.Canceled) {
 		return eris.Wrap(err, "gatewayprocess: serve")
 	}
 	p.logger.Info("stopped")
@@ -342,6 +344,7 @@
 	giveUp, serversEnd := end.Add(-giveUpMargin), end.Add(-closeMargin)
 	p.serversEnd.Store(&serversEnd)
 	p.handler.Stop(giveUp)
+	p.relayServer.Stop()
 	p.dispatcher.Stop(dispatch.Shutdown{LastStart: deadline, GiveUp: giveUp, End: end})
 	bounded, cancel := context.WithDeadline(ctx, giveUp)
 	defer cancel()
@@ -359,6 +362,17 @@
 	return nil
 }
 
+// awaitRelayed waits until the calls that other processes have relayed to a stopping process have ended.
+func (p *Process) awaitRelayed() {
+	end := p.serversEnd.Load()
+	if end == nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), *end)
+	defer cancel()
+	p.relayServer.Wait(ctx)
+}
+
 // activeLogInterval is the time between two logs of the requests that a stopping process still works on.
 const activeLogInterval = time.Second
 
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -190,8 +190,11 @@
 			return r
 		}
 		refusal = r
-		if r.Reason == dispatch.CutOff {
+		switch r.Reason {
+		case dispatch.CutOff:
 			c.avoid(use{m.Name, s.Service})
+		case dispatch.Stopping:
+			c.avoid(use{m.Name, ""})
 		}
 	}
 	if refusal == nil || refusal.Reason == dispatch.Unreachable || refusal.Reason == dispatch.HeldOff {
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -37,6 +37,7 @@
 	handle func(ctx context.Context, c *dispatch.Call) *dispatch.Result
 	// unreachable is why the process doesn't reach a server; empty if it does.
 	unreachable dispatch.Reason
+	relay       *relay.Server
 	server      *drpcserver.Server
 	// silent is closed when the process is lost without a sign.
 	silent chan struct{}
@@ -75,7 +76,8 @@
 		Member: election.Member{Name: name, DataCentre: centre, Address: netip.AddrPortFrom(netip.IPv6Loopback(), number)},
 		handle: handle, silent: make(chan struct{}), ctx: t.Context(),
 	}
-	handler := rpc.Recovering{Handler: relay.NewServer(p, noCalls{}), Logger: &log.Logger{Handler: discard.New()}}
+	p.relay = relay.NewServer(p, noCalls{})
+	handler := rpc.Recovering{Handler: p.relay, Logger: &log.Logger{Handler: discard.New()}}
 	p.server = drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: rpc.Manager})
 	return p
 }
@@ -381,3 +383,35 @@
 		must.Eq(t, 0, p.callCount())
 	})
 }
+
+// Guards against a process that stops before the calls of other processes have ended, that waits for ever, or
+// that accepts further ones.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		p := startPeer(t, "p", "y", func(context.Context, *dispatch.Call) *dispatch.Result {
+			<-release
+			return served("")
+		})
+		other := startPeer(t, "other", "z", func(context.Context, *dispatch.Call) *dispatch.Result { return served("") })
+		client, _ := newClient(t, p, other)
+		results := make(chan *dispatch.Result, 1)
+		go func() { results <- client.Do(t.Context(), newCall("body"), server, 2) }()
+		synctest.Wait()
+		p.relay.Stop()
+		p.relay.Stop()
+		for range 2 {
+			must.Eq(t, "other", client.Do(t.Context(), newCall("body"), server, 2).Peer)
+		}
+		must.Eq(t, 1, p.callCount())
+		bounded, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		begin := time.Now()
+		p.relay.Wait(bounded)
+		must.Eq(t, time.Second, time.Since(begin))
+		time.AfterFunc(3*time.Second, func() { close(release) })
+		p.relay.Wait(t.Context())
+		must.Eq(t, 4*time.Second, time.Since(begin))
+		must.Eq(t, "p", (<-results).Peer)
+	})
+}
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -47,16 +47,62 @@
 	next       RPCHandler
 	memory     *bodybudget.Budget
 	taken      atomic.Int64
+
+	mu sync.Mutex
+	// stopping is true after Stop, running is the number of accepted calls, and idle is closed when the
+	// former is true and the latter zero.
+	stopping bool
+	running  int
+	idle     chan struct{}
 }
 
 // NewServer returns a server that passes other methods to next.
 func NewServer(d Dispatcher, next RPCHandler) *Server {
-	return &Server{dispatcher: d, next: next, memory: bodybudget.New(maxBodyBytes)}
+	return &Server{dispatcher: d, next: next, memory: bodybudget.New(maxBodyBytes), idle: make(chan struct{})}
 }
 
 // Taken returns the number of calls of other processes that this one has accepted.
 func (s *Server) Taken() int64 { return s.taken.Load() }
 
+// Stop makes the server refuse further calls, so that their senders try other processes.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopping && s.running == 0 {
+		close(s.idle)
+	}
+	s.stopping = true
+}
+
+// Wait waits after Stop until the accepted calls have ended, or until the context ends.
+func (s *Server) Wait(ctx context.Context) {
+	select {
+	case <-s.idle:
+	case <-ctx.Done():
+	}
+}
+
+// begin counts a call that is accepted. It returns false after Stop.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.running++
+	return true
+}
+
+// end counts the end of an accepted call.
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if s.stopping && s.running == 0 {
+		close(s.idle)
+	}
+}
+
 // HandleRPC implements report.RPCHandler.
 func (s *Server) HandleRPC(stream drpc.Stream, name string) error {
 	if name != method {
@@ -73,6 +119,10 @@
 	if refusal := s.refusal(now, call, server, w.BodyLength); refusal != nil {
 		return send(stream, encodeResult(now, refusal))
 	}
+	if !s.begin() {
+		return send(stream, encodeResult(now, &dispatch.Result{Status: http.StatusServiceUnavailable, RetryAt: now.Add(refusalRetryDelay), Reason: dispatch.Stopping}))
+	}
+	defer s.end()
 	if err := send(stream, &wireAnswer{Kind: uint8(accepted)}); err != nil {
 		return err
 	}
