--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -294,7 +294,7 @@
 	c.SetPhase(AwaitsResponse, b.server.ID)
 	boundedCtx, cancel := d.withRequest(ctx, c)
 	defer cancel()
-	requestCtx, stop := d.withCutOff(boundedCtx, c)
+	requestCtx, stop := d.withCutOff(boundedCtx, p)
 	defer stop()
 	response, err := b.client.Do(requestCtx, &origin.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body, HasBody: c.HasBody,
@@ -394,7 +394,11 @@
 			return d.contextDone(ctx, p), false
 		}
 		now := time.Now()
-		return refusedResult(Unreachable, now.Add(refusalRetryDelay), f), !d.isSharded(p.call) || d.canRelay(now, p, b.server)
+		retryAt := now.Add(refusalRetryDelay)
+		if d.isSharded(p.call) {
+			retryAt = b.keysReturn(retryAt)
+		}
+		return refusedResult(Unreachable, retryAt, f), !d.isSharded(p.call) || d.canRelay(now, p, b.server)
 	}
 	if isCutOff(ctx) {
 		return unknownResult(http.StatusBadGateway, CutOff, f), p.call.Route.Kind.Retryable()
--- a/entry/internal/orderrelay/orderrelay_internal_test.go
+++ b/entry/internal/orderrelay/orderrelay_internal_test.go
@@ -36,8 +36,8 @@
 	return g.err
 }
 
-func (g *recordedGrants) Grant(_ context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string) error {
-	return g.record(Order{To: to, Keys: keys, Fence: fence, Hold: hold, Handover: handover})
+func (g *recordedGrants) Grant(_ context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string, _ uint64) (uint64, error) {
+	return 1, g.record(Order{To: to, Keys: keys, Fence: fence, Hold: hold, Handover: handover})
 }
 
 func (g *recordedGrants) Release(_ context.Context, to platform.Recipient, keys keyspace.Range, fence uint64) (string, error) {
@@ -160,13 +160,13 @@
 	sent   bool
 }
 
-func (g *checkingGrants) Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string) error {
+func (g *checkingGrants) Grant(ctx context.Context, to platform.Recipient, keys keyspace.Range, fence uint64, hold time.Duration, handover string, connection uint64) (uint64, error) {
 	g.freeze()
 	if err := platform.SendCheck(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	g.sent = true
-	return g.recordedGrants.Grant(ctx, to, keys, fence, hold, handover)
+	return g.recordedGrants.Grant(ctx, to, keys, fence, hold, handover, connection)
 }
 
 // Guards against an order that is sent after its time because the clocks of two VMs differ in speed, or
