coordinator model: servers that return with the same or another id

Servers now end for up to 1.5 s and return, also twice in a short time, with another id or the same one, entries late or not; an instance with another id refuses orders; orders on new connections arrive up to 0.35 s later and reach whoever listens then; connections end. A fence must be above those of other lives, not only not below them.

An order of a former coordinator that is under way to one life and reaches the next is this gap too and is left out; docs/platform.md names it.

--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -76,6 +76,8 @@
 	// server is the instance that the order has reached. The order has no effect if the instance
 	// ends.
 	server *server
+	// connecting is true for an order on a new connection that is opened when the order is executed.
+	connecting bool
 }
 
 // process is a coordinator with the time at which its role was last confirmed. Coordinator is nil
@@ -118,6 +120,11 @@
 	highestFences   map[keyspace.Key]map[string]fence.Fence
 	load            func(k int) float64
 	lastIncarnation int64
+	// connections holds the servers at the other ends of connections, by number.
+	connections map[uint64]*server
+	// startAt is when a server that has ended is replaced; lastEnded is the one that ended last.
+	startAt   map[int]time.Time
+	lastEnded int
 }
 
 // SteadyLoad implements coordinator.Demand.
@@ -278,13 +285,35 @@
 // send draws the outcome of an order at random.
 func (sim *simulation) send(p *process, o coordinator.Order) {
 	c := &call{sender: p, order: o, sentAt: sim.now, result: coordinator.Result{Number: o.Number}, server: sim.serverAt(o.Server)}
-	outcomes := []string{"ok", "ok", "ok", "ok", "ok", "ok", "lost", "unsent", "late"}
-	if p.disconnected {
+	outcomes := []string{"ok", "ok", "ok", "ok", "ok", "ok", "lost", "unsent", "late", "slow"}
+	switch {
+	case p.disconnected:
 		outcomes = []string{"unsent", "dropped"}
+	case o.Connection != 0:
+		c.server = sim.connections[o.Connection]
+		if !sim.isRunning(c.server) || rapid.IntRange(0, 9).Draw(sim.t, "connection") == 0 {
+			outcomes = []string{"connection ended"}
+		}
+	case c.server == nil:
+		outcomes = []string{"unsent", "slow"}
 	}
 	switch rapid.SampledFrom(outcomes).Draw(sim.t, "outcome") {
 	case "ok":
 		c.apply, c.response = sim.now, sim.now.Add(step)
+	case "slow":
+		// The order may have been sent by its latest time, and arrives with a connection that is opened
+		// before the call is given up.
+		c.connecting = o.Connection == 0
+		c.apply = sim.now.Add(time.Duration(rapid.IntRange(1, 7).Draw(sim.t, "slow")) * step)
+		c.sentAt, c.response = c.apply, sim.now.Add(grantTimeout)
+		if rapid.Bool().Draw(sim.t, "answered") {
+			c.response = c.apply.Add(step)
+		} else {
+			c.result.Err = errLost
+		}
+	case "connection ended":
+		c.response = sim.now
+		c.result.Err, c.result.ConnectionEnded = errLost, true
 	case "lost":
 		c.apply, c.response = sim.now, sim.now.Add(grantTimeout)
 		c.result.Err = errLost
@@ -325,11 +354,31 @@
 
 // apply executes an order at its server and checks that no other server holds the keys.
 func (sim *simulation) apply(c *call) {
+	if c.connecting {
+		meant := c.server
+		c.server = sim.serverAt(c.order.Server)
+		// A former coordinator's order that reaches a later life of its server is a known gap, see
+		// docs/platform.md.
+		if c.sender != sim.current && c.server != meant {
+			c.server = nil
+		}
+	}
 	s := c.server
-	if s == nil || !slices.Contains(sim.servers, s) {
+	if !sim.isRunning(s) {
 		c.result.Err = errLost
 		return
 	}
+	if s.ID != c.order.Server.ID {
+		c.result.Misdirected, c.result.Err = c.result.Err == nil, errLost
+		return
+	}
+	if !c.order.Release && c.result.Err == nil {
+		c.result.Connection = c.order.Connection
+		if c.result.Connection == 0 {
+			c.result.Connection = uint64(len(sim.connections) + 1)
+			sim.connections[c.result.Connection] = s
+		}
+	}
 	for _, k := range sampledKeys {
 		if c.order.Keys.Contains(k) && !c.order.Release && s.fences[k] > c.order.Fence {
 			c.result.Fenced, c.result.Err = true, errLost
@@ -380,6 +429,11 @@
 	return nil
 }
 
+// isRunning reports whether an instance has not ended.
+func (sim *simulation) isRunning(s *server) bool {
+	return s != nil && s.alive && slices.Contains(sim.servers, s)
+}
+
 // checkOwner fails if another server holds the key, or held it with a higher fence.
 func (sim *simulation) checkOwner(s *server, k keyspace.Key, newFence fence.Fence) {
 	for _, other := range sim.servers {
@@ -390,24 +444,58 @@
 	sim.checkFence(s, k, newFence)
 }
 
-// checkFence fails if another server held the key with a higher fence.
+// checkFence fails if another server, or another life of the server, had the key with the same or a higher
+// fence.
 func (sim *simulation) checkFence(s *server, k keyspace.Key, newFence fence.Fence) {
 	if sim.highestFences[k] == nil {
 		sim.highestFences[k] = make(map[string]fence.Fence)
 	}
 	name := fmt.Sprint(s.Instance)
 	for other, had := range sim.highestFences[k] {
-		if other != name && had > newFence {
+		if other != name && had >= newFence {
 			sim.t.Fatalf("key %d: %v gets it with fence %v, %v had it with %v", k, s.Instance, newFence, other, had)
 		}
 	}
 	sim.highestFences[k][name] = max(sim.highestFences[k][name], newFence)
 }
 
-// restart replaces a server by a new instance at the same address.
+// restart replaces a server by a new instance at the same address, with the same or another ID.
 func (sim *simulation) restart(i int) {
+	delete(sim.startAt, i)
+	sim.lastEnded = i
+	id := sim.servers[i].ID
 	sim.lastIncarnation++
 	sim.servers[i] = newServer(i, sim.lastIncarnation)
+	if rapid.Bool().Draw(sim.t, "other ID") {
+		sim.servers[i].ID = fmt.Sprintf("s%d-%d", i, sim.lastIncarnation)
+	} else {
+		sim.servers[i].ID = id
+	}
+	// A server that starts behind a partition is not registered yet. With a former coordinator that
+	// still renews, an unregistered server with the same ID could accept that coordinator's grants, so
+	// it is always registered then.
+	if len(sim.former) > 0 && sim.servers[i].ID == id || rapid.Bool().Draw(sim.t, "registered") {
+		sim.registerAll()
+	}
+}
+
+// end ends a server. Another instance starts at its address after a while.
+func (sim *simulation) end(i int) {
+	sim.servers[i].alive = false
+	sim.lastEnded = i
+	sim.startAt[i] = sim.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(sim.t, "down")) * step)
+	if rapid.Bool().Draw(sim.t, "entry removed") {
+		sim.registerAll()
+	}
+}
+
+// startEnded starts the instances that follow servers which have ended.
+func (sim *simulation) startEnded() {
+	for i := range sim.servers {
+		if at, ok := sim.startAt[i]; ok && !at.After(sim.now) {
+			sim.restart(i)
+		}
+	}
 }
 
 // Guards against a key with two owners, or with a fence that does not rise, after lost, late and
@@ -415,7 +503,7 @@
 // earlier copy.
 func TestOneOwner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1, era: 1}
+		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1, era: 1, connections: make(map[uint64]*server), startAt: make(map[int]time.Time)}
 		for i := range 5 {
 			sim.servers = append(sim.servers, newServer(i, 1))
 		}
@@ -428,12 +516,6 @@
 			switch rapid.IntRange(0, 60).Draw(t, "event") {
 			case 0:
 				sim.restart(rapid.IntRange(0, len(sim.servers)-1).Draw(t, "server"))
-				// A server that starts behind a partition is not registered yet. With a former
-				// coordinator that still renews, an unregistered server could accept that
-				// coordinator's grants, so it is always registered then.
-				if len(sim.former) > 0 || rapid.Bool().Draw(t, "registered") {
-					sim.registerAll()
-				}
 			case 1:
 				i := rapid.IntRange(0, len(sim.servers)-1).Draw(t, "server")
 				sim.servers[i].Draining = !sim.servers[i].Draining
@@ -454,15 +536,21 @@
 				sim.current.disconnected = !sim.current.disconnected
 			case 6:
 				// The entry of a running server disappears from the list.
-				i := rapid.IntRange(0, len(sim.registered)-1).Draw(t, "missing")
 				if len(sim.registered) > 1 {
+					i := rapid.IntRange(0, len(sim.registered)-1).Draw(t, "missing")
 					sim.registered = append(sim.registered[:i:i], sim.registered[i+1:]...)
 				}
 			case 7:
 				sim.registerAll()
+			case 9:
+				// Two lives at one address within a short time.
+				sim.restart(sim.lastEnded)
+			case 10:
+				sim.end(rapid.IntRange(0, len(sim.servers)-1).Draw(t, "server"))
 			case 8:
 				sim.restore(sim.now.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond))
 			}
+			sim.startEnded()
 			if sim.current.era < sim.era && rapid.IntRange(0, 9).Draw(t, "new term") == 0 {
 				sim.elect()
 			}
@@ -481,7 +569,7 @@
 // Guards against keys without an owner in a service in which nothing fails.
 func TestAllKeysOwned(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1, era: 1}
+		sim := &simulation{t: t, now: time.Unix(1000, 0), highestFences: make(map[keyspace.Key]map[string]fence.Fence), lastIncarnation: 1, era: 1, connections: make(map[uint64]*server), startAt: make(map[int]time.Time)}
 		for i := range rapid.IntRange(1, 30).Draw(t, "servers") {
 			sim.servers = append(sim.servers, newServer(i, 1))
 		}
