Tests: two lives at one address within a second, and a soak of orders

TestTwoLivesWithinSecond: two instances follow at an address, the first for 0.9 s, with the same or another id; also while the store is down and after the coordinator has been stopped. TestOwnerSoak (seeded, -owner.seed): eight servers end and others return at their addresses after up to 0.6 s, entries up to 1.5 s later, while connections are cut, the store fails and the coordinator changes.

--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -276,6 +276,7 @@
 	server  *http.Server
 	// grants records the accepted grants of all servers of a test, if it is set.
 	grants *grantRecord
+	open   sync.Map
 	// slow is the number of requests run whose identifier begins with "slow-". They end when
 	// finishSlow is closed.
 	slow       atomic.Int32
@@ -358,12 +359,30 @@
 	b := &fakeBackend{id: id, born: born, address: address, grants: grants, executions: make(map[string]int), finishSlow: make(chan struct{})}
 	l, err := net.Listen("tcp", address.String())
 	must.NoError(t, err)
-	b.server = &http.Server{Handler: b}
+	b.server = &http.Server{Handler: b, ConnState: b.recordConnection}
 	go func() { _ = b.server.Serve(l) }()
 	t.Cleanup(func() { _ = b.server.Close() })
 	return b
 }
 
+// recordConnection keeps the open connections.
+func (b *fakeBackend) recordConnection(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		b.open.Store(c, true)
+	case http.StateClosed, http.StateHijacked:
+		b.open.Delete(c)
+	}
+}
+
+// closeConnections closes all connections of a server that goes on.
+func (b *fakeBackend) closeConnections() {
+	b.open.Range(func(c, _ any) bool {
+		_ = c.(net.Conn).Close()
+		return true
+	})
+}
+
 // end ends the instance as a crash does: its listener and all connections are closed.
 func (b *fakeBackend) end(t *testing.T) {
 	must.NoError(t, b.server.Close())
--- a/entry/internal/gatewayprocess/owner_test.go
+++ b/entry/internal/gatewayprocess/owner_test.go
@@ -1,7 +1,9 @@
 package gatewayprocess_test
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -118,6 +120,7 @@
 	servers   []*fakeBackend
 	processes []*testProcess
 	ended     int
+	load      sync.Mutex
 }
 
 func newOwnerTest(t *testing.T) *ownerTest {
@@ -156,7 +159,10 @@
 			case <-end:
 				return
 			case <-ticker.C:
-				group.Go(func() { o.processes[i%3].sendWithin(time.Second, "/get/x", fmt.Sprint("load-", i), i*7919%65536) })
+				o.load.Lock()
+				p := o.processes[i%3]
+				o.load.Unlock()
+				group.Go(func() { p.sendWithin(time.Second, "/get/x", fmt.Sprint("load-", i), i*7919%65536) })
 			}
 		}
 	})
@@ -166,6 +172,13 @@
 	})
 }
 
+// setProcesses sets the processes that get requests.
+func (o *ownerTest) setProcesses(p ...*testProcess) {
+	o.load.Lock()
+	defer o.load.Unlock()
+	o.processes = p
+}
+
 // replace ends a server. After the gap another instance listens at its address, and its entry in the store
 // follows after lag.
 func (o *ownerTest) replace(t *testing.T, id string, gap, lag time.Duration) {
@@ -215,3 +228,80 @@
 	}
 	o.grants.mustHoldRules(t)
 }
+
+// replaceTwice ends a server, and the instance that follows it ends within a second of its start. The entry
+// of the third one follows.
+func (o *ownerTest) replaceTwice(t *testing.T, ids [2]string) {
+	former := o.servers[0]
+	former.end(t)
+	short := newFakeBackendAt(t, ids[0], former.born+1, former.address, o.grants)
+	<-time.After(900 * time.Millisecond)
+	short.end(t)
+	next := newFakeBackendAt(t, ids[1], former.born+2, former.address, o.grants)
+	<-time.After(600 * time.Millisecond)
+	o.store.put("servers", next.id, next.registryEntry("ready"))
+	if next.id != former.id {
+		o.store.remove("servers", former.id)
+	}
+	o.servers[0] = next
+}
+
+// Guards against a fence that reaches the second of two instances which follow within a second, also while
+// the store is down and after a change of coordinator.
+func TestTwoLivesWithinSecond(t *testing.T) {
+	t.Parallel()
+	o := newOwnerTest(t)
+	id := o.servers[0].id
+	o.replaceTwice(t, [2]string{id, id})
+	o.mustServe(t, "same")
+	o.replaceTwice(t, [2]string{"other", "another"})
+	o.mustServe(t, "other")
+	o.store.setDown(true)
+	o.replaceTwice(t, [2]string{"another", "another"})
+	o.store.setDown(false)
+	o.mustServe(t, "down")
+	// The process that started first is the coordinator.
+	o.processes[0].stop()
+	o.replaceTwice(t, [2]string{"another", "again"})
+	o.setProcesses(o.processes[1], o.processes[2], o.processes[1])
+	o.mustServe(t, "coordinator stopped")
+	o.replaceTwice(t, [2]string{"again", "again"})
+	o.mustServe(t, "coordinator changed")
+	o.grants.mustHoldRules(t)
+}
+
+// soakSeed selects the course of TestOwnerSoak.
+var soakSeed = flag.Uint64("owner.seed", 1, "seed of TestOwnerSoak")
+
+// Guards against owners that break the rules while servers end and return at their addresses, connections
+// are cut, the store fails and the coordinator changes.
+func TestOwnerSoak(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(*soakSeed, 0))
+	o := newOwnerTest(t)
+	milliseconds := func(most int) time.Duration { return time.Duration(random.IntN(most+1)) * time.Millisecond }
+	stopAt := random.IntN(8)
+	for i := range 8 {
+		switch random.IntN(3) {
+		case 0:
+			o.store.setDown(true)
+		case 1:
+			for _, b := range o.servers {
+				b.closeConnections()
+			}
+		}
+		id := o.servers[o.ended%2].id
+		if random.IntN(2) == 0 {
+			id = fmt.Sprint("soak-", i)
+		}
+		o.replace(t, id, milliseconds(600), milliseconds(1500))
+		o.store.setDown(false)
+		<-time.After(milliseconds(400))
+		if i == stopAt {
+			o.processes[0].stop()
+			o.setProcesses(startProcess(t, o.store, "fourth"), o.processes[1], o.processes[2])
+		}
+	}
+	o.mustServe(t, "end")
+	o.grants.mustHoldRules(t)
+}
