gatewayprocess: the tests of partitions don't run beside others

With up to two deployments of four processes beside the other parallel tests (-race, load 24 to 29), TestStopUnderLoad answered 870 requests (more than 1000 wanted) and two cases of TestLeavingServerGetsNoRequests got 54 and 95 requests through; alone all pass. The tests of partitions now run before the parallel ones, two deployments at a time as before.

--- a/entry/internal/gatewayprocess/partition_test.go
+++ b/entry/internal/gatewayprocess/partition_test.go
@@ -22,7 +22,8 @@
 	failedShare = 50
 )
 
-// partitionTests limits the deployments that run at a time, because each takes about a core under the race detector.
+// partitionTests limits the deployments that run at a time, because each takes about a core under the race
+// detector. For the same reason the tests of partitions don't run beside the other tests of the package.
 var partitionTests = make(chan struct{}, 2)
 
 // firstTries counts the first tries of clients at a process.
@@ -128,7 +129,6 @@
 // Guards against clients that are not served because their process reaches no server, and against other
 // processes that lose service because of it.
 func TestProcessesCutFromServers(t *testing.T) {
-	t.Parallel()
 	for _, c := range []struct {
 		kind partitionKind
 		path string
@@ -174,7 +174,6 @@
 // Guards against a partition that the partitioned process or the others don't notice, and against its end
 // that they don't.
 func TestPartitionIsReported(t *testing.T) {
-	t.Parallel()
 	for _, kind := range []partitionKind{partitionReset, partitionSilent, partitionUnanswered} {
 		t.Run(string(kind), func(t *testing.T) {
 			t.Parallel()
--- a/entry/internal/gatewayprocess/partitionsoak_test.go
+++ b/entry/internal/gatewayprocess/partitionsoak_test.go
@@ -192,7 +192,6 @@
 // stops, against final requests that run twice, refusals of requests that have run, responses of other
 // requests and partitioned processes without service.
 func TestPartitionSoak(t *testing.T) {
-	t.Parallel()
 	for n := range *partitionSeeds {
 		seed := *partitionFirst + uint64(n)
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
