coordinator: model of orders through another process

Orders may arrive until the time at which the other process must no longer send them plus the timeout of its call, twice before the result is known, or never; results are lost, refused as late or unknown, and releases arrive up to 2.5 s late.

--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -67,12 +67,15 @@
 type call struct {
 	sender *process
 	order  coordinator.Order
+	// sentAt is when the order arrives at the server or is sent there, from which on a grant runs.
 	sentAt time.Time
 	// apply is when the server executes the order, zero if it never does. response is when the
 	// coordinator gets the result.
 	apply, response time.Time
 	result          coordinator.Result
 	late            bool
+	// again is when the server executes the order a second time, zero if it never does.
+	again time.Time
 	// server is the instance that the order has reached. The order has no effect if the instance
 	// ends.
 	server *server
@@ -88,6 +91,8 @@
 	hasCopy       bool
 	lastConfirmed time.Time
 	disconnected  bool
+	// relaying is true while the orders go through another process.
+	relaying bool
 }
 
 // storedCopy is the table in the store at some time.
@@ -278,6 +283,11 @@
 // send draws the outcome of an order at random.
 func (sim *simulation) send(p *process, o coordinator.Order) {
 	c := &call{sender: p, order: o, sentAt: sim.now, result: coordinator.Result{Number: o.Number}, server: sim.serverAt(o.Server)}
+	if p.relaying {
+		sim.sendThroughOther(c)
+		sim.calls = append(sim.calls, c)
+		return
+	}
 	outcomes := []string{"ok", "ok", "ok", "ok", "ok", "ok", "lost", "unsent", "late"}
 	if p.disconnected {
 		outcomes = []string{"unsent", "dropped"}
@@ -302,6 +312,50 @@
 	sim.calls = append(sim.calls, c)
 }
 
+// sendThroughOther draws the outcome of an order that another process sends. It sends a grant until SendBy
+// and resets the connection grantTimeout later; a release may arrive at any time. A result that is unknown
+// is returned when a grant can no longer arrive.
+func (sim *simulation) sendThroughOther(c *call) {
+	settled := c.order.SendBy.Add(grantTimeout)
+	arrival := sim.now.Add(time.Duration(rapid.IntRange(0, int(settled.Sub(sim.now)/step)).Draw(sim.t, "arrival")) * step)
+	if c.order.Release {
+		arrival = sim.now.Add(time.Duration(rapid.IntRange(0, 2500/50).Draw(sim.t, "arrival of a release")) * step)
+		settled = sim.now.Add(2600 * time.Millisecond)
+	}
+	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "ok", "ok", "lost", "refused", "unsent", "dropped", "twice", "late"}).Draw(sim.t, "outcome through other") {
+	case "ok":
+		c.sentAt, c.apply, c.response = arrival, arrival, arrival.Add(step)
+	case "lost":
+		// The other process has ended or is cut off from the coordinator.
+		c.sentAt, c.apply, c.response = arrival, arrival, settled
+		c.result.Err = errLost
+	case "refused":
+		c.response = arrival
+		c.result.Err, c.result.Expired = errLost, true
+	case "unsent":
+		c.response = arrival
+		c.result.Err, c.result.Unsent = errLost, true
+	case "dropped":
+		c.response = settled
+		c.result.Err = errLost
+	case "twice":
+		// The other process sends the call again on another connection, before it knows the result.
+		again := arrival.Add(time.Duration(rapid.IntRange(0, 4).Draw(sim.t, "again")) * step)
+		if again.After(settled) {
+			again = settled
+		}
+		c.sentAt, c.apply, c.again, c.response = arrival, arrival, again, again.Add(step)
+	case "late":
+		c.late, c.sentAt = true, arrival
+		c.apply, c.response = arrival.Add(time.Duration(rapid.IntRange(2, 12).Draw(sim.t, "late"))*time.Second), settled
+		c.result.Err = errLost
+	}
+	if c.result.Expired && c.order.Release {
+		// A release has no time after which it is refused.
+		c.result.Expired, c.result.Unsent = false, true
+	}
+}
+
 var errLost = fmt.Errorf("no response")
 
 // deliver executes the calls that are due and reports their results.
@@ -310,7 +364,10 @@
 	for _, c := range sim.calls {
 		if !c.apply.IsZero() && !c.apply.After(sim.now) {
 			sim.apply(c)
-			c.apply = time.Time{}
+			c.apply, c.again = c.again, time.Time{}
+			if !c.apply.IsZero() {
+				c.sentAt = c.apply
+			}
 		}
 		if !c.response.IsZero() && !c.response.After(sim.now) {
 			c.sender.HandleResult(sim.now, c.result)
@@ -460,6 +517,8 @@
 				}
 			case 7:
 				sim.registerAll()
+			case 9, 10:
+				sim.current.relaying = !sim.current.relaying
 			case 8:
 				sim.restore(sim.now.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond))
 			}
