--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -24,6 +24,8 @@
 	d["servers"] = p.view.Servers().Registered()
 	d["reachability"] = p.reachabilityCounts(time.Now())
 	d["limits"] = p.dumpLimits(time.Now())
+	contact := p.node.ContactState(time.Now())
+	d["contact"] = map[string]any{"cut": contact.CutOff, "unanswered": contact.Unanswered, "relays": contact.Relays, "handed": contact.HandOvers}
 	return d
 }
 
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -18,6 +18,7 @@
 		"term":          func(time.Time) any { return p.node.CoordinatorTerm() },
 		"members":       func(time.Time) any { return len(p.node.Members()) },
 		"age":           func(now time.Time) any { return p.copyAges(now) },
+		"contact":       func(now time.Time) any { return p.contactCounts(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
 		"statements":    func(time.Time) any { return p.statements.Counts() },
@@ -58,6 +59,18 @@
 	return out
 }
 
+// contactCounts returns whether the process, as coordinator or candidate, reaches no server, how many
+// servers have left its latest order unanswered, how many get orders through another process, and how often
+// it has given up the coordinator's role because it was cut off.
+func (p *Process) contactCounts(now time.Time) map[string]int {
+	contact := p.node.ContactState(now)
+	counts := map[string]int{"cut": 0, "unanswered": contact.Unanswered, "relayed": len(contact.Relays), "handed": contact.HandOvers}
+	if contact.CutOff {
+		counts["cut"] = 1
+	}
+	return counts
+}
+
 // limitCounts returns the number of servers whose request limit is in force, the sum of these limits and
 // the number of responses with a limit that could not be used.
 func (p *Process) limitCounts(now time.Time) map[string]float64 {
