gatewayprocess: soak of a coordinator that is cut off, planned stop during a cut

All tests of this kind now also check the grants that the servers accept (grantRecord): one owner a key, fences that rise.

--- a/entry/internal/gatewayprocess/coordinatorcut_test.go
+++ b/entry/internal/gatewayprocess/coordinatorcut_test.go
@@ -21,6 +21,7 @@
 	processes []*testProcess
 	backends  []*fakeBackend
 	listeners []*cutListener
+	grants    *grantRecord
 
 	mu sync.Mutex
 	// isCut has the processes that are cut off from all servers.
@@ -34,10 +35,10 @@
 func newRoleTest(t *testing.T) *roleTest {
 	roleTests <- struct{}{}
 	t.Cleanup(func() { <-roleTests })
-	c := &roleTest{store: newFakeStore(t), isCut: make(map[string]bool)}
+	c := &roleTest{store: newFakeStore(t), isCut: make(map[string]bool), grants: newGrantRecord()}
 	c.store.put("config", "main", fmt.Sprintf(configurationFormat, 1))
 	for _, id := range []string{"a", "b", "c"} {
-		b := &fakeBackend{id: id, executions: make(map[string]int), finishSlow: make(chan struct{})}
+		b := &fakeBackend{id: id, grants: c.grants, executions: make(map[string]int), finishSlow: make(chan struct{})}
 		l := serveCuttable(t, b)
 		b.address = netip.MustParseAddrPort(l.Addr().String())
 		c.backends, c.listeners = append(c.backends, b), append(c.listeners, l)
@@ -143,6 +144,7 @@
 func (c *roleTest) mustBeServed(t *testing.T, longest map[string]time.Duration) {
 	t.Helper()
 	t.Logf("longest time without service: %v", longest)
+	c.grants.mustHoldRules(t)
 	for _, p := range c.processes {
 		must.LessEq(t, maxKeyGap, longest[p.settings.Name], must.Sprint(p.settings.Name))
 	}
@@ -252,3 +254,25 @@
 		})
 	}
 }
+
+// Guards against keys that are not served because the coordinator is stopped as planned while it is cut off,
+// or while another cut overlaps with its own.
+func TestCutOffCoordinatorStopped(t *testing.T) {
+	t.Parallel()
+	c := newRoleTest(t)
+	first := c.coordinator(t)
+	stopping := c.processes[first]
+	next := (first + 1) % len(c.processes)
+	var group sync.WaitGroup
+	var longest map[string]time.Duration
+	group.Go(func() { longest = c.sendAll(t, time.Now().Add(9*time.Second)) })
+	c.cut(t, first, pathSilent, 0, 1, 2)
+	c.cut(t, next, pathReset, 0, 2)
+	group.Go(stopping.stop)
+	eventually(t, 10*time.Second, "another process has the role", func() bool { return c.coordinator(t) != first })
+	c.cut(t, next, pathOpen, 0, 1, 2)
+	c.cut(t, (first+2)%len(c.processes), pathReset, 1)
+	group.Wait()
+	delete(longest, stopping.settings.Name)
+	c.mustBeServed(t, longest)
+}
