cluster: survey a server at once when it leaves its first order unanswered

Now the first unanswered order makes a survey due at once, keys move only when a survey of each such server has ended, and a server that this process reaches again no longer counts.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -32,8 +31,9 @@
 // the coordinator's own VM is cut off. Its own failures alone never show this: another process must reach
 // the servers.
 type contact struct {
-	// suspects are the servers that have left the latest call unanswered.
-	suspects map[registry.Instance]netip.AddrPort
+	// suspects are the servers that have left the latest call unanswered. The value is true once a survey has
+	// ended that began afterwards.
+	suspects map[registry.Instance]bool
 	// cutOffSince is when the first of the surveys began in which this process reached no server and another
 	// one reached some; zero if it has reached one since. lastSurvey is when the latest ended.
 	cutOffSince, lastSurvey time.Time
@@ -43,13 +43,11 @@
 	// latest reading of the clock of such a process, by its name.
 	relays map[registry.Instance]election.Member
 	clocks map[string]clockReading
-	// surveyed is true if a survey has ended since all servers answered.
-	surveyed bool
 }
 
 func newContact() *contact {
 	return &contact{
-		suspects: make(map[registry.Instance]netip.AddrPort), relays: make(map[registry.Instance]election.Member),
+		suspects: make(map[registry.Instance]bool), relays: make(map[registry.Instance]election.Member),
 		clocks: make(map[string]clockReading),
 	}
 }
@@ -92,18 +90,28 @@
 	c.nextSurvey = now
 }
 
-// recordFailure records that a server has left a call of this process unanswered.
-func (c *contact) recordFailure(inst registry.Instance, address netip.AddrPort) {
-	if len(c.suspects) == 0 {
-		c.surveyed, c.nextSurvey = false, time.Time{}
+// recordFailure records that a server has left a call of this process unanswered. The next survey is then due
+// at once, so that the next order can go through another process.
+func (c *contact) recordFailure(now time.Time, inst registry.Instance) {
+	if _, ok := c.suspects[inst]; !ok {
+		c.suspects[inst], c.nextSurvey = false, now
 	}
-	c.suspects[inst] = address
 }
 
 // mayMove reports whether servers that do not answer may lose their keys for that: it is known that this
 // process is not the one that is cut off.
 func (c *contact) mayMove() bool {
-	return len(c.suspects) == 0 || c.surveyed && c.cutOffSince.IsZero()
+	return c.cutOffSince.IsZero() && c.allSurveyed()
+}
+
+// allSurveyed reports whether a survey has ended for each server that has left a call unanswered.
+func (c *contact) allSurveyed() bool {
+	for _, surveyed := range c.suspects {
+		if !surveyed {
+			return false
+		}
+	}
+	return true
 }
 
 // startSurvey returns the servers of the survey that is due, or none.
@@ -132,11 +140,20 @@
 	}
 	shuffle(suspects)
 	shuffle(others)
+	// Those come first of which no survey has ended.
+	slices.SortStableFunc(suspects, func(a, b registry.Server) int { return rank(c.suspects[a.Instance]) - rank(c.suspects[b.Instance]) })
 	c.surveyPending = true
 	servers := suspects[:min(len(suspects), maxSurveyedServers-surveyedOthers)]
 	return append(servers, others[:min(len(others), surveyedOthers)]...)
 }
 
+func rank(surveyed bool) int {
+	if surveyed {
+		return 1
+	}
+	return 0
+}
+
 func shuffle[T any](values []T) {
 	rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
 }
@@ -151,16 +168,21 @@
 
 // finishSurvey records the result of a survey.
 func (c *contact) finishSurvey(now time.Time, s survey) {
-	c.surveyPending, c.surveyed, c.lastSurvey, c.nextSurvey = false, true, now, now.Add(surveyInterval)
+	c.surveyPending, c.lastSurvey, c.nextSurvey = false, now, now.Add(surveyInterval)
 	for i, server := range s.servers {
 		if s.own[i] {
 			delete(c.relays, server.Instance)
+			delete(c.suspects, server.Instance)
+		} else if _, ok := c.suspects[server.Instance]; ok {
+			c.suspects[server.Instance] = true
 		}
 	}
 	switch {
 	case slices.Contains(s.own, true):
 		c.cutOffSince = time.Time{}
-		c.nextSurvey = now.Add(idleSurveyInterval)
+		if c.allSurveyed() {
+			c.nextSurvey = now.Add(idleSurveyInterval)
+		}
 	case !slices.Contains(s.byOthers, true):
 		// The servers are lost, or all processes are cut off.
 		c.cutOffSince = time.Time{}
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -445,7 +445,7 @@
 	case r.Err == nil || r.Fenced || r.Misdirected:
 		s.contact.recordAnswer(o.Server.Instance)
 	case !r.Expired && address.IsValid() && (!o.Release || r.Unsent):
-		s.contact.recordFailure(o.Server.Instance, address)
+		s.contact.recordFailure(time.Now(), o.Server.Instance)
 	}
 }
 
