--- a/entry/internal/cluster/steps_internal_test.go
+++ b/entry/internal/cluster/steps_internal_test.go
@@ -15,9 +15,9 @@
 // scatteredGrants accepts orders after different times.
 type scatteredGrants struct{}
 
-func (scatteredGrants) Grant(_ context.Context, to platform.Recipient, _ keyspace.Range, _ uint64, _ time.Duration, _ string) error {
+func (scatteredGrants) Grant(_ context.Context, to platform.Recipient, _ keyspace.Range, _ uint64, _ time.Duration, _ string, _ uint64) (uint64, error) {
 	time.Sleep(time.Duration(1+to.Address.Addr().As4()[3]) * time.Millisecond)
-	return nil
+	return 1, nil
 }
 
 func (scatteredGrants) Release(context.Context, platform.Recipient, keyspace.Range, uint64) (string, error) {
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -38,7 +38,11 @@
 func (originFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
 func (originFields) IsLeaving(http.Header) (bool, error) { return false, nil }
-func (originFields) HasProof(h http.Header) bool         { return h.Get("Proof") != "" }
+func (originFields) RetryAfter(time.Time, http.Header) (time.Time, bool, error) {
+	return time.Time{}, false, nil
+}
+
+func (originFields) HasProof(h http.Header) bool { return h.Get("Proof") != "" }
 
 // noLimits has a slot for every request and tracks nothing.
 type noLimits struct{}
@@ -52,19 +56,24 @@
 func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
 func (noLimits) RecordCrash(suspect.Fingerprint, registry.Instance) {}
 func (noLimits) RecordResponse(suspect.Fingerprint)                 {}
-func (noLimits) RequestSent(time.Time, registry.Instance) func()    { return func() {} }
-func (noLimits) RecordReached(time.Time, registry.Instance)         {}
-func (noLimits) RecordAnswer(time.Time, registry.Instance)          {}
-func (noLimits) RecordUnreached(time.Time, registry.Instance)       {}
-func (noLimits) RecordReset(time.Time, registry.Instance)           {}
-func (noLimits) Unreached(time.Time, registry.Instance) bool        { return false }
-func (noLimits) CutOff(time.Time) bool                              { return false }
-func (noLimits) Connected() context.Context                         { return context.Background() }
+func (noLimits) RequestSent(time.Time, registry.Server) func()      { return func() {} }
+func (noLimits) RecordReached(time.Time, registry.Server)           {}
+func (noLimits) RecordAnswer(time.Time, registry.Server)            {}
+func (noLimits) RecordUnreached(time.Time, registry.Server)         {}
+func (noLimits) RecordReset(time.Time, registry.Server)             {}
+func (noLimits) Unreached(time.Time, registry.Server) bool          { return false }
+func (noLimits) CutOffFrom(string) bool                             { return false }
+func (noLimits) Hanging(string) bool                                { return false }
+func (noLimits) Connected(string) context.Context                   { return context.Background() }
 func (noLimits) Available(time.Time, registry.Server) bool          { return false }
 func (noLimits) Do(context.Context, *dispatch.Call, registry.Server, int) *dispatch.Result {
 	return nil
 }
 
+func (noLimits) HoldOff(time.Time, registry.Instance, time.Time) {}
+func (noLimits) HeldUntil(time.Time, registry.Instance) (time.Time, bool) {
+	return time.Time{}, false
+}
 func (noLimits) ObserveLeaving(time.Time, registry.Instance)        {}
 func (noLimits) ObserveInvalid(time.Time, registry.Instance, error) {}
 
@@ -114,6 +123,7 @@
 // meanwhile: 60 servers send 2 MiB each and then nothing more.
 func TestMemoryForResponses(t *testing.T) {
 	const requests, sentBytes, limit, slack = 60, 2 << 20, 32 << 20, 16 << 20
+	const maxWait = 30 * time.Second
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("a", 64<<10))
 	settled, release := make(chan string, 2*requests), make(chan struct{})
 	s := startGateway(t, traffic.NonIdempotent, func(c net.Conn, id string) {
@@ -133,11 +143,12 @@
 	t.Cleanup(func() { close(release) })
 	before := heapInUse()
 	statuses := make(chan string, requests)
+	deadline := time.Now().Add(maxWait)
 	for i := range requests {
 		go func() {
-			for _, r := range sendRaw(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i))) {
+			defer func() { settled <- fmt.Sprint(i) }()
+			for _, r := range sendRawUntil(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i)), deadline) {
 				statuses <- r.Status
-				settled <- fmt.Sprint(i)
 			}
 		}()
 	}
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -50,10 +50,14 @@
 	silenceTimeout = 4 * aliveInterval
 	// maxProcesses is the number of processes that a call is offered to.
 	maxProcesses = 3
-	// avoidTime is how long a process that has not accepted a call is not used, and uselessTime how
-	// long calls for a server are not relayed after no process could reach it.
+	// offerTime is the time after which a call is not offered to another process.
+	offerTime = 300 * time.Millisecond
+	// avoidTime is how long a process that has not accepted a call, or is itself cut off from a service, is
+	// not used, and uselessTime how long calls for a server are not relayed after no process could reach it.
 	avoidTime   = time.Second
 	uselessTime = 300 * time.Millisecond
+	// forgetTime is how long after that a process may be offered only one call until it accepts one.
+	forgetTime = 10 * time.Second
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 10 * time.Second
 	// maxIdleConnections limits the unused connections to one process.
@@ -90,18 +94,21 @@
 	sent, lost, refused atomic.Int64
 
 	mu sync.Mutex
-	// avoided has the processes that are not used and useless the servers for which calls are not relayed,
-	// each until a time.
-	avoided map[string]time.Time
+	// avoided has the processes that are not used, for a service or, if it is empty, at all, and useless the
+	// servers for which calls are not relayed, each until a time.
+	avoided map[use]time.Time
 	useless map[registry.Instance]time.Time
 }
 
+// use is the use of a process for calls of a service.
+type use struct{ process, service string }
+
 // NewClient returns a client for the calls of this process.
 func NewClient(self election.Member, m Members, c Connections, logger log.Interface) *Client {
 	return &Client{
 		self: self, members: m, connections: c, logger: logger,
 		pool:    drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: maxIdleConnections}),
-		avoided: make(map[string]time.Time), useless: make(map[registry.Instance]time.Time),
+		avoided: make(map[use]time.Time), useless: make(map[registry.Instance]time.Time),
 	}
 }
 
@@ -134,7 +141,7 @@
 	members := slices.Clone(c.members.Members())
 	c.mu.Lock()
 	members = slices.DeleteFunc(members, func(m election.Member) bool {
-		return m.Name == c.self.Name || cutOff[m.Name] || now.Before(c.avoided[m.Name])
+		return m.Name == c.self.Name || cutOff[m.Name] || now.Before(c.avoided[use{m.Name, ""}]) || now.Before(c.avoided[use{m.Name, s.Service}])
 	})
 	c.mu.Unlock()
 	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
@@ -158,24 +165,36 @@
 // it to a server or it may have been sent.
 func (c *Client) Do(ctx context.Context, call *dispatch.Call, s registry.Server, attempts int) *dispatch.Result {
 	var refusal *dispatch.Result
-	candidates := c.candidates(time.Now(), s)
+	begin := time.Now()
+	candidates := c.candidates(begin, s)
 	for _, m := range candidates[:min(len(candidates), maxProcesses)] {
+		if time.Since(begin) > offerTime {
+			break
+		}
+		if !c.try(m.Name) {
+			continue
+		}
 		r, err := c.offer(ctx, m, call, s, attempts)
 		if ctx.Err() != nil && r == nil {
 			return refusal
 		}
 		if err != nil {
 			c.refused.Add(1)
-			c.avoid(m, err)
+			c.logger.WithError(err).WithField("peer", m.Name).Info("call not accepted by another process")
+			c.avoid(use{m.Name, ""})
 			continue
 		}
+		c.accepted(m.Name)
 		r.Peer = m.Name
 		if !isElsewherePossible(r) {
 			return r
 		}
 		refusal = r
+		if r.Reason == dispatch.CutOff {
+			c.avoid(use{m.Name, s.Service})
+		}
 	}
-	if refusal == nil || refusal.Reason == dispatch.Unreachable {
+	if refusal == nil || refusal.Reason == dispatch.Unreachable || refusal.Reason == dispatch.HeldOff {
 		c.markUseless(time.Now(), s.Instance)
 	}
 	return refusal
@@ -188,27 +207,51 @@
 		return false
 	}
 	switch r.Reason {
-	case dispatch.Unreachable, dispatch.NoServer, dispatch.Stopping, dispatch.RelayFull:
+	case dispatch.Unreachable, dispatch.CutOff, dispatch.HeldOff, dispatch.NoServer, dispatch.Stopping, dispatch.RelayFull:
 		return true
 	}
 	return false
 }
 
-// avoid excludes a process that has not accepted a call.
-func (c *Client) avoid(m election.Member, err error) {
-	c.logger.WithError(err).WithField("peer", m.Name).Info("call not accepted by another process")
+// avoid excludes a process from a use for a while.
+func (c *Client) avoid(u use) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for name, until := range c.avoided {
-		if now.After(until) {
-			delete(c.avoided, name)
+	for old, until := range c.avoided {
+		// The end of an entry is looked at by try until the process has left.
+		if now.Sub(until) > forgetTime {
+			delete(c.avoided, old)
 		}
 	}
-	c.avoided[m.Name] = now.Add(avoidTime)
+	c.avoided[u] = now.Add(avoidTime)
+}
+
+// try reports whether a call may be offered to a process. If the last one was not accepted, the process is
+// avoided again while this one is offered, so that not all calls wait for a process that is lost.
+func (c *Client) try(process string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, failed := c.avoided[use{process, ""}]
+	if !failed {
+		return true
+	}
+	now := time.Now()
+	if now.Before(until) {
+		return false
+	}
+	c.avoided[use{process, ""}] = now.Add(avoidTime)
+	return true
+}
+
+// accepted records that a process has accepted or refused a call.
+func (c *Client) accepted(process string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.avoided, use{process, ""})
 }
 
-// markUseless records that no process reaches a server.
+// markUseless records that no process can send to a server.
 func (c *Client) markUseless(now time.Time, inst registry.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -49,6 +49,15 @@
 	Limits  []wireLimit
 	CutOff  bool
 	Leaving []wireInstance
+	Holds   []wireHold
+}
+
+// wireHold has the time until the end in microseconds.
+type wireHold struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Instance int64
+	Left     int64
 }
 
 type wireInstance struct {
@@ -155,6 +164,9 @@
 	for _, inst := range r.Leaving {
 		w.Leaving = append(w.Leaving, wireInstance{ID: inst.ID, Instance: inst.Incarnation})
 	}
+	for inst, until := range r.Holds {
+		w.Holds = append(w.Holds, wireHold{ID: inst.ID, Instance: inst.Incarnation, Left: until.Sub(now).Microseconds()})
+	}
 	return w
 }
 
@@ -181,6 +193,10 @@
 	for _, l := range w.Leaving {
 		r.Leaving = append(r.Leaving, registry.Instance{ID: l.ID, Incarnation: l.Instance})
 	}
+	r.Holds = make(map[registry.Instance]time.Time, len(w.Holds))
+	for _, h := range w.Holds {
+		r.Holds[registry.Instance{ID: h.ID, Incarnation: h.Instance}] = now.Add(time.Duration(h.Left) * time.Microsecond)
+	}
 	return r
 }
 
@@ -247,8 +263,9 @@
 }
 
 type wireStepDown struct {
-	_    struct{} `cbor:",toarray"`
-	Term uint64
+	_         struct{} `cbor:",toarray"`
+	Term      uint64
+	Successor wireMember
 }
 
 type wireStepDownResponse struct {
@@ -257,7 +274,13 @@
 	Stopped  bool
 }
 
-func decodeStepDown(w *wireStepDown) StepDown { return StepDown{Term: w.Term} }
+func encodeStepDown(r StepDown) *wireStepDown {
+	return &wireStepDown{Term: r.Term, Successor: encodeMember(r.Successor)}
+}
+
+func decodeStepDown(w *wireStepDown) StepDown {
+	return StepDown{Term: w.Term, Successor: decodeMember(w.Successor)}
+}
 
 func encodeStepDownResponse(r StepDownResponse) *wireStepDownResponse {
 	return &wireStepDownResponse{Instance: r.Incarnation, Stopped: r.Stopped}
