gatewayprocess: the soak knows from which servers each process is cut off

The target is only for keys whose server some process reaches, so one process now always reaches all servers, as the test's comment said.

--- a/entry/internal/gatewayprocess/coordinatorcut_test.go
+++ b/entry/internal/gatewayprocess/coordinatorcut_test.go
@@ -24,8 +24,8 @@
 	grants    *grantRecord
 
 	mu sync.Mutex
-	// isCut has the processes that are cut off from all servers.
-	isCut map[string]bool
+	// cutFrom has for each process the servers from which it is cut off.
+	cutFrom map[string]map[int]bool
 }
 
 // roleTests limits how many of these deployments run at a time, because they measure times.
@@ -35,7 +35,7 @@
 func newRoleTest(t *testing.T) *roleTest {
 	roleTests <- struct{}{}
 	t.Cleanup(func() { <-roleTests })
-	c := &roleTest{store: newFakeStore(t), isCut: make(map[string]bool), grants: newGrantRecord()}
+	c := &roleTest{store: newFakeStore(t), cutFrom: make(map[string]map[int]bool), grants: newGrantRecord()}
 	c.store.put("config", "main", fmt.Sprintf(configurationFormat, 1))
 	for _, id := range []string{"a", "b", "c"} {
 		b := &fakeBackend{id: id, grants: c.grants, executions: make(map[string]int), finishSlow: make(chan struct{})}
@@ -67,7 +67,16 @@
 func (c *roleTest) cut(t *testing.T, process int, kind pathState, servers ...int) {
 	t.Helper()
 	c.mu.Lock()
-	c.isCut[c.processes[process].settings.Name] = kind != pathOpen && len(servers) == len(c.listeners)
+	name := c.processes[process].settings.Name
+	if c.cutFrom[name] == nil {
+		c.cutFrom[name] = make(map[int]bool)
+	}
+	for _, s := range servers {
+		delete(c.cutFrom[name], s)
+		if kind != pathOpen {
+			c.cutFrom[name][s] = true
+		}
+	}
 	c.mu.Unlock()
 	for _, s := range servers {
 		must.NoError(t, c.listeners[s].cut(c.processes[process].settings.ClientAddress.Addr(), kind))
@@ -122,7 +131,7 @@
 		group.Go(func() {
 			status, _ := p.send("/get/x", fmt.Sprintf("%s-%d", t.Name(), i), key)
 			c.mu.Lock()
-			isCut := c.isCut[p.settings.Name]
+			isCut := len(c.cutFrom[p.settings.Name]) == len(c.listeners)
 			c.mu.Unlock()
 			k.record(p.settings.Name, key, sent, status == http.StatusOK, isCut)
 		})
--- a/entry/internal/gatewayprocess/coordinatorsoak_test.go
+++ b/entry/internal/gatewayprocess/coordinatorsoak_test.go
@@ -65,8 +65,8 @@
 			down = false
 			c.store.setDown(false)
 		}
-		if c.cutProcesses() == len(c.processes) {
-			// One process must reach the servers.
+		if c.connectedProcesses() == 0 {
+			// One process must reach all servers.
 			c.cut(t, random.IntN(len(c.processes)), pathOpen, 0, 1, 2)
 		}
 	}
@@ -90,13 +90,13 @@
 	return found
 }
 
-// cutProcesses returns the number of processes that are cut off from all servers.
-func (c *roleTest) cutProcesses() int {
+// connectedProcesses returns the number of processes that are not cut off from any server.
+func (c *roleTest) connectedProcesses() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for _, isCut := range c.isCut {
-		if isCut {
+	for _, p := range c.processes {
+		if len(c.cutFrom[p.settings.Name]) == 0 {
 			n++
 		}
 	}
