--- a/entry/internal/gatewayprocess/owner_test.go
+++ b/entry/internal/gatewayprocess/owner_test.go
@@ -294,13 +294,13 @@
 	o.grants.mustHoldRules(t)
 }
 
-// soakSeed selects the course of TestOwnerSoak.
-var soakSeed = flag.Uint64("owner.seed", 1, "seed of TestOwnerSoak")
+// ownerSeed selects the course of TestOwnerSoak.
+var ownerSeed = flag.Uint64("owner.seed", 1, "seed of TestOwnerSoak")
 
 // Guards against owners that break the rules while servers end and return at their addresses, connections
 // are cut, the store fails and the coordinator changes.
 func TestOwnerSoak(t *testing.T) {
-	random := rand.New(rand.NewPCG(*soakSeed, 0))
+	random := rand.New(rand.NewPCG(*ownerSeed, 0))
 	o := newOwnerTest(t)
 	milliseconds := func(most int) time.Duration { return time.Duration(random.IntN(most+1)) * time.Millisecond }
 	stopAt := random.IntN(8)
