cluster: relays for servers that fail during a survey or right after a takeover

A server that left an order unanswered while a survey ran counted as surveyed when that ended, but the answers that another process reaches it had come before it was a suspect and were dropped, so that the second order went out directly too. And a coordinator that had just taken the role asked nobody, because no process had reported to it yet, and its next survey was due only a second later. Answers are now kept until the end of the survey, and a new coordinator asks the processes that it knew before. TestSuspectDuringSurveyGetsRelay and TestNewCoordinatorKnowsMembers fail without this.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -164,6 +164,8 @@
 	servers  []registry.Server
 	own      []bool
 	byOthers []bool
+	// relays has for each server that others reach one of them.
+	relays []election.Member
 }
 
 // finishSurvey records the result of a survey.
@@ -175,6 +177,10 @@
 			delete(c.suspects, server.Instance)
 		} else if _, ok := c.suspects[server.Instance]; ok {
 			c.suspects[server.Instance] = true
+			if s.byOthers[i] {
+				// The server may have become a suspect after the answer of the other process.
+				c.setRelay(server.Instance, s.relays[i])
+			}
 		}
 	}
 	switch {
--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/election"
 )
 
 // Guards against a process that counts as cut off by its own failures alone, and against one that moves
@@ -41,7 +42,7 @@
 				now = now.Add(250 * time.Millisecond)
 				if len(servers) > 0 {
 					must.SliceLen(t, 4, servers)
-					contacts.finishSurvey(now, survey{began: began, servers: servers, own: c.own, byOthers: c.byOthers})
+					contacts.finishSurvey(now, survey{began: began, servers: servers, own: c.own, byOthers: c.byOthers, relays: make([]election.Member, 4)})
 				}
 			}
 			must.Eq(t, c.cutOff, contacts.isCutOff(now))
@@ -73,10 +74,38 @@
 		servers := contacts.startSurvey(now, registered)
 		must.SliceLen(t, 2, servers, must.Sprint("survey ", i))
 		now = now.Add(300 * time.Millisecond)
-		contacts.finishSurvey(now, survey{began: now, servers: servers, own: []bool{false, true}, byOthers: []bool{true, true}})
+		contacts.finishSurvey(now, survey{began: now, servers: servers, own: []bool{false, true}, byOthers: []bool{true, true}, relays: make([]election.Member, 2)})
 		must.True(t, contacts.mayMove())
 		must.SliceEmpty(t, contacts.startSurvey(now, registered))
 		contacts.recordFailure(now, backend(1).Instance)
 		must.Eq(t, i == 1, contacts.mayMove())
 	}
 }
+
+// Guards against a server to which the second order goes out directly too, because it left the first one
+// unanswered while a survey was on its way in which another process reached it.
+func TestSuspectDuringSurveyGetsRelay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registered := []registry.Server{{Instance: backend(0).Instance}, {Instance: backend(1).Instance}}
+	contacts := newContact()
+	contacts.recordFailure(now, backend(0).Instance)
+	servers := contacts.startSurvey(now, registered)
+	must.SliceLen(t, 2, servers)
+	now = now.Add(200 * time.Millisecond)
+	contacts.recordFailure(now, backend(1).Instance)
+	now = now.Add(100 * time.Millisecond)
+	other := election.Member{Name: "other"}
+	contacts.finishSurvey(now, survey{began: now, servers: servers, own: make([]bool, 2), byOthers: []bool{true, true}, relays: []election.Member{other, other}})
+	must.Eq(t, other, contacts.relays[backend(1).Instance])
+}
+
+// Guards against a new coordinator that asks nobody which servers can be reached, because no process has
+// reported to it yet.
+func TestNewCoordinatorKnowsMembers(t *testing.T) {
+	n := newTestNode("n", newRestorableStore(), newRecordedGrants(), 1)
+	other := election.Member{Name: "other"}
+	n.members = []election.Member{n.self, other}
+	n.executor = newExecutor(n, election.Lock{Term: 1}, time.Now(), election.Member{})
+	n.members = []election.Member{n.self}
+	must.Eq(t, []election.Member{other}, n.otherMembers())
+}
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -51,6 +51,8 @@
 	term uint64
 	// began is when the term began.
 	began time.Time
+	// membersBefore are the processes that were known to be alive when the term began.
+	membersBefore []election.Member
 	// era is the era of the store in which the term began.
 	era uint64
 	// earlierErasUntil is the time by which all grants of the coordinators of earlier eras have
@@ -98,7 +100,7 @@
 	if former.Name != "" {
 		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
 	}
-	s := &executor{node: n, term: l.Term, began: now, era: l.Era, former: former, wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
+	s := &executor{node: n, term: l.Term, began: now, membersBefore: n.members, era: l.Era, former: former, wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
 	n.era.observe(now, s.era)
 	if !l.Settled {
 		s.earlierErasUntil = n.era.earlierGrantsUntil()
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -71,7 +71,7 @@
 	members := s.node.otherMembers()
 	members = members[:min(len(members), surveyedMembers)]
 	group.Go(func() {
-		result := survey{began: now, servers: servers, byOthers: make([]bool, len(servers))}
+		result := survey{began: now, servers: servers, byOthers: make([]bool, len(servers)), relays: make([]election.Member, len(servers))}
 		addresses := addressesOf(servers)
 		var calls sync.WaitGroup
 		calls.Go(func() { result.own = s.node.prober.Reached(ctx, addresses) })
@@ -107,7 +107,7 @@
 		if !answer.Reached[i] {
 			continue
 		}
-		result.byOthers[i] = true
+		result.byOthers[i], result.relays[i] = true, m
 		if s.contact.setRelay(server.Instance, m) {
 			s.markReachable(now, server.Instance)
 		}
@@ -126,8 +126,12 @@
 // otherMembers returns the other processes in random order, those that say that they reach no server last.
 // The node's lock must be held.
 func (n *Node) otherMembers() []election.Member {
+	members := n.members
+	if n.executor != nil && time.Since(n.executor.began) < memberLifetime {
+		members = mergeMembers(members, n.executor.membersBefore)
+	}
 	var connected, cutOff []election.Member
-	for _, m := range n.members {
+	for _, m := range members {
 		switch {
 		case m.Name == n.self.Name:
 		case n.cutOffMembers[m.Name]:
@@ -141,6 +145,18 @@
 	return append(connected, cutOff...)
 }
 
+// mergeMembers returns the members and those of the others that are not among them. A coordinator that has
+// just taken the role has got few reports yet.
+func mergeMembers(members, others []election.Member) []election.Member {
+	out := slices.Clone(members)
+	for _, m := range others {
+		if !slices.ContainsFunc(out, func(known election.Member) bool { return known.Name == m.Name }) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // handOver gives up the coordinator's role if this process is cut off from the servers or on a small VM, and
 // remains a candidate. If the store can't be reached, it keeps the role. The node's lock must be held.
 func (n *Node) handOver(ctx context.Context, group *sync.WaitGroup, now time.Time) {
