cluster: another relay when the chosen one no longer gets answers from the server

Its answers said that the result was unknown, and three orders in a row went through it, until the server counted as silent and its keys moved. After any result that is not the server's answer, the process is no longer used until a survey, due at once, shows that it reaches the server.

--- a/entry/internal/cluster/relayed.go
+++ b/entry/internal/cluster/relayed.go
@@ -76,7 +76,8 @@
 		s.node.mu.Unlock()
 		applyReport(&r, report)
 	}
-	if r.Expired || r.Unsent || err != nil {
+	if r.Err != nil && !r.Fenced && !r.Misdirected {
+		// The other process may be cut off from the server by now.
 		s.recordRelayFailure(m, o)
 	}
 	return r
