cluster: no moves between the last answer and the survey that finds a cut

While a server that was lost earlier is still registered, the coordinator knows from a survey, one a second, that it is not cut off itself. When its own cut began, that result went on to count, and servers that were silent first lost their keys as not answering, until the next survey had ended or more than half of the servers were silent.

A survey now counts only together with an answer of the last 250 ms, or if it began after the last answer and less than 500 ms ago. When the answers stop, the next survey no longer waits for the rest of the second. If no process reaches a server, moves are decided as before.

TestNoMovesBetweenSurveys before: contact_internal_test.go:102: expected condition to be false; is true (300ms)

mayMove and recordAnswer get the time; TestCutOff is changed only in that.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -22,6 +22,12 @@
 	idleSurveyInterval = time.Second
 	// evidenceLifetime is how long the result of a survey counts.
 	evidenceLifetime = time.Second
+	// answerLifetime is how long an answer shows that this process reaches servers. A server whose grant is
+	// refused twice from the start of a cut on counts as silent after retryInterval.
+	answerLifetime = 250 * time.Millisecond
+	// surveyLifetime is how long a survey that was begun after the last answer shows that. A survey takes up
+	// to 400 ms.
+	surveyLifetime = 500 * time.Millisecond
 	// maxSurveyedServers limits the servers of a survey, of which surveyedOthers are servers that have left
 	// no call unanswered.
 	maxSurveyedServers = 64
@@ -43,8 +49,12 @@
 	// latest reading of the clock of such a process, by its name.
 	relays map[registry.Instance]election.Member
 	clocks map[string]clockReading
-	// surveyed is true if a survey has ended since all servers answered.
-	surveyed bool
+	// surveyed is true if a survey has ended since all servers answered, and lost is true if no process has
+	// reached a server in the latest.
+	surveyed, lost bool
+	// lastAnswer is when a server has last answered a call of this process, and reachedAt when the latest
+	// survey began in which it has reached one.
+	lastAnswer, reachedAt time.Time
 }
 
 func newContact() *contact {
@@ -55,7 +65,8 @@
 }
 
 // recordAnswer records that a server has answered a call of this process.
-func (c *contact) recordAnswer(inst registry.Instance) {
+func (c *contact) recordAnswer(now time.Time, inst registry.Instance) {
+	c.lastAnswer, c.lost = now, false
 	delete(c.suspects, inst)
 	delete(c.relays, inst)
 	c.cutOffSince = time.Time{}
@@ -101,14 +112,28 @@
 }
 
 // mayMove reports whether servers that do not answer may lose their keys for that: it is known that this
-// process is not the one that is cut off.
-func (c *contact) mayMove() bool {
-	return len(c.suspects) == 0 || c.surveyed && c.cutOffSince.IsZero()
+// process is not the one that is cut off. An earlier survey does not show that once the answers have stopped.
+func (c *contact) mayMove(now time.Time) bool {
+	if len(c.suspects) == 0 {
+		return true
+	}
+	return c.surveyed && c.cutOffSince.IsZero() && (c.lost || c.isReaching(now))
+}
+
+// isReaching reports whether this process has reached a server just now.
+func (c *contact) isReaching(now time.Time) bool {
+	return now.Sub(c.lastAnswer) <= answerLifetime || c.reachedAt.After(c.lastAnswer) && now.Sub(c.reachedAt) <= surveyLifetime
+}
+
+// isSurveyDue reports whether a survey is due. The pause after a survey in which this process has reached
+// servers ends early when they stop answering.
+func (c *contact) isSurveyDue(now time.Time) bool {
+	return !now.Before(c.nextSurvey) || now.Sub(c.lastAnswer) > answerLifetime && now.Sub(c.lastSurvey) >= surveyInterval
 }
 
 // startSurvey returns the servers of the survey that is due, or none.
 func (c *contact) startSurvey(now time.Time, registered []registry.Server) []registry.Server {
-	if c.surveyPending || len(c.suspects) == 0 || now.Before(c.nextSurvey) {
+	if c.surveyPending || len(c.suspects) == 0 || !c.isSurveyDue(now) {
 		return nil
 	}
 	var suspects, others []registry.Server
@@ -157,13 +182,14 @@
 			delete(c.relays, server.Instance)
 		}
 	}
+	c.lost = false
 	switch {
 	case slices.Contains(s.own, true):
-		c.cutOffSince = time.Time{}
+		c.cutOffSince, c.reachedAt = time.Time{}, s.began
 		c.nextSurvey = now.Add(idleSurveyInterval)
 	case !slices.Contains(s.byOthers, true):
 		// The servers are lost, or all processes are cut off.
-		c.cutOffSince = time.Time{}
+		c.cutOffSince, c.lost = time.Time{}, true
 	case c.cutOffSince.IsZero():
 		c.cutOffSince = s.began
 	}
--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -31,9 +31,9 @@
 			now := time.Unix(1000, 0)
 			contacts := newContact()
 			must.SliceEmpty(t, contacts.startSurvey(now, registered))
-			must.True(t, contacts.mayMove())
+			must.True(t, contacts.mayMove(now))
 			contacts.recordFailure(registered[0].Instance, registered[0].Address)
-			must.False(t, contacts.mayMove())
+			must.False(t, contacts.mayMove(now))
 			for range 8 {
 				servers := contacts.startSurvey(now, registered)
 				must.SliceEmpty(t, contacts.startSurvey(now, registered))
@@ -45,10 +45,10 @@
 				}
 			}
 			must.Eq(t, c.cutOff, contacts.isCutOff(now))
-			must.Eq(t, c.mayMove, contacts.mayMove())
-			contacts.recordAnswer(registered[0].Instance)
+			must.Eq(t, c.mayMove, contacts.mayMove(now))
+			contacts.recordAnswer(now, registered[0].Instance)
 			must.False(t, contacts.isCutOff(now))
-			must.True(t, contacts.mayMove())
+			must.True(t, contacts.mayMove(now))
 		})
 	}
 }
@@ -59,5 +59,48 @@
 	contacts := newContact()
 	contacts.recordFailure(backend(0).Instance, backendAddress(0))
 	must.SliceEmpty(t, contacts.startSurvey(now, nil))
-	must.True(t, contacts.mayMove())
+	must.True(t, contacts.mayMove(now))
+}
+
+// Guards against a coordinator that moves keys in the first second of its own cut, because a server that was
+// lost before it was surveyed while the others answered.
+func TestNoMovesBetweenSurveys(t *testing.T) {
+	var registered []registry.Server
+	for i := range 4 {
+		registered = append(registered, registry.Server{Instance: backend(i).Instance, Address: backendAddress(i)})
+	}
+	now := time.Unix(1000, 0)
+	contacts := newContact()
+	contacts.recordFailure(registered[0].Instance, registered[0].Address)
+	// The others answer every 50 ms for 3 s, and a survey takes 100 ms.
+	var ends time.Time
+	var running survey
+	step := func(own bool) {
+		now = now.Add(50 * time.Millisecond)
+		if servers := contacts.startSurvey(now, registered); len(servers) > 0 {
+			running, ends = survey{began: now, servers: servers, own: make([]bool, 4), byOthers: []bool{true, true, true, true}}, now.Add(100*time.Millisecond)
+			for i, s := range servers {
+				running.own[i] = own && s.Instance != registered[0].Instance
+			}
+		}
+		if !ends.IsZero() && !now.Before(ends) {
+			contacts.finishSurvey(now, running)
+			ends = time.Time{}
+		}
+	}
+	for range 60 {
+		step(true)
+		contacts.recordAnswer(now, registered[1].Instance)
+	}
+	must.True(t, contacts.mayMove(now))
+	cut := now
+	for range 40 {
+		step(false)
+		contacts.recordFailure(registered[1].Instance, registered[1].Address)
+		// A server whose grant was due at the cut counts as silent after its second failure, 250 ms later.
+		if now.Sub(cut) > 250*time.Millisecond {
+			must.False(t, contacts.mayMove(now), must.Sprint(now.Sub(cut)))
+		}
+	}
+	must.True(t, contacts.isCutOff(now))
 }
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		state.demand.SetHeld(held)
-		for _, o := range state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove()) {
+		for _, o := range state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove(now)) {
 			group.Go(func() { s.execute(ctx, state, o) })
 		}
 		s.writeTable(ctx, group, now, name, state)
@@ -457,7 +457,7 @@
 	switch {
 	case r.ConnectionEnded:
 	case r.Err == nil || r.Fenced || r.Misdirected:
-		s.contact.recordAnswer(o.Server.Instance)
+		s.contact.recordAnswer(time.Now(), o.Server.Instance)
 	case !r.Expired && address.IsValid() && (!o.Release || r.Unsent):
 		s.contact.recordFailure(o.Server.Instance, address)
 	}
