cluster: renewals of an earlier era ignore entries of unknown services

While a process renews grants in the name of an earlier era (the store was restored, the tables of the new term are not stored yet), an entry of a service that is not configured, with the address of a holder whose own entry is missing, counted as proof that the holder had ended, and its keys lapsed. The step of the present term has left such entries out since before; the earlier one now does too. Found by reading.

TestRenewalsOfEarlierEraIgnoreUnknownService before: previous_internal_test.go:119: expected slice to not be empty, len(slice): 0

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -124,7 +124,7 @@
 	}
 	s.workload.steps++
 	s.requestStepDown(ctx, group, now)
-	s.renewPrevious(ctx, group, now)
+	s.renewPrevious(ctx, group, now, configuration)
 	servers := s.node.view.Servers()
 	held := s.node.heldShares(now)
 	for name, service := range configuration.Services {
--- a/entry/internal/cluster/previous.go
+++ b/entry/internal/cluster/previous.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/coordinator"
 )
 
@@ -20,7 +21,7 @@
 
 // renewPrevious renews the grants of the previous executor for the services whose table is not stored
 // yet. It moves no keys.
-func (s *executor) renewPrevious(ctx context.Context, group *sync.WaitGroup, now time.Time) {
+func (s *executor) renewPrevious(ctx context.Context, group *sync.WaitGroup, now time.Time, configuration *traffic.Configuration) {
 	if s.previous == nil {
 		return
 	}
@@ -28,7 +29,7 @@
 		s.previous = nil
 		return
 	}
-	previous, servers := s.previous, s.node.view.Servers().Registered()
+	previous, servers := s.previous, configuredServers(configuration, s.node.view.Servers())
 	for name, state := range previous.services {
 		if state.coordinator == nil || s.hasStored(name) {
 			delete(previous.services, name)
--- a/entry/internal/cluster/previous_internal_test.go
+++ b/entry/internal/cluster/previous_internal_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"bramleystand.org/common/keyspace"
+	"bramleystand.org/common/registry"
 	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/coordinator"
+	"bramleystand.org/entry/internal/demand"
+	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/platform"
 )
 
@@ -74,3 +80,42 @@
 		must.SliceEmpty(t, grants.after(restored.Add(coordinator.MaxOfflineRenewal)))
 	})
 }
+
+// Guards against renewals in the name of an earlier era that end because another writer's entry, of a service
+// that is not configured, has the address of the holder.
+func TestRenewalsOfEarlierEraIgnoreUnknownService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		grants := newRecordedGrants()
+		n := newTestNode("n", newRestorableStore(), grants, 1)
+		lock := election.Lock{Term: 2, Holder: n.self, Settled: true}
+		former := newExecutor(n, lock, time.Now(), election.Member{})
+		table := &ownership.Table{Service: shardedService, Revision: 1, Assignments: []ownership.Assignment{{
+			Range: keyspace.Range{Last: keyspace.Last}, Holders: []ownership.Server{backend(0)},
+		}}}
+		former.services[shardedService] = &serviceState{
+			coordinator: coordinator.New(shardedService, 2, table, time.Now(), time.Now()),
+			demand:      demand.NewService(time.Now(), n.limits), probing: make(map[registry.Instance]bool),
+		}
+		n.executor = newExecutor(n, lock, time.Now(), election.Member{})
+		n.executor.previous, n.executor.previousUntil = former, time.Now().Add(time.Minute)
+		renew := func() {
+			var group sync.WaitGroup
+			for range 20 {
+				time.Sleep(tickInterval)
+				n.mu.Lock()
+				if table, generation, ok := former.services[shardedService].coordinator.Table(); ok {
+					former.services[shardedService].coordinator.MarkStored(time.Now(), generation, table.Revision+1)
+				}
+				n.executor.renewPrevious(t.Context(), &group, time.Now(), n.view.Configuration())
+				n.mu.Unlock()
+				group.Wait()
+			}
+		}
+		renew()
+		must.SliceNotEmpty(t, grants.grants)
+		n.view.SetServers(time.Now(), []registry.Server{{Instance: registry.Instance{ID: "x", Incarnation: 9}, Service: "unknown", Address: backendAddress(0)}})
+		written := time.Now()
+		renew()
+		must.SliceNotEmpty(t, grants.after(written))
+	})
+}
