cluster: no moves while no server and no other process answers

A coordinator that is cut off from the servers and from the other processes, but not from the store, took the failed queries of its survey for the statement that nobody reaches the servers, and moved keys of the servers that were silent first, until more than half of them were. Found by reading.

TestCutOff, "no other answers", before: mayMove true, expected false. The rows of the table have one more field; the checks of the others are unchanged. Such a coordinator still keeps its role.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -50,7 +50,7 @@
 	relays map[registry.Instance]election.Member
 	clocks map[string]clockReading
 	// surveyed is true if a survey has ended since all servers answered, and lost is true if no process has
-	// reached a server in the latest.
+	// reached a server in the latest and another one has said so, if there is any.
 	surveyed, lost bool
 	// lastAnswer is when a server has last answered a call of this process, and reachedAt when the latest
 	// survey began in which it has reached one.
@@ -172,6 +172,8 @@
 	servers  []registry.Server
 	own      []bool
 	byOthers []bool
+	// unanswered is true if other processes were asked and none has answered.
+	unanswered bool
 }
 
 // finishSurvey records the result of a survey.
@@ -188,8 +190,9 @@
 		c.cutOffSince, c.reachedAt = time.Time{}, s.began
 		c.nextSurvey = now.Add(idleSurveyInterval)
 	case !slices.Contains(s.byOthers, true):
-		// The servers are lost, or all processes are cut off.
-		c.cutOffSince, c.lost = time.Time{}, true
+		// The servers are lost, or all processes are cut off. Without an answer of another process, this one
+		// may be cut off from all but the store.
+		c.cutOffSince, c.lost = time.Time{}, !s.unanswered
 	case c.cutOffSince.IsZero():
 		c.cutOffSince = s.began
 	}
--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -20,12 +20,15 @@
 	one := []bool{true, false, false, false}
 	for name, c := range map[string]struct {
 		own, byOthers   []bool
+		unanswered      bool
 		cutOff, mayMove bool
 	}{
-		"others reach all":        {none, all, true, false},
-		"others reach one":        {none, one, true, false},
-		"nobody reaches a server": {none, none, false, true},
-		"it reaches one":          {one, all, false, true},
+		"others reach all":        {none, all, false, true, false},
+		"others reach one":        {none, one, false, true, false},
+		"nobody reaches a server": {none, none, false, false, true},
+		"no other answers":        {none, none, true, false, false},
+		"it reaches one":          {one, all, false, false, true},
+		"it alone reaches one":    {one, none, true, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
@@ -41,7 +44,7 @@
 				now = now.Add(250 * time.Millisecond)
 				if len(servers) > 0 {
 					must.SliceLen(t, 4, servers)
-					contacts.finishSurvey(now, survey{began: began, servers: servers, own: c.own, byOthers: c.byOthers})
+					contacts.finishSurvey(now, survey{began: began, servers: servers, own: c.own, byOthers: c.byOthers, unanswered: c.unanswered})
 				}
 			}
 			must.Eq(t, c.cutOff, contacts.isCutOff(now))
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -71,7 +71,7 @@
 	members := s.node.otherMembers()
 	members = members[:min(len(members), surveyedMembers)]
 	group.Go(func() {
-		result := survey{began: now, servers: servers, byOthers: make([]bool, len(servers))}
+		result := survey{began: now, servers: servers, byOthers: make([]bool, len(servers)), unanswered: len(members) > 0}
 		addresses := addressesOf(servers)
 		var calls sync.WaitGroup
 		calls.Go(func() { result.own = s.node.prober.Reached(ctx, addresses) })
@@ -103,6 +103,7 @@
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
 	s.contact.recordClock(now, m.Name, answer.Clock)
+	result.unanswered = false
 	for i, server := range result.servers {
 		if !answer.Reached[i] {
 			continue
