--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -22,12 +21,6 @@
 	idleSurveyInterval = time.Second
 	// evidenceLifetime is how long the result of a survey counts.
 	evidenceLifetime = time.Second
-	// answerLifetime is how long an answer shows that this process reaches servers. A server whose grant is
-	// refused twice from the start of a cut on counts as silent after retryInterval.
-	answerLifetime = 250 * time.Millisecond
-	// surveyLifetime is how long a survey that was begun after the last answer shows that. A survey takes up
-	// to 400 ms.
-	surveyLifetime = 500 * time.Millisecond
 	// maxSurveyedServers limits the servers of a survey, of which surveyedOthers are servers that have left
 	// no call unanswered.
 	maxSurveyedServers = 64
@@ -38,8 +31,9 @@
 // the coordinator's own VM is cut off. Its own failures alone never show this: another process must reach
 // the servers.
 type contact struct {
-	// suspects are the servers that have left the latest call unanswered.
-	suspects map[registry.Instance]netip.AddrPort
+	// suspects are the servers that have left the latest call unanswered. The value is true once a survey has
+	// ended that began afterwards.
+	suspects map[registry.Instance]bool
 	// cutOffSince is when the first of the surveys began in which this process reached no server and another
 	// one reached some; zero if it has reached one since. lastSurvey is when the latest ended.
 	cutOffSince, lastSurvey time.Time
@@ -49,27 +43,22 @@
 	// latest reading of the clock of such a process, by its name.
 	relays map[registry.Instance]election.Member
 	clocks map[string]clockReading
-	// surveyed is true if a survey has ended since all servers answered, and lost is true if no process has
-	// reached a server in the latest and another one has said so, if there is any.
-	surveyed, lost bool
-	// lastAnswer is when a server has last answered a call of this process, and reachedAt when the latest
-	// survey began in which it has reached one.
-	lastAnswer, reachedAt time.Time
+	// isolated is true if this process has reached no server and no other process in the latest survey.
+	isolated bool
 }
 
 func newContact() *contact {
 	return &contact{
-		suspects: make(map[registry.Instance]netip.AddrPort), relays: make(map[registry.Instance]election.Member),
+		suspects: make(map[registry.Instance]bool), relays: make(map[registry.Instance]election.Member),
 		clocks: make(map[string]clockReading),
 	}
 }
 
 // recordAnswer records that a server has answered a call of this process.
-func (c *contact) recordAnswer(now time.Time, inst registry.Instance) {
-	c.lastAnswer, c.lost = now, false
+func (c *contact) recordAnswer(inst registry.Instance) {
 	delete(c.suspects, inst)
 	delete(c.relays, inst)
-	c.cutOffSince = time.Time{}
+	c.cutOffSince, c.isolated = time.Time{}, false
 }
 
 // clockReading is a reading of another process's clock, with the time at which it was received.
@@ -103,37 +92,33 @@
 	c.nextSurvey = now
 }
 
-// recordFailure records that a server has left a call of this process unanswered.
-func (c *contact) recordFailure(inst registry.Instance, address netip.AddrPort) {
-	if len(c.suspects) == 0 {
-		c.surveyed, c.nextSurvey = false, time.Time{}
+// recordFailure records that a server has left a call of this process unanswered. The next survey is then due
+// at once, so that the next order can go through another process.
+func (c *contact) recordFailure(now time.Time, inst registry.Instance) {
+	if _, ok := c.suspects[inst]; !ok {
+		c.suspects[inst], c.nextSurvey = false, now
 	}
-	c.suspects[inst] = address
 }
 
 // mayMove reports whether servers that do not answer may lose their keys for that: it is known that this
-// process is not the one that is cut off. An earlier survey does not show that once the answers have stopped.
-func (c *contact) mayMove(now time.Time) bool {
-	if len(c.suspects) == 0 {
-		return true
-	}
-	return c.surveyed && c.cutOffSince.IsZero() && (c.lost || c.isReaching(now))
-}
-
-// isReaching reports whether this process has reached a server just now.
-func (c *contact) isReaching(now time.Time) bool {
-	return now.Sub(c.lastAnswer) <= answerLifetime || c.reachedAt.After(c.lastAnswer) && now.Sub(c.reachedAt) <= surveyLifetime
+// process is not the one that is cut off.
+func (c *contact) mayMove() bool {
+	return c.cutOffSince.IsZero() && !c.isolated && c.allSurveyed()
 }
 
-// isSurveyDue reports whether a survey is due. The pause after a survey in which this process has reached
-// servers ends early when they stop answering.
-func (c *contact) isSurveyDue(now time.Time) bool {
-	return !now.Before(c.nextSurvey) || now.Sub(c.lastAnswer) > answerLifetime && now.Sub(c.lastSurvey) >= surveyInterval
+// allSurveyed reports whether a survey has ended for each server that has left a call unanswered.
+func (c *contact) allSurveyed() bool {
+	for _, surveyed := range c.suspects {
+		if !surveyed {
+			return false
+		}
+	}
+	return true
 }
 
 // startSurvey returns the servers of the survey that is due, or none.
 func (c *contact) startSurvey(now time.Time, registered []registry.Server) []registry.Server {
-	if c.surveyPending || len(c.suspects) == 0 || !c.isSurveyDue(now) {
+	if c.surveyPending || len(c.suspects) == 0 || now.Before(c.nextSurvey) {
 		return nil
 	}
 	var suspects, others []registry.Server
@@ -157,11 +142,20 @@
 	}
 	shuffle(suspects)
 	shuffle(others)
+	// Those come first of which no survey has ended.
+	slices.SortStableFunc(suspects, func(a, b registry.Server) int { return rank(c.suspects[a.Instance]) - rank(c.suspects[b.Instance]) })
 	c.surveyPending = true
 	servers := suspects[:min(len(suspects), maxSurveyedServers-surveyedOthers)]
 	return append(servers, others[:min(len(others), surveyedOthers)]...)
 }
 
+func rank(surveyed bool) int {
+	if surveyed {
+		return 1
+	}
+	return 0
+}
+
 func shuffle[T any](values []T) {
 	rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
 }
@@ -178,21 +172,25 @@
 
 // finishSurvey records the result of a survey.
 func (c *contact) finishSurvey(now time.Time, s survey) {
-	c.surveyPending, c.surveyed, c.lastSurvey, c.nextSurvey = false, true, now, now.Add(surveyInterval)
+	c.surveyPending, c.lastSurvey, c.nextSurvey = false, now, now.Add(surveyInterval)
+	c.isolated = s.unanswered && !slices.Contains(s.own, true)
 	for i, server := range s.servers {
 		if s.own[i] {
 			delete(c.relays, server.Instance)
+			delete(c.suspects, server.Instance)
+		} else if _, ok := c.suspects[server.Instance]; ok {
+			c.suspects[server.Instance] = true
 		}
 	}
-	c.lost = false
 	switch {
 	case slices.Contains(s.own, true):
-		c.cutOffSince, c.reachedAt = time.Time{}, s.began
-		c.nextSurvey = now.Add(idleSurveyInterval)
+		c.cutOffSince = time.Time{}
+		if c.allSurveyed() {
+			c.nextSurvey = now.Add(idleSurveyInterval)
+		}
 	case !slices.Contains(s.byOthers, true):
-		// The servers are lost, or all processes are cut off. Without an answer of another process, this one
-		// may be cut off from all but the store.
-		c.cutOffSince, c.lost = time.Time{}, !s.unanswered
+		// The servers are lost, or all processes are cut off.
+		c.cutOffSince = time.Time{}
 	case c.cutOffSince.IsZero():
 		c.cutOffSince = s.began
 	}
--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -34,9 +34,9 @@
 			now := time.Unix(1000, 0)
 			contacts := newContact()
 			must.SliceEmpty(t, contacts.startSurvey(now, registered))
-			must.True(t, contacts.mayMove(now))
-			contacts.recordFailure(registered[0].Instance, registered[0].Address)
-			must.False(t, contacts.mayMove(now))
+			must.True(t, contacts.mayMove())
+			contacts.recordFailure(now, registered[0].Instance)
+			must.False(t, contacts.mayMove())
 			for range 8 {
 				servers := contacts.startSurvey(now, registered)
 				must.SliceEmpty(t, contacts.startSurvey(now, registered))
@@ -48,10 +48,10 @@
 				}
 			}
 			must.Eq(t, c.cutOff, contacts.isCutOff(now))
-			must.Eq(t, c.mayMove, contacts.mayMove(now))
-			contacts.recordAnswer(now, registered[0].Instance)
+			must.Eq(t, c.mayMove, contacts.mayMove())
+			contacts.recordAnswer(registered[0].Instance)
 			must.False(t, contacts.isCutOff(now))
-			must.True(t, contacts.mayMove(now))
+			must.True(t, contacts.mayMove())
 		})
 	}
 }
@@ -60,9 +60,28 @@
 func TestSurveyOfLostServer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	contacts := newContact()
-	contacts.recordFailure(backend(0).Instance, backendAddress(0))
+	contacts.recordFailure(now, backend(0).Instance)
 	must.SliceEmpty(t, contacts.startSurvey(now, nil))
-	must.True(t, contacts.mayMove(now))
+	must.True(t, contacts.mayMove())
+}
+
+// Guards against a server that loses its keys because a survey of another server counts for it too, or
+// because the next survey is due only when its second order has failed.
+func TestNewSuspectSurveyedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registered := []registry.Server{{Instance: backend(0).Instance}, {Instance: backend(1).Instance}}
+	contacts := newContact()
+	contacts.recordFailure(now, backend(0).Instance)
+	for i := range 2 {
+		servers := contacts.startSurvey(now, registered)
+		must.SliceLen(t, 2, servers, must.Sprint("survey ", i))
+		now = now.Add(300 * time.Millisecond)
+		contacts.finishSurvey(now, survey{began: now, servers: servers, own: []bool{false, true}, byOthers: []bool{true, true}})
+		must.True(t, contacts.mayMove())
+		must.SliceEmpty(t, contacts.startSurvey(now, registered))
+		contacts.recordFailure(now, backend(1).Instance)
+		must.Eq(t, i == 1, contacts.mayMove())
+	}
 }
 
 // Guards against a coordinator that moves keys in the first second of its own cut, because a server that was
@@ -74,7 +93,7 @@
 	}
 	now := time.Unix(1000, 0)
 	contacts := newContact()
-	contacts.recordFailure(registered[0].Instance, registered[0].Address)
+	contacts.recordFailure(now, registered[0].Instance)
 	// The others answer every 50 ms for 3 s, and a survey takes 100 ms.
 	var ends time.Time
 	var running survey
@@ -93,16 +112,16 @@
 	}
 	for range 60 {
 		step(true)
-		contacts.recordAnswer(now, registered[1].Instance)
+		contacts.recordAnswer(registered[1].Instance)
 	}
-	must.True(t, contacts.mayMove(now))
+	must.True(t, contacts.mayMove())
 	cut := now
 	for range 40 {
 		step(false)
-		contacts.recordFailure(registered[1].Instance, registered[1].Address)
+		contacts.recordFailure(now, registered[1].Instance)
 		// A server whose grant was due at the cut counts as silent after its second failure, 250 ms later.
 		if now.Sub(cut) > 250*time.Millisecond {
-			must.False(t, contacts.mayMove(now), must.Sprint(now.Sub(cut)))
+			must.False(t, contacts.mayMove(), must.Sprint(now.Sub(cut)))
 		}
 	}
 	must.True(t, contacts.isCutOff(now))
--- a/entry/internal/cluster/relayed_internal_test.go
+++ b/entry/internal/cluster/relayed_internal_test.go
@@ -68,7 +68,7 @@
 		must.Eq(t, first.Fence, renewal.Fence)
 		must.Eq(t, 1, renewal.Connection)
 		must.SliceLen(t, 2, grants.grants)
-		s.contact.recordFailure(backend(0).Instance, backendAddress(0))
+		s.contact.recordFailure(time.Now(), backend(0).Instance)
 		must.True(t, s.contact.setRelay(backend(0).Instance, election.Member{Name: "other"}))
 		refused := executeNext()
 		must.Eq(t, 1, refused.Connection)
