cluster: moves go on after all suspected servers have been replaced

If the servers that it suspected then left the list, there were no more surveys, and the servers that replaced them got no orders that could have been answered: without a move, nobody got keys until the role changed hands. One server that comes back between the probe of the coordinator and that of another process is enough to begin this, as in a restart of all.

The time of being cut off now ends with the last suspect.

TestMovesAfterAllServersReplaced before, both cases: contact_internal_test.go:145: expected condition to be true; is false

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -138,6 +138,8 @@
 		}
 	}
 	if len(suspects) == 0 {
+		// No survey would end the time of being cut off, and new servers get no orders until it has ended.
+		c.cutOffSince, c.isolated = time.Time{}, false
 		return nil
 	}
 	shuffle(suspects)
--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -126,3 +126,23 @@
 	}
 	must.True(t, contacts.isCutOff(now))
 }
+
+// Guards against a coordinator that grants no keys any more, because all servers were replaced while it counted
+// as possibly cut off, and new ones get no orders that could end that.
+func TestMovesAfterAllServersReplaced(t *testing.T) {
+	for name, c := range map[string]struct{ byOthers, unanswered bool }{"another process reached one": {true, false}, "no other process answered": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			contacts := newContact()
+			contacts.recordFailure(now, backend(0).Instance)
+			servers := contacts.startSurvey(now, []registry.Server{{Instance: backend(0).Instance}})
+			contacts.finishSurvey(now, survey{began: now, servers: servers, own: []bool{false}, byOthers: []bool{c.byOthers}, unanswered: c.unanswered})
+			must.False(t, contacts.mayMove())
+			for range 100 {
+				now = now.Add(50 * time.Millisecond)
+				must.SliceEmpty(t, contacts.startSurvey(now, []registry.Server{{Instance: backend(1).Instance}}))
+			}
+			must.True(t, contacts.mayMove())
+		})
+	}
+}
