--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -43,6 +43,8 @@
 	// latest reading of the clock of such a process, by its name.
 	relays map[registry.Instance]election.Member
 	clocks map[string]clockReading
+	// isolated is true if this process has reached no server and no other process in the latest survey.
+	isolated bool
 }
 
 func newContact() *contact {
@@ -56,7 +58,7 @@
 func (c *contact) recordAnswer(inst registry.Instance) {
 	delete(c.suspects, inst)
 	delete(c.relays, inst)
-	c.cutOffSince = time.Time{}
+	c.cutOffSince, c.isolated = time.Time{}, false
 }
 
 // clockReading is a reading of another process's clock, with the time at which it was received.
@@ -101,7 +103,7 @@
 // mayMove reports whether servers that do not answer may lose their keys for that: it is known that this
 // process is not the one that is cut off.
 func (c *contact) mayMove() bool {
-	return c.cutOffSince.IsZero() && c.allSurveyed()
+	return c.cutOffSince.IsZero() && !c.isolated && c.allSurveyed()
 }
 
 // allSurveyed reports whether a survey has ended for each server that has left a call unanswered.
@@ -136,6 +138,8 @@
 		}
 	}
 	if len(suspects) == 0 {
+		// No survey would end the time of being cut off, and new servers get no orders until it has ended.
+		c.cutOffSince, c.isolated = time.Time{}, false
 		return nil
 	}
 	shuffle(suspects)
@@ -166,11 +170,14 @@
 	byOthers []bool
 	// relays has for each server that others reach one of them.
 	relays []election.Member
+	// unanswered is true if other processes were asked and none has answered.
+	unanswered bool
 }
 
 // finishSurvey records the result of a survey.
 func (c *contact) finishSurvey(now time.Time, s survey) {
 	c.surveyPending, c.lastSurvey, c.nextSurvey = false, now, now.Add(surveyInterval)
+	c.isolated = s.unanswered && !slices.Contains(s.own, true)
 	for i, server := range s.servers {
 		if s.own[i] {
 			delete(c.relays, server.Instance)
--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -21,12 +21,15 @@
 	one := []bool{true, false, false, false}
 	for name, c := range map[string]struct {
 		own, byOthers   []bool
+		unanswered      bool
 		cutOff, mayMove bool
 	}{
-		"others reach all":        {none, all, true, false},
-		"others reach one":        {none, one, true, false},
-		"nobody reaches a server": {none, none, false, true},
-		"it reaches one":          {one, all, false, true},
+		"others reach all":        {none, all, false, true, false},
+		"others reach one":        {none, one, false, true, false},
+		"nobody reaches a server": {none, none, false, false, true},
+		"no other answers":        {none, none, true, false, false},
+		"it reaches one":          {one, all, false, false, true},
+		"it alone reaches one":    {one, none, true, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
@@ -42,7 +45,7 @@
 				now = now.Add(250 * time.Millisecond)
 				if len(servers) > 0 {
 					must.SliceLen(t, 4, servers)
-					contacts.finishSurvey(now, survey{began: began, servers: servers, own: c.own, byOthers: c.byOthers, relays: make([]election.Member, 4)})
+					contacts.finishSurvey(now, survey{began: began, servers: servers, own: c.own, byOthers: c.byOthers, relays: make([]election.Member, 4), unanswered: c.unanswered})
 				}
 			}
 			must.Eq(t, c.cutOff, contacts.isCutOff(now))
@@ -109,3 +112,66 @@
 	n.members = []election.Member{n.self}
 	must.Eq(t, []election.Member{other}, n.otherMembers())
 }
+
+// Guards against a coordinator that moves keys in the first second of its own cut, because a server that was
+// lost before it was surveyed while the others answered.
+func TestNoMovesBetweenSurveys(t *testing.T) {
+	var registered []registry.Server
+	for i := range 4 {
+		registered = append(registered, registry.Server{Instance: backend(i).Instance, Address: backendAddress(i)})
+	}
+	now := time.Unix(1000, 0)
+	contacts := newContact()
+	contacts.recordFailure(now, registered[0].Instance)
+	// The others answer every 50 ms for 3 s, and a survey takes 100 ms.
+	var ends time.Time
+	var running survey
+	step := func(own bool) {
+		now = now.Add(50 * time.Millisecond)
+		if servers := contacts.startSurvey(now, registered); len(servers) > 0 {
+			running, ends = survey{began: now, servers: servers, own: make([]bool, 4), byOthers: []bool{true, true, true, true}, relays: make([]election.Member, 4)}, now.Add(100*time.Millisecond)
+			for i, s := range servers {
+				running.own[i] = own && s.Instance != registered[0].Instance
+			}
+		}
+		if !ends.IsZero() && !now.Before(ends) {
+			contacts.finishSurvey(now, running)
+			ends = time.Time{}
+		}
+	}
+	for range 60 {
+		step(true)
+		contacts.recordAnswer(registered[1].Instance)
+	}
+	must.True(t, contacts.mayMove())
+	cut := now
+	for range 40 {
+		step(false)
+		contacts.recordFailure(now, registered[1].Instance)
+		// A server whose grant was due at the cut counts as silent after its second failure, 250 ms later.
+		if now.Sub(cut) > 250*time.Millisecond {
+			must.False(t, contacts.mayMove(), must.Sprint(now.Sub(cut)))
+		}
+	}
+	must.True(t, contacts.isCutOff(now))
+}
+
+// Guards against a coordinator that grants no keys any more, because all servers were replaced while it counted
+// as possibly cut off, and new ones get no orders that could end that.
+func TestMovesAfterAllServersReplaced(t *testing.T) {
+	for name, c := range map[string]struct{ byOthers, unanswered bool }{"another process reached one": {true, false}, "no other process answered": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			contacts := newContact()
+			contacts.recordFailure(now, backend(0).Instance)
+			servers := contacts.startSurvey(now, []registry.Server{{Instance: backend(0).Instance}})
+			contacts.finishSurvey(now, survey{began: now, servers: servers, own: []bool{false}, byOthers: []bool{c.byOthers}, relays: make([]election.Member, 1), unanswered: c.unanswered})
+			must.False(t, contacts.mayMove())
+			for range 100 {
+				now = now.Add(50 * time.Millisecond)
+				must.SliceEmpty(t, contacts.startSurvey(now, []registry.Server{{Instance: backend(1).Instance}}))
+			}
+			must.True(t, contacts.mayMove())
+		})
+	}
+}
