cluster: a follower that connects again gets differences

Cause: each stream of updates began with whole tables, not compressed.

Change: a process states which tables it has received; a coordinator keeps the latest 32 and sends the difference, also one that has taken over. Whole tables are compressed once for all followers. A table that does not fit is forgotten, so that the next stream begins with the whole one.

--- a/entry/internal/cluster/announcement_internal_test.go
+++ b/entry/internal/cluster/announcement_internal_test.go
@@ -37,8 +37,8 @@
 	return p.node(to).StepDown(time.Now(), r), nil
 }
 
-func (p *connectedPeers) Follow(ctx context.Context, to netip.AddrPort, v []report.CopyVersion, _ time.Duration, handle func(report.Update) error) error {
-	return p.node(to).Follow(ctx, v, handle)
+func (p *connectedPeers) Follow(ctx context.Context, to netip.AddrPort, r report.FollowRequest, _ time.Duration, handle func(report.Update) error) error {
+	return p.node(to).Follow(ctx, r, handle)
 }
 
 // rejectingStore is a store that may reject the calls of one process while it serves others.
--- a/entry/internal/cluster/compression.go
+++ b/entry/internal/cluster/compression.go
@@ -31,6 +31,22 @@
 			return p, nil
 		}
 	}
+	o, err := compressed(o)
+	if err != nil {
+		return report.Object{}, err
+	}
+	if len(d.compressed) == maxCompressedObjects {
+		d.compressed = d.compressed[1:]
+	}
+	d.compressed = append(d.compressed, o)
+	return o, nil
+}
+
+// compressed returns an object with compressed data, unless it is small.
+func compressed(o report.Object) (report.Object, error) {
+	if len(o.Data) < minCompressSize {
+		return o, nil
+	}
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.DefaultCompression)
 	if err != nil {
@@ -43,10 +59,6 @@
 		return report.Object{}, fmt.Errorf("cluster: compress %s/%s: %w", o.Kind, o.Name, err)
 	}
 	o.Data, o.Compressed = out.Bytes(), true
-	if len(d.compressed) == maxCompressedObjects {
-		d.compressed = d.compressed[1:]
-	}
-	d.compressed = append(d.compressed, o)
 	return o, nil
 }
 
--- a/entry/internal/cluster/encoded.go
+++ b/entry/internal/cluster/encoded.go
@@ -10,7 +10,7 @@
 
 // maxEncodedTables bounds the encoded tables that are kept. For followers that are further behind,
 // the tables are encoded again.
-const maxEncodedTables = 8
+const maxEncodedTables = 32
 
 // encodedUpdates caches encoded tables and compressed objects, so that each is made once for all
 // followers. It is safe for concurrent use; no other lock is taken while its own is held.
@@ -43,6 +43,9 @@
 	if err != nil {
 		return report.Object{}, err
 	}
+	if o, err = compressed(o); err != nil {
+		return report.Object{}, err
+	}
 	if len(d.tables) == maxEncodedTables {
 		d.tables = d.tables[1:]
 	}
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -129,9 +129,9 @@
 
 	watchers    map[string]StoreWatcher
 	clockOffset clockComparison
-	// received holds the tables that the coordinator sent on the current stream. Only the follow
-	// loop uses it.
+	// received holds the latest tables that a coordinator sent. Only the follow loop uses it.
 	received map[string]*ownership.Table
+	recent   recentTables
 	encoded  encodedUpdates
 	// orders counts the orders to servers by kind, and failed ones separately.
 	orders map[string]int
--- a/entry/internal/cluster/peers.go
+++ b/entry/internal/cluster/peers.go
@@ -11,7 +11,7 @@
 // Peers calls other entry processes.
 type Peers interface {
 	Report(ctx context.Context, to netip.AddrPort, r report.Report) (report.Response, error)
-	Follow(ctx context.Context, to netip.AddrPort, copyVersions []report.CopyVersion, timeout time.Duration, handle func(report.Update) error) error
+	Follow(ctx context.Context, to netip.AddrPort, request report.FollowRequest, timeout time.Duration, handle func(report.Update) error) error
 	StepDown(ctx context.Context, to netip.AddrPort, request report.StepDown) (report.StepDownResponse, error)
 	Snapshot(ctx context.Context, to netip.AddrPort) ([]report.Object, error)
 }
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -246,7 +246,7 @@
 	return report.Response{}, errUnreachable
 }
 
-func (noPeers) Follow(context.Context, netip.AddrPort, []report.CopyVersion, time.Duration, func(report.Update) error) error {
+func (noPeers) Follow(context.Context, netip.AddrPort, report.FollowRequest, time.Duration, func(report.Update) error) error {
 	return errUnreachable
 }
 
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -29,8 +29,7 @@
 		n.mu.Unlock()
 		if known && !holding && holder.Name != n.self.Name {
 			n.clockOffset.setCoordinator(holder.Name)
-			clear(n.received)
-			if err := n.peers.Follow(ctx, holder.Address, n.copyVersions(), updateTimeout, n.applyUpdate); err != nil && ctx.Err() == nil {
+			if err := n.peers.Follow(ctx, holder.Address, n.followRequest(), updateTimeout, n.applyUpdate); err != nil && ctx.Err() == nil {
 				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
 				n.mu.Lock()
 				n.election.DoubtHolder()
@@ -133,6 +132,8 @@
 	for _, o := range objects {
 		if o.Kind == replica.KindTables {
 			if err := n.applyTable(o); err != nil {
+				// The next stream begins with the whole table.
+				delete(n.received, o.Name)
 				return err
 			}
 			continue
@@ -149,20 +150,26 @@
 	return nil
 }
 
-// copyVersions returns the versions of the copies of the watched kinds.
-func (n *Node) copyVersions() []report.CopyVersion {
-	var out []report.CopyVersion
+// followRequest returns what this process has.
+func (n *Node) followRequest() report.FollowRequest {
+	var r report.FollowRequest
 	for kind := range n.watchers {
-		out = append(out, n.replica.CopyVersion(kind))
+		r.CopyVersions = append(r.CopyVersions, n.replica.CopyVersion(kind))
 	}
-	return out
+	for _, t := range n.received {
+		r.Tables = append(r.Tables, tableVersion(t))
+	}
+	return r
 }
 
 // applyTable applies a table from the coordinator, or the difference to the one that it sent
 // before.
 func (n *Node) applyTable(o report.Object) error {
+	o, err := decompress(o)
+	if err != nil {
+		return err
+	}
 	var t *ownership.Table
-	var err error
 	switch base := n.received[o.Name]; {
 	case o.BaseRevision == 0:
 		t, err = ownership.Decode(o.Name, o.Revision, o.Data)
@@ -175,6 +182,7 @@
 		return fmt.Errorf("cluster: table of %q: %w", o.Name, err)
 	}
 	n.received[o.Name] = t
+	n.recent.add(t)
 	n.replica.UpdateTable(t)
 	return nil
 }
@@ -183,15 +191,15 @@
 // process's own watch.
 const missedChangeDelay = 150 * time.Millisecond
 
-// Follow implements report.Handler. It first sends whole tables and then differences, because a
-// table of 400 servers has 40 KB and some hundred processes get each change. It also sends changes
-// of configuration and servers, so that one process watches the store for all.
-func (n *Node) Follow(ctx context.Context, known []report.CopyVersion, send func(report.Update) error) error {
-	sent := make(map[string]*ownership.Table)
+// Follow implements report.Handler. It sends differences to the tables that the follower has, if these are
+// known, because a table of a thousand servers has 100 KB and some hundred processes get each change. It
+// also sends changes of configuration and servers, so that one process watches the store for all.
+func (n *Node) Follow(ctx context.Context, request report.FollowRequest, send func(report.Update) error) error {
+	sent := n.recent.find(request.Tables)
 	copyVersions := make(map[string]report.CopyVersion)
 	position := n.replica.ChangePosition()
 	var objects []report.Object
-	for _, m := range known {
+	for _, m := range request.CopyVersions {
 		objects = append(objects, n.replica.ObjectsAfter(m)...)
 	}
 	ticker := time.NewTicker(updateInterval)
@@ -231,6 +239,7 @@
 			if err != nil {
 				return err
 			}
+			n.recent.add(t)
 			sent[name] = t
 			u.Objects = append(u.Objects, o)
 		}
--- a/entry/internal/report/client.go
+++ b/entry/internal/report/client.go
@@ -100,9 +100,8 @@
 }
 
 // Follow subscribes to the updates of the coordinator and passes them to the handler. It returns when no
-// update has arrived within the timeout, when the handler fails or when the stream ends. The versions state
-// how up to date the copies of this process are.
-func (c *Client) Follow(ctx context.Context, to netip.AddrPort, copyVersions []CopyVersion, timeout time.Duration, handle func(Update) error) error {
+// update has arrived within the timeout, when the handler fails or when the stream ends.
+func (c *Client) Follow(ctx context.Context, to netip.AddrPort, request FollowRequest, timeout time.Duration, handle func(Update) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(timeout, cancel)
@@ -116,7 +115,7 @@
 	if err != nil {
 		return fmt.Errorf("report: follow %s: %w", to, err)
 	}
-	if err := stream.MsgSend(&wireFollowRequest{CopyVersions: encodeCopyVersions(copyVersions)}, rpc.Encoding{}); err != nil {
+	if err := stream.MsgSend(encodeFollowRequest(request), rpc.Encoding{}); err != nil {
 		return fmt.Errorf("report: follow %s: %w", to, err)
 	}
 	for {
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -102,6 +102,22 @@
 	return m.Revision < other.Revision || m.Revision == other.Revision && m.Count > other.Count
 }
 
+// FollowRequest subscribes to the coordinator's updates.
+type FollowRequest struct {
+	// CopyVersions states how up to date the copies of the process are.
+	CopyVersions []CopyVersion
+	// Tables are the tables that the process has received from a coordinator.
+	Tables []TableVersion
+}
+
+// TableVersion identifies a copy of an ownership table.
+type TableVersion struct {
+	Service    string
+	Term       uint64
+	Generation uint64
+	Revision   uint64
+}
+
 // Update is a message of the coordinator to the processes that follow it. An empty one serves as a
 // heartbeat.
 type Update struct {
--- a/entry/internal/report/server.go
+++ b/entry/internal/report/server.go
@@ -42,9 +42,9 @@
 	Report(now time.Time, r Report) Response
 	Snapshot(now time.Time, _ struct{}) []Object
 	StepDown(now time.Time, request StepDown) StepDownResponse
-	// Follow sends updates, starting with the objects that a process with copies of the given versions
-	// lacks, until the context ends, sending fails or this process is no longer the coordinator.
-	Follow(ctx context.Context, copyVersions []CopyVersion, send func(Update) error) error
+	// Follow sends updates, starting with the objects that the following process lacks, until the context
+	// ends, sending fails or this process is no longer the coordinator.
+	Follow(ctx context.Context, request FollowRequest, send func(Update) error) error
 }
 
 // RPCHandler handles the RPC methods of other packages on the same listener.
@@ -90,13 +90,13 @@
 	return s.fallback.HandleRPC(stream, method)
 }
 
-// follow receives the copy versions of another process and sends it updates.
+// follow receives what another process has and sends it updates.
 func (s *Server) follow(stream drpc.Stream) error {
 	var request wireFollowRequest
 	if err := stream.MsgRecv(&request, rpc.Encoding{}); err != nil {
 		return fmt.Errorf("report: receive follow request: %w", err)
 	}
-	return s.handler.Follow(stream.Context(), decodeCopyVersions(request.CopyVersions), func(u Update) error {
+	return s.handler.Follow(stream.Context(), decodeFollowRequest(&request), func(u Update) error {
 		if err := stream.MsgSend(encodeUpdate(u), rpc.Encoding{}); err != nil {
 			return fmt.Errorf("report: send update: %w", err)
 		}
--- a/entry/internal/report/server_test.go
+++ b/entry/internal/report/server_test.go
@@ -29,7 +29,7 @@
 	return report.StepDownResponse{}
 }
 
-func (failingHandler) Follow(context.Context, []report.CopyVersion, func(report.Update) error) error {
+func (failingHandler) Follow(context.Context, report.FollowRequest, func(report.Update) error) error {
 	return nil
 }
 func (failingHandler) HandleRPC(drpc.Stream, string) error { return nil }
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -134,6 +134,15 @@
 type wireFollowRequest struct {
 	_            struct{} `cbor:",toarray"`
 	CopyVersions []wireCopyVersion
+	Tables       []wireTableVersion
+}
+
+type wireTableVersion struct {
+	_          struct{} `cbor:",toarray"`
+	Service    string
+	Term       uint64
+	Generation uint64
+	Revision   uint64
 }
 
 type wireSnapshotRequest struct {
@@ -283,6 +292,22 @@
 	return u
 }
 
+func encodeFollowRequest(r FollowRequest) *wireFollowRequest {
+	w := &wireFollowRequest{CopyVersions: encodeCopyVersions(r.CopyVersions)}
+	for _, t := range r.Tables {
+		w.Tables = append(w.Tables, wireTableVersion{Service: t.Service, Term: t.Term, Generation: t.Generation, Revision: t.Revision})
+	}
+	return w
+}
+
+func decodeFollowRequest(w *wireFollowRequest) FollowRequest {
+	r := FollowRequest{CopyVersions: decodeCopyVersions(w.CopyVersions)}
+	for _, t := range w.Tables {
+		r.Tables = append(r.Tables, TableVersion{Service: t.Service, Term: t.Term, Generation: t.Generation, Revision: t.Revision})
+	}
+	return r
+}
+
 type wireStepDown struct {
 	_         struct{} `cbor:",toarray"`
 	Term      uint64
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -44,7 +44,7 @@
 	return report.StepDownResponse{}
 }
 
-func (noReports) Follow(context.Context, []report.CopyVersion, func(report.Update) error) error {
+func (noReports) Follow(context.Context, report.FollowRequest, func(report.Update) error) error {
 	return nil
 }
 
