coordinator: the first assignment waits until servers have registered

Cause: a service without a table gave all keys to the servers that had registered one second after the first one.

Change: the first assignment waits until no server has registered for 0.5 s, 1 s at least as before and 4 s at most.

--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -68,8 +68,10 @@
 	storedGeneration uint64
 	revision         uint64
 
-	// serversSince is when a service without a table began to wait for more servers.
+	// serversSince is when a service without a table began to wait for more servers, and serversGrew when
+	// the number of servers last grew.
 	serversSince   time.Time
+	serversGrew    time.Time
 	nextPlan       time.Time
 	nextUrgentPlan time.Time
 	nextSteadyPlan time.Time
@@ -136,6 +138,7 @@
 // SetServers replaces the list of registered servers. It needs the servers of all services, because
 // a server of another service at an address shows that the former instance there has ended.
 func (c *Coordinator) SetServers(now time.Time, servers []registry.Server) {
+	before := len(c.servers)
 	clear(c.servers)
 	clear(c.latestAtAddress)
 	for _, s := range servers {
@@ -150,6 +153,9 @@
 			c.health[s.Instance] = &serverHealth{lastResponse: now}
 		}
 	}
+	if len(c.servers) > before {
+		c.serversGrew = now
+	}
 }
 
 // Step returns the orders that are due. While confirmed is false, the process may no longer be the
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -73,7 +73,8 @@
 		c.serversSince = now
 		return
 	}
-	if now.Sub(c.serversSince) < initialAssignmentDelay {
+	waited := now.Sub(c.serversSince)
+	if waited < initialAssignmentDelay || waited < maxInitialAssignmentDelay && now.Sub(c.serversGrew) < settledTime {
 		return
 	}
 	c.generation++
--- a/entry/internal/coordinator/timing.go
+++ b/entry/internal/coordinator/timing.go
@@ -31,9 +31,12 @@
 	urgentPlanInterval = 100 * time.Millisecond
 	// steadyPlanInterval is the time between two plans by the load of the last seconds.
 	steadyPlanInterval = 2 * time.Second
-	// initialAssignmentDelay is how long a service without a table waits for more servers to
-	// register.
-	initialAssignmentDelay = time.Second
+	// initialAssignmentDelay is how long a service without a table waits for more servers to register at
+	// least, and maxInitialAssignmentDelay at most. In between it waits until no server has registered for
+	// settledTime: a server that comes later gets its keys from another one, which takes longer.
+	initialAssignmentDelay    = time.Second
+	maxInitialAssignmentDelay = 4 * time.Second
+	settledTime               = 500 * time.Millisecond
 	// sendMargin covers the time between the decision to send a grant and its sending.
 	sendMargin = 150 * time.Millisecond
 )
