coordinator: orders and table changes are paced

Cause: all orders that are due went out in one step. Each accepted grant of a move was also followed by a second one at once. Tables were written as often as the store answers, and each write goes to 294 processes.

Change: a step issues at most 40 orders, and none while 160 of the last 100 ms have no result; older ones mostly go to servers that do not answer. Steps continue where the last one ended. The new owner gets its next grant after the usual interval. Two writes of a table are 0.4 ms apart for each follower: 4 ms with ten processes, 118 ms with 295.

TestOrdersAreSpread: 993 orders in a step on the base, 40 allowed. TestFirstGrantsOfManyServers: 999 of 999 first grants failed on the base, 348 with the bound of a step alone, none after.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -32,6 +32,9 @@
 	grantTimeout = 400 * time.Millisecond
 	// releaseTimeout bounds a release, which waits for the running requests.
 	releaseTimeout = 2500 * time.Millisecond
+	// followerInterval is the time between two changes of a table for each process that follows the
+	// coordinator and gets them.
+	followerInterval = 400 * time.Microsecond
 	// fenceOnlyHold is how long a grant that only raises the fence lasts.
 	fenceOnlyHold = time.Millisecond
 	// stepDownInterval is the time between two requests to the former coordinator to step down.
@@ -151,9 +154,13 @@
 			continue
 		}
 		state.demand.SetHeld(held)
-		for _, o := range state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove()) {
+		orders := state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove())
+		for _, o := range orders {
 			group.Go(func() { s.execute(ctx, state, o) })
 		}
+		if len(orders) >= coordinator.MaxStepOrders {
+			s.wakeNode()
+		}
 		s.writeTable(ctx, group, now, name, state)
 		s.probeSilentServers(ctx, group, now, state)
 		s.logEvents(name, state)
@@ -302,6 +309,7 @@
 			table.Revision = o.Revision
 			s.node.replica.UpdateTable(table)
 			state.coordinator.MarkStored(time.Now(), generation, o.Revision)
+			state.nextStoreCall = time.Now().Add(time.Duration(s.node.followers) * followerInterval)
 			s.wakeNode()
 		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
 			// The response to a write of this process was lost, or another coordinator has written.
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -132,7 +132,9 @@
 	// received holds the latest tables that a coordinator sent. Only the follow loop uses it.
 	received map[string]*ownership.Table
 	recent   recentTables
-	encoded  encodedUpdates
+	// followers is the number of processes that follow this one.
+	followers int
+	encoded   encodedUpdates
 	// orders counts the orders to servers by kind, and failed ones separately.
 	orders map[string]int
 }
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -191,11 +191,20 @@
 // process's own watch.
 const missedChangeDelay = 150 * time.Millisecond
 
+// addFollowers changes the number of processes that follow this one.
+func (n *Node) addFollowers(change int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.followers += change
+}
+
 // Follow implements report.Handler. It sends differences to the tables that the follower has, if these are
 // known, because a table of a thousand servers has 100 KB and some hundred processes get each change. It
 // also sends changes of configuration and servers, so that one process watches the store for all.
 func (n *Node) Follow(ctx context.Context, request report.FollowRequest, send func(report.Update) error) error {
 	sent := n.recent.find(request.Tables)
+	n.addFollowers(1)
+	defer n.addFollowers(-1)
 	copyVersions := make(map[string]report.CopyVersion)
 	position := n.replica.ChangePosition()
 	var objects []report.Object
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -59,9 +59,11 @@
 	latestAtAddress map[netip.AddrPort]registry.Instance
 	health          map[registry.Instance]*serverHealth
 	ranges          []*rangeState
-	pending         map[uint64]pending
-	lastOrder       uint64
-	lastFence       uint32
+	// nextRange is the index of the range that the next step begins with.
+	nextRange int
+	pending   map[uint64]pending
+	lastOrder uint64
+	lastFence uint32
 
 	// generation counts changes of the table; storedGeneration is the newest one in the store.
 	generation       uint64
@@ -158,7 +160,7 @@
 	}
 }
 
-// Step returns the orders that are due. While confirmed is false, the process may no longer be the
+// Step returns the orders that are due, at most about MaxStepOrders; others follow with the next step. While confirmed is false, the process may no longer be the
 // coordinator. It then renews grants, which the fences of a successor override, but moves no keys,
 // because a successor may have granted keys that look free here to their holder again.
 func (c *Coordinator) Step(now time.Time, d Demand, confirmed bool) []Order {
@@ -166,7 +168,12 @@
 		c.rebalance(now, d)
 	}
 	var orders []Order
-	for _, s := range c.ranges {
+	// Each step continues after the last range of the one before, so that all get their turn.
+	room := min(MaxStepOrders, maxRecentOrders-c.recentOrders(now))
+	for n := len(c.ranges); n > 0 && len(orders) < room; n-- {
+		c.nextRange %= len(c.ranges)
+		s := c.ranges[c.nextRange]
+		c.nextRange++
 		switch {
 		case s.generation > c.storedGeneration:
 			orders = c.renewUnstored(now, s, orders)
@@ -179,6 +186,18 @@
 	return orders
 }
 
+// recentOrders returns the number of orders without a result that were issued lately. Earlier ones are likely
+// to go to servers that do not answer.
+func (c *Coordinator) recentOrders(now time.Time) int {
+	n := 0
+	for _, p := range c.pending {
+		if now.Sub(p.issuedAt) < recentOrderTime {
+			n++
+		}
+	}
+	return n
+}
+
 // renew orders the next grant to the only holder of a range.
 func (c *Coordinator) renew(now time.Time, s *rangeState, orders []Order) []Order {
 	h := s.holders[0]
@@ -299,7 +318,7 @@
 	if health := c.health[h.server.Instance]; health != nil && !o.Release {
 		health.trialPending = true
 	}
-	c.pending[o.Number] = pending{rangeState: s, holder: h, order: o, heldBefore: h.heldUntil}
+	c.pending[o.Number] = pending{rangeState: s, holder: h, order: o, heldBefore: h.heldUntil, issuedAt: now}
 	return o
 }
 
@@ -352,7 +371,7 @@
 		h.keysReleased = true
 	default:
 		h.fenceAccepted, h.connection, h.maybeGranted, h.confirmed = true, r.Connection, false, true
-		if !s.isStable() && s.generation <= c.storedGeneration {
+		if h != s.target && !s.isStable() && s.generation <= c.storedGeneration {
 			// The next call of a move does not wait for the renewal interval.
 			h.nextCall = now
 		}
--- a/entry/internal/coordinator/order.go
+++ b/entry/internal/coordinator/order.go
@@ -57,4 +57,5 @@
 	// heldBefore is the holder's heldUntil from before the order, which applies if the order was
 	// not sent.
 	heldBefore time.Time
+	issuedAt   time.Time
 }
--- a/entry/internal/coordinator/timing.go
+++ b/entry/internal/coordinator/timing.go
@@ -37,6 +37,13 @@
 	initialAssignmentDelay    = time.Second
 	maxInitialAssignmentDelay = 4 * time.Second
 	settledTime               = 500 * time.Millisecond
+	// MaxStepOrders bounds the orders of a step. A thousand orders at once, each on a connection of its own
+	// at first, would all time out.
+	MaxStepOrders = 40
+	// maxRecentOrders bounds the orders without a result that were issued within recentOrderTime, so that a
+	// VM which is short of processor time gets no further behind. A server answers within milliseconds.
+	maxRecentOrders = 160
+	recentOrderTime = 100 * time.Millisecond
 	// sendMargin covers the time between the decision to send a grant and its sending.
 	sendMargin = 150 * time.Millisecond
 )
