cluster: processes fall back on the store one after the other

Cause: when the coordinator was silent for 0.8 s, or said that its own copies may lack changes, every process read the lock, the tables and all lists of the store at once.

Processes on small VMs, which take the lock only if no large one does, read it later by the same time and do not doubt a coordinator whose stream has ended: its successor announces itself.

--- a/entry/internal/cluster/announcement_internal_test.go
+++ b/entry/internal/cluster/announcement_internal_test.go
@@ -29,6 +29,15 @@
 	return p.nodes[to]
 }
 
+// connect gives a process an address by which the others reach it. It must be called before the process runs.
+func (p *connectedPeers) connect(n *Node, i int) {
+	n.self.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 1)
+	n.election, n.peers, n.members = election.New(n.self, time.Now(), 0), p, []election.Member{n.self}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nodes[n.self.Address] = n
+}
+
 func (p *connectedPeers) Report(_ context.Context, to netip.AddrPort, r report.Report) (report.Response, error) {
 	return p.node(to).Report(time.Now(), r), nil
 }
@@ -79,10 +88,7 @@
 		var nodes []*Node
 		for i, store := range []Store{&rejectingStore{restorableStore: shared}, shared, &rejectingStore{restorableStore: shared}} {
 			n := newTestNode(string(rune('a'+i)), store, newRecordedGrants(), 2)
-			n.self.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(i)}), 1)
-			n.election = election.New(n.self, time.Now(), 0)
-			n.peers = peers
-			peers.nodes[n.self.Address] = n
+			peers.connect(n, i)
 			nodes = append(nodes, n)
 		}
 		defer run(t, nodes[0])()
@@ -100,7 +106,7 @@
 		defer nodes[2].mu.Unlock()
 		holder, _ := nodes[2].holder()
 		must.Eq(t, "b", holder.Name)
-		must.Less(t, updateTimeout, time.Since(nodes[2].lastUpdate), must.Sprint("updates of the new coordinator"))
+		must.True(t, time.Now().Before(nodes[2].fallBackAt), must.Sprint("updates of the new coordinator"))
 	})
 }
 
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -56,7 +56,7 @@
 	confirmationTimeout = 1500 * time.Millisecond
 	// updateInterval is the time between two updates to the processes that follow the coordinator.
 	updateInterval = 250 * time.Millisecond
-	// updateTimeout is the time without an update after which a process relies on the store alone.
+	// updateTimeout is the time without an update after which the first process relies on the store alone.
 	updateTimeout = 800 * time.Millisecond
 	// maxStoreAge is the age of the store's last response to the coordinator's watches from which
 	// other processes watch the store themselves. It covers the wait of a watch, the pause after a
@@ -120,9 +120,9 @@
 	// rosterVersion is the version of the roster that the members are from.
 	rosterVersion uint64
 	membership    membership
-	// lastUpdate is when the coordinator last reported that it has all changes. It is zero if the
-	// last update said that changes may be missing.
-	lastUpdate time.Time
+	// fallBackAt is when the process reads changes from the store itself, unless the coordinator reports
+	// before that it has all changes.
+	fallBackAt time.Time
 	// reliesOnUpdates is true while the process gets changes from the coordinator and does not
 	// watch the store.
 	reliesOnUpdates bool
@@ -197,7 +197,7 @@
 func (n *Node) WatchTimeout() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, holding := n.election.HeldTerm(); !holding && time.Since(n.lastUpdate) < updateTimeout {
+	if _, holding := n.election.HeldTerm(); !holding && time.Now().Before(n.fallBackAt) {
 		return follow.NoWatch
 	}
 	return follow.ShortWatchTimeout
--- a/entry/internal/cluster/survey.go
+++ b/entry/internal/cluster/survey.go
@@ -203,7 +203,7 @@
 // isOutgrown reports whether the coordinator is on a small VM while a large one is alive that has had time to
 // report. The node's lock must be held.
 func (n *Node) isOutgrown(now time.Time) bool {
-	return n.cores < smallVMFraction*n.largestCores && now.Sub(n.executor.began) > smallVMTerm
+	return n.onSmallVM() && now.Sub(n.executor.began) > smallVMTerm
 }
 
 // endRole forgets the state of the coordinator, and tells the processes that follow it that the role is
@@ -279,4 +279,8 @@
 		d += cutOffDelay
 	}
 	n.election.SetTakeoverDelay(d)
+	n.election.SetReadDelay(0)
+	if n.onSmallVM() {
+		n.election.SetReadDelay(n.fallBackDelay())
+	}
 }
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -31,9 +31,7 @@
 			n.clockOffset.setCoordinator(holder.Name)
 			if err := n.peers.Follow(ctx, holder.Address, n.followRequest(), updateTimeout, n.applyUpdate); err != nil && ctx.Err() == nil {
 				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
-				n.mu.Lock()
-				n.election.DoubtHolder()
-				n.mu.Unlock()
+				nextList = later(nextList, time.Now().Add(n.doubtHolder()))
 			}
 		}
 		if now := time.Now(); !holding && !now.Before(nextList) {
@@ -47,13 +45,33 @@
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// doubtHolder makes a process on a large VM read the lock, because the coordinator is no longer followed. The
+// others get to know a new coordinator from its announcement, or read the lock later. It returns how long
+// this process still waits before it reads the store.
+func (n *Node) doubtHolder() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.onSmallVM() {
+		n.election.DoubtHolder()
+	}
+	return n.fallBackDelay()
+}
+
 // checkUpdates makes the watchers list their objects again when the process can no longer rely on
 // the coordinator's updates, because the coordinator is silent, has lost the store, or is this
 // process.
 func (n *Node) checkUpdates(now time.Time) {
 	n.mu.Lock()
 	_, holding := n.election.HeldTerm()
-	reliesOnUpdates := !holding && now.Sub(n.lastUpdate) < updateTimeout
+	reliesOnUpdates := !holding && now.Before(n.fallBackAt)
 	lost := n.reliesOnUpdates && !reliesOnUpdates
 	n.reliesOnUpdates = reliesOnUpdates
 	n.mu.Unlock()
@@ -120,9 +138,11 @@
 	if u.LockConfirmed {
 		n.election.RecordHolderAlive(now, u.Term)
 	}
-	n.lastUpdate = time.Time{}
+	fallBackAt := now.Add(n.fallBackDelay())
 	if u.UpToDate {
-		n.lastUpdate = now
+		n.fallBackAt = fallBackAt.Add(updateTimeout)
+	} else if fallBackAt.Before(n.fallBackAt) {
+		n.fallBackAt = fallBackAt
 	}
 }
 
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -61,6 +61,8 @@
 	jitter time.Duration
 	// takeoverDelay is how much later than other processes this one takes a free lock.
 	takeoverDelay time.Duration
+	// readDelay is how much later than other processes this one reads the lock of a silent holder.
+	readDelay time.Duration
 
 	lockKnown bool
 	lock      Lock
@@ -99,6 +101,10 @@
 // whose holder is lost, so that a VM with more capacity gets it first.
 func (e *Election) SetTakeoverDelay(d time.Duration) { e.takeoverDelay = d }
 
+// SetReadDelay sets how much later than other processes this one reads the lock of a silent holder, so that
+// hundreds of processes that will not take it don't read it at once.
+func (e *Election) SetReadDelay(d time.Duration) { e.readDelay = d }
+
 // NextAction returns the action that is due.
 func (e *Election) NextAction(now time.Time) Action {
 	switch {
@@ -109,10 +115,10 @@
 			return NoAction
 		}
 		return WriteLock
-	case now.Before(e.nextRead) || !e.holding && e.lockKnown && !e.doubted && now.Sub(e.lastHeard) < holderTimeout && e.lock.Holder.Name != "":
+	case now.Before(e.nextRead) || !e.holding && e.lockKnown && !e.doubted && now.Sub(e.lastHeard) < holderTimeout+e.readDelay && e.lock.Holder.Name != "":
 		return NoAction
 	}
-	e.nextRead = now.Add(readInterval)
+	e.nextRead = now.Add(readInterval + e.readDelay)
 	return ReadLock
 }
 
@@ -139,7 +145,7 @@
 	if e.holding {
 		return now.Sub(e.lastConfirmed) < wait || now.Sub(e.eraSeen) >= wait
 	}
-	if now.Sub(e.lastHeard) < holderTimeout || now.Sub(e.lastRead) >= readInterval+staleLockTimeout/2 {
+	if now.Sub(e.lastHeard) < holderTimeout || now.Sub(e.lastRead) >= readInterval+e.readDelay+staleLockTimeout/2 {
 		return false
 	}
 	return now.Sub(e.eraSeen) >= wait+restoredLockDelay+e.jitter+e.takeoverDelay
@@ -162,7 +168,7 @@
 		return false
 	}
 	// The latest read must be recent, because otherwise the store may be unreachable.
-	return now.Sub(e.revisionSeen) >= staleLockTimeout+e.jitter+e.takeoverDelay && now.Sub(e.lastRead) < readInterval+staleLockTimeout/2
+	return now.Sub(e.revisionSeen) >= staleLockTimeout+e.jitter+e.takeoverDelay && now.Sub(e.lastRead) < readInterval+e.readDelay+staleLockTimeout/2
 }
 
 // ObserveLock processes a lock that was read from the store.
