gatewayprocess: TestInvalidRetryAfterOfServer counts at both servers

The coordinator gives the keys of a slow server to a faster one, which is right, and the test took the number of its keys for granted.

Now both servers turn requests away, so that the count does not depend on who has the keys, twice as many must arrive, and no request may be held off.

--- a/entry/internal/gatewayprocess/holdoff_test.go
+++ b/entry/internal/gatewayprocess/holdoff_test.go
@@ -94,13 +94,17 @@
 // counted, and against a time in the past.
 func TestInvalidRetryAfterOfServer(t *testing.T) {
 	t.Parallel()
-	_, processes, _, b := startStatementTest(t, true, "only")
+	_, processes, a, b := startStatementTest(t, true, "only")
 	for _, value := range []string{"-1", "NaN", "Inf", "soon", "1e9", "0", "Mon, 01 Jan 2001 00:00:00 GMT"} {
+		// Both servers turn requests away, because the keys leave a server that is slower than the other one.
+		a.setTurnAway(func(string) string { return value })
 		b.setTurnAway(func(string) string { return value })
 		begin := time.Now()
 		sendSteadily(t, processes, "/get/y", 60, begin.Add(500*time.Millisecond), begin)
-		must.Greater(t, 2, len(b.arrivedIn(begin, time.Now())), must.Sprint(value))
+		arrived := append(a.arrivedIn(begin, time.Now()), b.arrivedIn(begin, time.Now())...)
+		must.Greater(t, 2*2, len(arrived), must.Sprint(value))
 	}
+	must.StrNotContains(t, processes[0].metrics.Get("reasons").String(), `"held off"`)
 	must.Eq(t, 1, processes[0].logs.count("statement of a server can't be used"))
 	must.Eq(t, 0, processes[0].logs.count("server takes no requests from this process for a time"))
 	must.StrNotContains(t, processes[0].metrics.Get("statements").String(), `"invalid":0`)
