follow, platform: a process starts with stale lists

Cause: each process lists configuration, servers and tables and reads the lock when it starts, about 7 calls.

Change: the first reads accept data that may be seconds old, which the store serves for a tenth of the price. A process that another one then forwards all changes to needs no other list: it states the versions that it has. Unless one does within 2 s it lists again before it watches, and so does one that becomes the coordinator. A stale list never replaces objects that the process has.

--- a/entry/internal/cluster/announcement_internal_test.go
+++ b/entry/internal/cluster/announcement_internal_test.go
@@ -58,6 +58,14 @@
 
 func (s *rejectingStore) reject() { s.rejecting.Store(true) }
 
+func (s *rejectingStore) GetStale(ctx context.Context, kind, name string) (platform.Object, error) {
+	return s.Get(ctx, kind, name)
+}
+
+func (s *rejectingStore) ListStale(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	return s.List(ctx, kind)
+}
+
 func (s *rejectingStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
 	if s.rejecting.Load() {
 		return platform.Object{}, errUnreachable
--- a/entry/internal/cluster/fallback.go
+++ b/entry/internal/cluster/fallback.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,4 +22,6 @@
 
 // onSmallVM reports whether the process takes the coordinator's role only if no large VM does. The node's lock
 // must be held.
-func (n *Node) onSmallVM() bool { return n.cores < smallVMFraction*n.largestCores }
+func (n *Node) onSmallVM() bool {
+	return n.cores < smallVMFraction*cmp.Or(n.largestCores, largeVMCores)
+}
--- a/entry/internal/cluster/fallback_internal_test.go
+++ b/entry/internal/cluster/fallback_internal_test.go
@@ -28,6 +28,14 @@
 	s.calls[time.Now().Truncate(100*time.Millisecond)]++
 }
 
+func (s *countingStore) GetStale(ctx context.Context, kind, name string) (platform.Object, error) {
+	return s.Get(ctx, kind, name)
+}
+
+func (s *countingStore) ListStale(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	return s.List(ctx, kind)
+}
+
 func (s *countingStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
 	s.count()
 	return s.restorableStore.Get(ctx, kind, name)
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -97,7 +97,9 @@
 	mu              sync.Mutex
 	election        *election.Election
 	lockCallPending bool
-	executor        *executor
+	// readLockBefore is true once the process has read the lock.
+	readLockBefore bool
+	executor       *executor
 	// roleEnded is closed when the process gives up the coordinator's role.
 	roleEnded chan struct{}
 	// resigning is true while a stopping process gives up the role, and handingOver while one does that is
@@ -132,6 +134,8 @@
 	// received holds the latest tables that a coordinator sent. Only the follow loop uses it.
 	received map[string]*ownership.Table
 	recent   recentTables
+	// readTables is true once the process has read the tables from the store. Only the follow loop uses it.
+	readTables bool
 	// followers is the number of processes that follow this one.
 	followers int
 	encoded   encodedUpdates
@@ -296,7 +300,14 @@
 func (n *Node) readLock(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	o, err := n.store.Get(bounded, lockKind, lockName)
+	n.mu.Lock()
+	get := n.store.Get
+	if n.onSmallVM() && !n.readLockBefore {
+		get = n.store.GetStale
+	}
+	n.readLockBefore = true
+	n.mu.Unlock()
+	o, err := get(bounded, lockKind, lockName)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lockCallPending = false
@@ -340,6 +351,7 @@
 		if term, holding := n.election.HeldTerm(); holding && (n.executor == nil || n.executor.term != term) {
 			n.logger.WithFields(log.Fields{"term": term, "former": former.Name}).Info("coordinator")
 			n.membership.expect(time.Now(), n.members)
+			n.relist()
 			previous := n.executor
 			n.executor = newExecutor(n, l, now, former)
 			n.executor.keepRenewing(previous, confirmed)
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -103,6 +103,14 @@
 	return s.withRevision(o), nil
 }
 
+func (s *restorableStore) GetStale(ctx context.Context, kind, name string) (platform.Object, error) {
+	return s.Get(ctx, kind, name)
+}
+
+func (s *restorableStore) ListStale(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	return s.List(ctx, kind)
+}
+
 func (s *restorableStore) List(_ context.Context, kind string) ([]platform.Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -75,9 +75,13 @@
 	lost := n.reliesOnUpdates && !reliesOnUpdates
 	n.reliesOnUpdates = reliesOnUpdates
 	n.mu.Unlock()
-	if !lost {
-		return
+	if lost {
+		n.relist()
 	}
+}
+
+// relist makes the watchers list their objects again.
+func (n *Node) relist() {
 	for _, c := range n.watchers {
 		c.Relist()
 	}
@@ -93,11 +97,17 @@
 	return true
 }
 
-// listTables reads all tables from the store.
+// listTables reads all tables from the store. A process that has none yet first takes what the store had
+// lately.
 func (n *Node) listTables(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	objects, _, err := n.store.List(bounded, replica.KindTables)
+	list := n.store.List
+	if len(n.view.Tables()) == 0 && !n.readTables {
+		list = n.store.ListStale
+	}
+	n.readTables = true
+	objects, _, err := list(bounded, replica.KindTables)
 	if err != nil {
 		n.logger.WithError(err).Debug("tables not read")
 		return
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -4,6 +4,9 @@
 // then be cut off, and the store may drop its history. So after every failed watch the objects are
 // listed again at once; only after a failed list is there a delay.
 //
+// A process that starts first takes a cheap list that may be seconds old, and waits for another process to
+// forward all changes. Unless one does, it lists the objects again before it watches them.
+//
 // # Usage
 //
 //	f := follow.New(store, kind, sink, watchTimeout, logger)
@@ -37,6 +40,10 @@
 	// batchDelay is the delay between a change and the next watch, so that one call returns all changes
 	// made in the meantime.
 	batchDelay = 80 * time.Millisecond
+	// adoptionTime is how long a process that starts waits for another one that forwards changes.
+	adoptionTime = 2 * time.Second
+	// adoptionCheckInterval is the time between two checks for it.
+	adoptionCheckInterval = 50 * time.Millisecond
 	// watchGrace is the time after the watch timeout at which an unanswered watch is cancelled.
 	watchGrace = time.Second
 	// listTimeout limits a list call. The store responds within milliseconds, and within a quarter of a
@@ -51,6 +58,8 @@
 // Store lists and watches objects.
 type Store interface {
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
+	// ListStale is cheaper, and returns what the store may have had seconds ago.
+	ListStale(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]platform.Event, uint64, error)
 }
 
@@ -58,6 +67,8 @@
 type Sink interface {
 	// Reset replaces all objects by a new list.
 	Reset(now time.Time, objects []platform.Object)
+	// ResetEmpty takes over a list that may be old, unless there are objects already.
+	ResetEmpty(now time.Time, objects []platform.Object)
 	// Apply applies changes in their order.
 	Apply(now time.Time, events []platform.Event)
 	// RecordOutage records that the store could not be read at the given time.
@@ -80,6 +91,8 @@
 	relistRequested bool
 	// lastResponse is when the store last responded; zero if the latest list failed.
 	lastResponse time.Time
+	// stale is true while the objects are those of a stale list and of another process.
+	stale bool
 }
 
 // New returns a follower that does nothing until Run.
@@ -92,6 +105,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.relistRequested = true
+	if f.stale {
+		f.lastResponse = time.Time{}
+	}
 	if f.cancelWait != nil {
 		f.cancelWait()
 		f.cancelWait = nil
@@ -105,11 +121,11 @@
 	return f.lastResponse
 }
 
-// markCurrent records that the store has responded.
-func (f *Follower) markCurrent() {
+// markCurrent records that the store has responded, with stale objects or current ones.
+func (f *Follower) markCurrent(stale bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastResponse = time.Now()
+	f.lastResponse, f.stale = time.Now(), stale
 }
 
 // markStale records that the copy may be out of date.
@@ -133,6 +149,7 @@
 
 // Run follows the objects until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.adopt(ctx)
 	delay := minRetryDelay
 	unreachable := false
 	for ctx.Err() == nil {
@@ -156,6 +173,31 @@
 	}
 }
 
+// adopt takes a stale list and waits while another process forwards changes to it. It returns when the objects
+// must be listed again.
+func (f *Follower) adopt(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, _, err := f.store.ListStale(bounded, f.kind)
+	if err != nil {
+		return
+	}
+	f.markCurrent(true)
+	f.sink.ResetEmpty(time.Now(), objects)
+	for waitUntil := time.Now().Add(adoptionTime); time.Now().Before(waitUntil) && ctx.Err() == nil; {
+		if f.watchTimeout() == NoWatch {
+			f.waitIdle(ctx)
+			return
+		}
+		bounded, cancel := f.beginWait(ctx, adoptionCheckInterval-watchGrace)
+		<-bounded.Done()
+		cancel()
+		if !errors.Is(bounded.Err(), context.DeadlineExceeded) {
+			return
+		}
+	}
+}
+
 func (f *Follower) list(ctx context.Context) (uint64, error) {
 	f.mu.Lock()
 	f.relistRequested = false
@@ -166,7 +208,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.markCurrent()
+	f.markCurrent(false)
 	f.sink.Reset(time.Now(), objects)
 	return revision, nil
 }
@@ -190,7 +232,7 @@
 			}
 			return
 		}
-		f.markCurrent()
+		f.markCurrent(false)
 		if len(events) > 0 {
 			f.sink.Apply(time.Now(), events)
 			sleep(ctx, batchDelay)
--- a/entry/internal/follow/follow_test.go
+++ b/entry/internal/follow/follow_test.go
@@ -24,6 +24,9 @@
 	down     bool
 	changed  chan struct{}
 	calls    int
+	// staleCalls counts the stale lists, which return the revision stale.
+	staleCalls int
+	stale      uint64
 }
 
 func (s *fakeStore) setRevision(revision uint64) {
@@ -36,6 +39,16 @@
 	}
 }
 
+func (s *fakeStore) ListStale(context.Context, string) ([]platform.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleCalls++
+	if s.down {
+		return nil, 0, eris.New("the store is down")
+	}
+	return []platform.Object{{Name: "main", Revision: s.stale}}, s.stale, nil
+}
+
 func (s *fakeStore) List(context.Context, string) ([]platform.Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,6 +92,12 @@
 	s.revision = objects[0].Revision
 }
 
+func (s *revisionSink) ResetEmpty(now time.Time, objects []platform.Object) {
+	if s.currentRevision() == 0 {
+		s.Reset(now, objects)
+	}
+}
+
 func (s *revisionSink) Apply(_ time.Time, events []platform.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,12 +137,45 @@
 	return f
 }
 
+// Guards against hundreds of processes that each pay for whole lists although another one forwards all changes,
+// and against one that relies on an old list when none does.
+func TestStartWithStaleList(t *testing.T) {
+	for _, adopted := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{revision: 7, stale: 5, changed: make(chan struct{})}
+			sink := &revisionSink{}
+			begin := time.Now()
+			f := follow.New(s, "config", sink, func() time.Duration {
+				if adopted && time.Since(begin) > 300*time.Millisecond {
+					return follow.NoWatch
+				}
+				return follow.ShortWatchTimeout
+			}, discardLogger())
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			group.Go(func() { f.Run(ctx) })
+			time.Sleep(100 * time.Millisecond)
+			must.Eq(t, 5, sink.currentRevision())
+			time.Sleep(2 * time.Second)
+			must.Eq(t, 1, s.staleCalls)
+			if adopted {
+				must.Eq(t, 0, s.calls)
+				f.Relist()
+				time.Sleep(time.Millisecond)
+			}
+			must.Eq(t, 7, sink.currentRevision())
+			cancel()
+			group.Wait()
+		})
+	}
+}
+
 // Guards against a change that is never read because a watch delivers nothing: a process that watches must
 // have it within two seconds, an idle one when Relist is called.
 func TestSilentWatch(t *testing.T) {
 	for _, watching := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			s := &fakeStore{revision: 1, changed: make(chan struct{})}
+			s := &fakeStore{revision: 1, stale: 1, changed: make(chan struct{})}
 			sink := &revisionSink{}
 			watchTimeout := follow.NoWatch
 			if watching {
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -353,6 +353,16 @@
 	s.replica.reset(now, s.kind, objects)
 }
 
+// ResetEmpty takes over a list that may be old, unless there are objects of the kind already.
+func (s *Sink) ResetEmpty(now time.Time, objects []platform.Object) {
+	s.replica.mu.Lock()
+	defer s.replica.mu.Unlock()
+	s.replica.listed[s.kind] = true
+	if len(s.replica.objects[s.kind]) == 0 {
+		s.replica.reset(now, s.kind, objects)
+	}
+}
+
 // Apply applies changes in their order.
 func (s *Sink) Apply(now time.Time, events []platform.Event) {
 	s.replica.mu.Lock()
--- a/entry/internal/storemetrics/store.go
+++ b/entry/internal/storemetrics/store.go
@@ -21,7 +21,9 @@
 // ObjectStore is the store whose calls are counted; *platform.Store is one.
 type ObjectStore interface {
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
+	ListStale(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	GetStale(ctx context.Context, kind, name string) (platform.Object, error)
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]platform.Event, uint64, error)
 	Put(ctx context.Context, kind string, o platform.Object) (platform.Object, error)
 	Era() uint64
@@ -89,6 +91,20 @@
 	return objects, revision, err
 }
 
+// ListStale reads all objects of a kind as they may have been seconds ago.
+func (s *Store) ListStale(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	objects, revision, err := s.store.ListStale(ctx, kind)
+	s.record("stale list", err)
+	return objects, revision, err
+}
+
+// GetStale reads one object as it may have been seconds ago.
+func (s *Store) GetStale(ctx context.Context, kind, name string) (platform.Object, error) {
+	o, err := s.store.GetStale(ctx, kind, name)
+	s.record("stale get", err)
+	return o, err
+}
+
 // Get reads one object.
 func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
 	o, err := s.store.Get(ctx, kind, name)
--- a/entry/internal/storemetrics/store_test.go
+++ b/entry/internal/storemetrics/store_test.go
@@ -27,6 +27,14 @@
 	return nil, 0, c.err
 }
 
+func (c stubStore) ListStale(context.Context, string) ([]platform.Object, uint64, error) {
+	return nil, 0, c.err
+}
+
+func (c stubStore) GetStale(context.Context, string, string) (platform.Object, error) {
+	return platform.Object{}, c.err
+}
+
 func (c stubStore) Get(context.Context, string, string) (platform.Object, error) {
 	return platform.Object{}, c.err
 }
