cluster: a survey holds up only the keys of its servers

Cause: no key moved while any server that had left an order unanswered was still to be surveyed, 64 servers at a time.

Change: only a server that is still to be surveyed keeps its keys while it is silent; moves of all others go on. A survey takes up to 192 servers, and the next one follows at once while some are left. Whether another life of a server is registered is looked up by its identifier instead of in the list of all servers, for each lost server at each step.

--- a/entry/internal/cluster/contact.go
+++ b/entry/internal/cluster/contact.go
@@ -23,7 +23,7 @@
 	evidenceLifetime = time.Second
 	// maxSurveyedServers limits the servers of a survey, of which surveyedOthers are servers that have left
 	// no call unanswered.
-	maxSurveyedServers = 64
+	maxSurveyedServers = 192
 	surveyedOthers     = 4
 )
 
@@ -100,10 +100,19 @@
 	}
 }
 
-// mayMove reports whether servers that do not answer may lose their keys for that: it is known that this
-// process is not the one that is cut off.
-func (c *contact) mayMove() bool {
-	return c.cutOffSince.IsZero() && !c.isolated && c.allSurveyed()
+// mayMove reports whether keys may move: this process is not known to be the one that is cut off. Those of
+// servers that are still to be surveyed stay all the same.
+func (c *contact) mayMove() bool { return c.cutOffSince.IsZero() && !c.isolated }
+
+// unsurveyed returns the servers that have left a call unanswered and are still to be surveyed.
+func (c *contact) unsurveyed() map[registry.Instance]bool {
+	out := make(map[registry.Instance]bool)
+	for inst, surveyed := range c.suspects {
+		if !surveyed {
+			out[inst] = true
+		}
+	}
+	return out
 }
 
 // allSurveyed reports whether a survey has ended for each server that has left a call unanswered.
@@ -177,6 +186,11 @@
 // finishSurvey records the result of a survey.
 func (c *contact) finishSurvey(now time.Time, s survey) {
 	c.surveyPending, c.lastSurvey, c.nextSurvey = false, now, now.Add(surveyInterval)
+	defer func() {
+		if len(s.servers) >= maxSurveyedServers && !c.allSurveyed() {
+			c.nextSurvey = now
+		}
+	}()
 	c.isolated = s.unanswered && !slices.Contains(s.own, true)
 	for i, server := range s.servers {
 		if s.own[i] {
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -131,6 +131,7 @@
 	s.requestStepDown(ctx, group, now)
 	s.renewPrevious(ctx, group, now, configuration)
 	servers := s.node.view.Servers()
+	unsurveyed := s.contact.unsurveyed()
 	held := s.node.membership.heldShares(now)
 	for name, service := range configuration.Services {
 		if !service.Sharded {
@@ -154,6 +155,7 @@
 			continue
 		}
 		state.demand.SetHeld(held)
+		state.coordinator.SetUnverified(unsurveyed)
 		orders := state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove())
 		for _, o := range orders {
 			group.Go(func() { s.execute(ctx, state, o) })
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -55,6 +55,10 @@
 	term    uint64
 
 	servers map[registry.Instance]registry.Server
+	// latestByID has the latest incarnation of each server, by its ID.
+	latestByID map[string]int64
+	// unverified are the servers of which it is not known whether only this process does not reach them.
+	unverified map[registry.Instance]bool
 	// latestAtAddress holds the newest server at each address, of any service.
 	latestAtAddress map[netip.AddrPort]registry.Instance
 	health          map[registry.Instance]*serverHealth
@@ -87,6 +91,7 @@
 	c := &Coordinator{
 		service: service, term: term, serversSince: now,
 		servers:         make(map[registry.Instance]registry.Server),
+		latestByID:      make(map[string]int64),
 		latestAtAddress: make(map[netip.AddrPort]registry.Instance),
 		health:          make(map[registry.Instance]*serverHealth),
 		pending:         make(map[uint64]pending),
@@ -142,6 +147,7 @@
 func (c *Coordinator) SetServers(now time.Time, servers []registry.Server) {
 	before := len(c.servers)
 	clear(c.servers)
+	clear(c.latestByID)
 	clear(c.latestAtAddress)
 	for _, s := range servers {
 		if s.Incarnation > c.latestAtAddress[s.Address].Incarnation {
@@ -151,6 +157,7 @@
 			continue
 		}
 		c.servers[s.Instance] = s
+		c.latestByID[s.ID] = max(c.latestByID[s.ID], s.Incarnation)
 		if c.health[s.Instance] == nil {
 			c.health[s.Instance] = &serverHealth{lastResponse: now}
 		}
@@ -160,6 +167,10 @@
 	}
 }
 
+// SetUnverified replaces the servers of which it is not known whether only this process does not reach them.
+// They keep their keys although they are silent.
+func (c *Coordinator) SetUnverified(servers map[registry.Instance]bool) { c.unverified = servers }
+
 // Step returns the orders that are due, at most about MaxStepOrders; others follow with the next step. While confirmed is false, the process may no longer be the
 // coordinator. It then renews grants, which the fences of a successor override, but moves no keys,
 // because a successor may have granted keys that look free here to their holder again.
@@ -534,10 +545,8 @@
 		}
 		return ended
 	}
-	for inst := range c.servers {
-		if inst.ID == s.ID && inst.Incarnation > s.Incarnation {
-			return replaced
-		}
+	if c.latestByID[s.ID] > s.Incarnation {
+		return replaced
 	}
 	return possiblyRunning
 }
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -91,7 +91,7 @@
 		return true
 	}
 	h := s.holders[0]
-	return !c.isUsable(h.server.Instance) || c.isSilent(now, h.server.Instance)
+	return !c.isUsable(h.server.Instance) || c.isSilent(now, h.server.Instance) && !c.unverified[h.server.Instance]
 }
 
 func (c *Coordinator) anyNeedsOwner(now time.Time) bool {
