reachability: more failures are needed among many servers

Cause: three servers that failed in a row without an answer in between made a process count as cut off.

Change: of a service with more than 150 servers one in 50 must fail, up to 8. Smaller ones are as before.

TestManyServersLost: "35 of 100 lost" fails on the base; that all 999 are lost is noticed on both.

--- a/entry/internal/reachability/monitor.go
+++ b/entry/internal/reachability/monitor.go
@@ -33,10 +33,14 @@
 )
 
 const (
-	// minFailedServers and maxFailedServers bound the number of servers that must fail without any
-	// answer in between before the process counts as cut off.
-	minFailedServers = 2
-	maxFailedServers = 3
+	// minFailedServers is the number of servers that must fail without any answer in between before the
+	// process counts as cut off; all of them must if there are no more. usualFailedServers are enough if there
+	// are, but one of serversPerFailed of a large service, up to maxFailedServers: when a third of a
+	// thousand servers is lost, three failures in a row are common.
+	minFailedServers   = 2
+	usualFailedServers = 3
+	maxFailedServers   = 8
+	serversPerFailed   = 50
 	// minSilence is the time without an answer of any server after which the process may count as cut off.
 	// Connection attempts that began together fail together, between the answers of other servers.
 	minSilence = 300 * time.Millisecond
@@ -252,9 +256,6 @@
 // held.
 func (m *Monitor) isDisconnected(g *group, service string) bool {
 	failed := m.failedServers(g, service)
-	if failed >= maxFailedServers {
-		return true
-	}
 	if failed < minFailedServers {
 		return false
 	}
@@ -264,7 +265,7 @@
 			known++
 		}
 	}
-	return failed >= known
+	return failed >= min(known, max(usualFailedServers, min(known/serversPerFailed, maxFailedServers)))
 }
 
 // failedServers returns the number of servers of a group that have failed since the last answer of any of
--- a/entry/internal/reachability/monitor_test.go
+++ b/entry/internal/reachability/monitor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -122,6 +123,34 @@
 	}
 }
 
+// Guards against a process that takes the loss of a third of a thousand servers for a partition of its own, and
+// against one that does not notice its partition among as many.
+func TestManyServersLost(t *testing.T) {
+	const attempts, interval = 300, 150 * time.Millisecond
+	for lostPercent, cutOff := range map[int]bool{35: false, 100: true} {
+		t.Run(fmt.Sprint(lostPercent, " of 100 lost"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := &fakeNetwork{}
+				m, list := startMonitor(t, network, 999)
+				random, found := rand.New(rand.NewPCG(1, 2)), false
+				for range attempts {
+					time.Sleep(interval)
+					i := random.IntN(len(list))
+					if i*100 < lostPercent*len(list) {
+						// A new connection is given up after the timeout.
+						time.AfterFunc(dialTimeout, func() { m.RecordUnreached(time.Now(), list[i]) })
+					} else {
+						time.AfterFunc(700*time.Millisecond, func() { m.RecordReached(time.Now(), list[i]) })
+					}
+					found = found || m.CutOff(time.Now())
+				}
+				time.Sleep(time.Second)
+				must.Eq(t, cutOff, found)
+			})
+		})
+	}
+}
+
 // Guards against a partition in which requests hang that is not noticed within about a second, and against
 // its end that is not.
 func TestSilenceIsProbed(t *testing.T) {
