view: no requests for a server whose address has the next one

Cause: a process sent requests to the former owner of a key until its entry was gone from the store, although a server of another service was registered at the address already. That one answers 421, and the request is sent once more.

Change: a later server of a configured service at the address proves that the former one has ended, as it does for the coordinator.

--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/common/traffic"
 )
 
 // Servers is an immutable set of the registered servers and of those that left less than leaveGrace
@@ -52,8 +54,8 @@
 }
 
 // update returns the set for a new list of registered servers. A server that is not in the list stays
-// known for leaveGrace. Those in leaving count as draining since the given times.
-func (s *Servers) update(now time.Time, registered []registry.Server, leaving map[registry.Instance]time.Time) *Servers {
+// known for leaveGrace, unless it is in ended. Those in leaving count as draining since the given times.
+func (s *Servers) update(now time.Time, registered []registry.Server, leaving map[registry.Instance]time.Time, ended func(registry.Server) bool) *Servers {
 	next := &Servers{byInstance: make(map[registry.Instance]*TrackedServer, len(registered)), byService: make(map[string][]registry.Server, len(s.byService)), registered: make([]registry.Server, 0, len(registered))}
 	for _, server := range registered {
 		leavingSince, isLeaving := leaving[server.Instance]
@@ -65,6 +67,9 @@
 		if _, known := next.byInstance[server.Instance]; !known {
 			next.registered = append(next.registered, t.Server)
 		}
+		if ended(server) {
+			continue
+		}
 		next.byInstance[server.Instance] = t
 		if server.Draining {
 			continue
@@ -79,6 +84,9 @@
 		if _, ok := next.byInstance[inst]; ok {
 			continue
 		}
+		if ended(old.Server) {
+			continue
+		}
 		departed := *old
 		if departed.UsableUntil.IsZero() {
 			departed.UsableUntil = now.Add(leaveGrace)
@@ -94,6 +102,21 @@
 	return next
 }
 
+// endedServers returns a function that reports whether a server has ended, because a later one of a configured
+// service is registered at its address.
+func endedServers(registered []registry.Server, c *traffic.Configuration) func(registry.Server) bool {
+	latest := make(map[netip.AddrPort]registry.Instance, len(registered))
+	for _, server := range registered {
+		if c == nil {
+			break
+		}
+		if _, configured := c.Services[server.Service]; configured && server.Incarnation > latest[server.Address].Incarnation {
+			latest[server.Address] = server.Instance
+		}
+	}
+	return func(server registry.Server) bool { return latest[server.Address].Incarnation > server.Incarnation }
+}
+
 // trackedServer returns the TrackedServer for a registered server, the current one if nothing has
 // changed.
 func (s *Servers) trackedServer(now time.Time, server registry.Server) *TrackedServer {
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -107,7 +107,7 @@
 func (v *View) SetServers(now time.Time, list []registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.servers.Store(v.servers.Load().update(now, list, v.leaving))
+	v.servers.Store(v.servers.Load().update(now, list, v.leaving, endedServers(list, v.configuration.Load())))
 	v.notifyChange()
 }
 
@@ -124,7 +124,8 @@
 	}
 	v.leaving[inst] = now
 	servers := v.servers.Load()
-	v.servers.Store(servers.update(now, servers.Registered(), v.leaving))
+	registered := servers.Registered()
+	v.servers.Store(servers.update(now, registered, v.leaving, endedServers(registered, v.configuration.Load())))
 	v.notifyChange()
 	return true
 }
