dispatch: a stopping process sends no request that would not end in time

Report of other operators: in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated. It can happen here: a process sent requests until 70% of the grace, whatever they need.

Change: the last start follows from what servers have needed lately for requests of the same service, kind and rank (the 99th percentile of the last 10 to 20 s), and is at most the 70%. A request that would not end by then is refused at once, as not run, with a Retry-After. Requests in a queue of another process are withdrawn at that time too. What remains: the slowest one in a hundred, and the first requests of a kind.

Three tests of package dispatch left GiveUp unset, which is the end of waiting for servers, and set it now.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -135,9 +135,10 @@
 	processes atomic.Int64
 	// shutdown is nil while the process does not stop.
 	shutdown atomic.Pointer[Shutdown]
-	// waits ends at the last start of a shutdown.
-	waits    context.Context
-	endWaits context.CancelCauseFunc
+	// stopping ends when a shutdown begins.
+	stopping  context.Context
+	beginStop context.CancelFunc
+	durations *durations
 	// requests ends when a shutdown gives up the requests at servers.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -145,11 +146,11 @@
 
 // New returns a dispatcher for a process in the given data centre.
 func New(v *view.View, l Limiter, b Budgets, d origin.Dialer, f origin.HeaderFields, dataCentre string, o Observer, c CrashTracker, reach Reachability, r Relay, s Statements) *Dispatcher {
-	waits, endWaits := context.WithCancelCause(context.Background())
+	stopping, beginStop := context.WithCancel(context.Background())
 	requests, endRequests := context.WithCancelCause(context.Background())
 	return &Dispatcher{
 		view: v, limiter: l, budgets: b, backends: newBackends(d, f), dataCentre: dataCentre, observer: o, crashTracker: c, reachability: reach, relay: r, statements: s,
-		waits: waits, endWaits: endWaits, requests: requests, endRequests: endRequests,
+		stopping: stopping, beginStop: beginStop, durations: newDurations(), requests: requests, endRequests: endRequests,
 	}
 }
 
@@ -202,7 +203,7 @@
 		d.budgets.Deposit(c.Arrived, c.Service)
 	}
 	p := &progress{call: c, relayed: relayed, tried: make(map[registry.Instance]bool), sent: make(map[registry.Instance]bool), fingerprint: f}
-	waitCtx, cancel := d.withWaits(ctx)
+	waitCtx, cancel := d.withWaits(ctx, c)
 	defer cancel()
 	r := d.tryServers(ctx, waitCtx, p)
 	if r.Response != nil && r.Response.Limit.Named {
@@ -313,7 +314,9 @@
 	b.requestEnded(now, serviceTime, failure == nil || failure.Sent)
 	d.observeStatements(now, b.server.Instance, response)
 	ran := err == nil && !response.NotRun
-	if !ran {
+	if ran {
+		d.durations.record(now, c, serviceTime)
+	} else {
 		serviceTime = 0
 	}
 	slot.Release(outcome(serviceTime, response))
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -490,7 +490,7 @@
 		a := newServer(t, "a", handleOK)
 		l := waitingLimiter{begun: make(chan dispatch.SlotRequest, 1)}
 		f := newFixture(t, sharded, l, ampleBudget, a)
-		shutdown := dispatch.Shutdown{LastStart: time.Now().Add(20 * time.Millisecond), End: time.Now().Add(time.Minute)}
+		shutdown := dispatch.Shutdown{LastStart: time.Now().Add(20 * time.Millisecond), GiveUp: time.Now().Add(time.Minute), End: time.Now().Add(time.Minute)}
 		if sharded {
 			f.setOwner(a, true)
 		}
@@ -546,7 +546,7 @@
 func TestShutdownSendsNothingAfterLastStart(t *testing.T) {
 	a := newServer(t, "a", handleOK)
 	f := newFixture(t, false, unlimited{}, ampleBudget, a)
-	f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), End: time.Now().Add(time.Second)})
+	f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), GiveUp: time.Now().Add(time.Second), End: time.Now().Add(time.Second)})
 	for range 50 {
 		r := f.call(traffic.Upload)
 		must.Eq(t, http.StatusServiceUnavailable, r.Status)
@@ -574,7 +574,7 @@
 	l := waitingLimiter{begun: make(chan dispatch.SlotRequest, 1)}
 	f := newFixture(t, false, l, ampleBudget, a)
 	now := time.Now()
-	f.dispatcher.Stop(dispatch.Shutdown{LastStart: now.Add(50 * time.Millisecond), End: now.Add(100 * time.Millisecond)})
+	f.dispatcher.Stop(dispatch.Shutdown{LastStart: now.Add(50 * time.Millisecond), GiveUp: now.Add(100 * time.Millisecond), End: now.Add(100 * time.Millisecond)})
 	must.Eq(t, dispatch.Stopping, f.call(traffic.Upload).Reason)
 	r := <-l.begun
 	must.Eq(t, now.Add(100*time.Millisecond), r.Objective)
--- a/entry/internal/dispatch/shutdown.go
+++ b/entry/internal/dispatch/shutdown.go
@@ -15,7 +15,8 @@
 
 // Shutdown holds the times until which a process that stops works on calls.
 type Shutdown struct {
-	// LastStart is until when requests are sent to servers.
+	// LastStart is until when requests are sent to servers; those that would not end until GiveUp are sent
+	// earlier or not at all.
 	LastStart time.Time
 	// GiveUp is until when the process waits for the responses of servers.
 	GiveUp time.Time
@@ -23,20 +24,34 @@
 	End time.Time
 }
 
-// Stop ends the waits of all calls for owners and slots at the last start; calls that have not been
+// Stop ends the waits of all calls for owners and slots at their last start; calls that have not been
 // sent to a server by then are refused. Requests at a server go on until they are given up: their
 // connections are reset, and because they may have run, they end with 504.
 func (d *Dispatcher) Stop(s Shutdown) {
 	d.shutdown.Store(&s)
-	time.AfterFunc(time.Until(s.LastStart), func() { d.endWaits(errShutdown) })
+	d.beginStop()
 	time.AfterFunc(time.Until(s.GiveUp), func() { d.endRequests(errGivenUp) })
 }
 
+// lastStart returns until when a call may be sent to a server in a shutdown, so that the response of all but
+// the slowest requests comes before the process gives up.
+func (d *Dispatcher) lastStart(s *Shutdown, c *Call) time.Time {
+	return earlier(s.LastStart, s.GiveUp.Add(-d.durations.expected(time.Now(), c)))
+}
+
 // withWaits returns a context for the waits of a call: it ends with the context of the call or at the
 // last start of a shutdown.
-func (d *Dispatcher) withWaits(ctx context.Context) (context.Context, context.CancelFunc) {
+func (d *Dispatcher) withWaits(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
 	waitCtx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(d.waits, func() { cancel(errShutdown) })
+	stop := context.AfterFunc(d.stopping, func() {
+		timer := time.NewTimer(time.Until(d.lastStart(d.shutdown.Load(), c)))
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			cancel(errShutdown)
+		case <-waitCtx.Done():
+		}
+	})
 	return waitCtx, func() {
 		stop()
 		cancel(context.Canceled)
@@ -66,7 +81,7 @@
 	if waitCtx.Err() != nil {
 		return d.contextDone(waitCtx, p)
 	}
-	if s := d.shutdown.Load(); s != nil && !time.Now().Before(s.LastStart) {
+	if s := d.shutdown.Load(); s != nil && !time.Now().Before(d.lastStart(s, p.call)) {
 		return p.finalResult(stoppingResult())
 	}
 	return nil
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -293,6 +293,8 @@
 	// turnAway returns the Retry-After with which a request from an IP address is turned away, or "" for one
 	// that is not; nil if none is.
 	turnAway func(from string) string
+	// work returns how long a request takes; nil for no time.
+	work func(id string) time.Duration
 	// plain is true if the server runs requests without grants.
 	plain bool
 	// requests has the requests that arrived, and the time at which each did.
@@ -476,6 +478,12 @@
 		<-b.finishSlow
 		b.mu.Lock()
 	}
+	if b.work != nil {
+		took := b.work(r.Header.Get("Bramleystand-Attempt-Id"))
+		b.mu.Unlock()
+		<-time.After(took)
+		b.mu.Lock()
+	}
 	w.Header().Set("Bramleystand-Response-Signature", b.id)
 	_, _ = w.Write(body)
 }
--- a/entry/internal/gatewayprocess/stopload_test.go
+++ b/entry/internal/gatewayprocess/stopload_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,9 +20,19 @@
 type stopClient struct {
 	process *testProcess
 	name    string
+	path    string
+	// deadline is the time that each request may take.
+	deadline time.Duration
 	// cut has the identifiers of the requests that were written whole and got no whole response.
 	cut      []string
 	answered int
+	// statuses counts the responses, and lost has the identifiers of the requests with 504.
+	statuses map[int]int
+	lost     []string
+}
+
+func newStopClient(p *testProcess, name, path string, deadline time.Duration) *stopClient {
+	return &stopClient{process: p, name: name, path: path, deadline: deadline, statuses: make(map[int]int)}
 }
 
 // run sends requests. A kept connection carries one request after the other; otherwise each has its own.
@@ -32,7 +45,7 @@
 		reader := bufio.NewReader(conn)
 		for open := true; open; n++ {
 			id := fmt.Sprint(c.name, "-", n)
-			request := fmt.Sprintf("POST /final/x HTTP/1.1\r\nHost: h.example\r\nBramleystand-Attempt-Id: %s\r\nBramleystand-Deadline-Ms: 1500\r\nBramleystand-Shard-Key: %d\r\nContent-Length: 4\r\n\r\nbody", id, n*9973%65536)
+			request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nBramleystand-Attempt-Id: %s\r\nBramleystand-Deadline-Ms: %d\r\nBramleystand-Shard-Key: %d\r\nContent-Length: 4\r\n\r\nbody", c.path, id, c.deadline.Milliseconds(), n*9973%65536)
 			if _, err := io.WriteString(conn, request); err != nil {
 				break
 			}
@@ -45,6 +58,13 @@
 				break
 			}
 			c.answered++
+			c.statuses[response.StatusCode]++
+			if response.StatusCode == http.StatusGatewayTimeout {
+				c.lost = append(c.lost, id)
+			}
+			if response.StatusCode == http.StatusServiceUnavailable {
+				<-time.After(50 * time.Millisecond)
+			}
 			open = keep && !response.Close
 		}
 		_ = conn.Close()
@@ -64,7 +84,7 @@
 	var clients []*stopClient
 	var group sync.WaitGroup
 	for i := range 8 {
-		c := &stopClient{process: p, name: fmt.Sprint("client-", i)}
+		c := newStopClient(p, fmt.Sprint("client-", i), "/final/x", 1500*time.Millisecond)
 		clients = append(clients, c)
 		group.Go(func() { c.run(i%2 == 0) })
 	}
@@ -87,3 +107,52 @@
 	must.Greater(t, 1000, answered)
 	must.SliceEmpty(t, ran)
 }
+
+// Guards against requests that a stopping process takes so late that it gives them up at the end of its grace,
+// although their servers need no longer than usual.
+func TestLongRequestsBeforeStop(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/final/x", "/get/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newFakeStore(t)
+			a := newFakeBackend(t, "a")
+			// One request in ten takes twice as long as the others.
+			a.work = func(id string) time.Duration {
+				if crc32.ChecksumIEEE([]byte(id))%10 == 0 {
+					return 1300 * time.Millisecond
+				}
+				return 650 * time.Millisecond
+			}
+			s.put("config", "main", fmt.Sprintf(configurationFormat, 1))
+			s.put("servers", "a", strings.Replace(a.registryEntry("ready"), `"maxConcurrency":4`, `"maxConcurrency":64`, 1))
+			p := startProcessWithStop(t, 3*time.Second, s.address, "only")
+			eventually(t, 10*time.Second, "all keys are served", func() bool { return p.servesAllKeys("before") })
+			var clients []*stopClient
+			var group sync.WaitGroup
+			for i := range 40 {
+				c := newStopClient(p, fmt.Sprint("client-", i, path[:4]), path, 5*time.Second)
+				clients = append(clients, c)
+				group.Go(func() { c.run(i%2 == 0) })
+			}
+			time.AfterFunc(3*time.Second, p.stop)
+			group.Wait()
+			statuses := make(map[int]int)
+			var cut, lost []string
+			for _, c := range clients {
+				for status, n := range c.statuses {
+					statuses[status] += n
+				}
+				lost = append(lost, c.lost...)
+				cut = append(cut, c.cut...)
+			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			cut = slices.DeleteFunc(cut, func(id string) bool { return a.executions[id] == 0 })
+			t.Logf("responses: %v", statuses)
+			must.Greater(t, 2*len(clients), statuses[http.StatusOK])
+			must.SliceEmpty(t, lost)
+			must.SliceEmpty(t, cut)
+		})
+	}
+}
--- a/entry/internal/latency/histogram.go
+++ b/entry/internal/latency/histogram.go
@@ -80,6 +80,18 @@
 	return map[string]map[string]int64{"total": quantiles(h.total), "recent": quantiles(recent)}
 }
 
+// Recent returns a quantile in percent over the last 10 to 20 s, or zero if there was nothing to record.
+func (h *Histogram) Recent(now time.Time, percent float64) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(now)
+	recent := newHistogram()
+	for _, r := range h.recent {
+		recent.Merge(r)
+	}
+	return time.Duration(recent.ValueAtQuantile(percent)) * time.Millisecond
+}
+
 func quantiles(h *hdrhistogram.Histogram) map[string]int64 {
 	return map[string]int64{
 		"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90),
