cluster: changes of servers are sent together, compressed

Cause: each change of a server's entry, about 250 bytes, went to each follower by itself as it came. After a takeover, the first report of each process changed the roster, because the new coordinator did not know its processor time, so that each response carried all members again.

Change: small changes between two positions are encoded and compressed once for all followers. An update waits 0.4 ms for each follower after the one before it (118 ms at 295 processes), unless a table has changed. The roster changes with the largest processor time only, and a new coordinator counts the one that it knew until the members have reported.

--- a/entry/internal/cluster/encoded.go
+++ b/entry/internal/cluster/encoded.go
@@ -18,6 +18,7 @@
 	mu         sync.Mutex
 	tables     []report.Object
 	compressed []report.Object
+	bundles    map[span][]report.Object
 }
 
 // encodeTable returns a table as it is sent to a follower that has an earlier one, or none.
--- a/entry/internal/cluster/members_internal_test.go
+++ b/entry/internal/cluster/members_internal_test.go
@@ -58,7 +58,7 @@
 	successor := newTestNode("edge-1", newRestorableStore(), nil, 0)
 	successor.members = n.members
 	lead(successor, 2)
-	successor.membership.expect(now, successor.members)
+	successor.membership.expect(now, successor.members, n.largestCores)
 	must.Nil(t, send(successor, 1))
 	must.Len(t, 295, successor.Members())
 	// Those that report to the successor no longer are dropped.
--- a/entry/internal/cluster/membership.go
+++ b/entry/internal/cluster/membership.go
@@ -35,11 +35,16 @@
 	roster     *report.Roster
 	changed    bool
 	nextExpiry time.Time
+	// expectedCores is the processor time of the largest VM of the members that another coordinator knew;
+	// it counts until expectedUntil.
+	expectedCores float64
+	expectedUntil time.Time
 }
 
 // expect counts members that were known to another coordinator as if they had just reported, so that a
 // takeover does not change the roster. Those that don't report drop out as usual.
-func (m *membership) expect(now time.Time, members []election.Member) {
+func (m *membership) expect(now time.Time, members []election.Member, cores float64) {
+	m.expectedCores, m.expectedUntil = cores, now.Add(memberLifetime)
 	for _, member := range members {
 		if _, ok := m.reporters[member.Name]; !ok {
 			m.reporters[member.Name] = reporter{member: member, lastReport: now}
@@ -53,7 +58,7 @@
 	old, ok := m.reporters[r.From.Name]
 	next := reporter{member: r.From, cores: r.Cores, lastReport: now, cutOff: r.CutOff, holds: r.Holds}
 	m.reporters[r.From.Name] = next
-	m.changed = m.changed || !ok || old.member != next.member || old.cores != next.cores || old.cutOff != next.cutOff
+	m.changed = m.changed || !ok || old.member != next.member || old.cutOff != next.cutOff || m.roster != nil && next.cores > m.roster.Cores
 }
 
 // current returns the roster.
@@ -61,6 +66,9 @@
 	if !now.Before(m.nextExpiry) {
 		m.nextExpiry = now.Add(expiryInterval)
 		m.expire(now)
+		if m.expectedCores > 0 && now.After(m.expectedUntil) {
+			m.expectedCores, m.changed = 0, true
+		}
 	}
 	if m.changed || m.roster == nil {
 		m.roster, m.changed = m.newRoster(), false
@@ -81,7 +89,7 @@
 // newRoster returns the members in the order of their names: the processes choose their allocators again
 // when the members change.
 func (m *membership) newRoster() *report.Roster {
-	r := &report.Roster{}
+	r := &report.Roster{Cores: m.expectedCores}
 	for name, p := range m.reporters {
 		r.Members = append(r.Members, p.member)
 		r.Cores = max(r.Cores, p.cores)
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -350,7 +350,7 @@
 		n.election.HandleStored(now, l, stored.Revision)
 		if term, holding := n.election.HeldTerm(); holding && (n.executor == nil || n.executor.term != term) {
 			n.logger.WithFields(log.Fields{"term": term, "former": former.Name}).Info("coordinator")
-			n.membership.expect(time.Now(), n.members)
+			n.membership.expect(time.Now(), n.members, n.largestCores)
 			n.relist()
 			previous := n.executor
 			n.executor = newExecutor(n, l, now, former)
--- a/entry/internal/cluster/scale_internal_test.go
+++ b/entry/internal/cluster/scale_internal_test.go
@@ -28,12 +28,16 @@
 	v := view.New()
 	logger := &log.Logger{Handler: discard.New()}
 	n := &Node{view: v, replica: replica.New(v, logger), logger: logger, received: make(map[string]*ownership.Table)}
+	n.replica.Sink(platform.KindServers).Reset(time.Now(), largeServerList())
+	return n
+}
+
+func largeServerList() []platform.Object {
 	var list []platform.Object
 	for i := range largeServerCount {
 		list = append(list, serverEntry(i, 1))
 	}
-	n.replica.Sink(platform.KindServers).Reset(time.Now(), list)
-	return n
+	return list
 }
 
 func serverEntry(i int, revision uint64) platform.Object {
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -168,11 +168,11 @@
 			}
 			continue
 		}
-		decompressed, err := decompress(o)
+		several, err := unbundle(o)
 		if err != nil {
 			return err
 		}
-		changes = append(changes, decompressed)
+		changes = append(changes, several...)
 	}
 	if len(changes) > 0 {
 		n.replica.ApplyChanges(now, changes)
@@ -221,6 +221,33 @@
 // process's own watch.
 const missedChangeDelay = 150 * time.Millisecond
 
+// awaitNextUpdate waits until the next update to a follower may be sent. Changes of servers wait longer the
+// more followers there are, so that some share an update; those of tables do not, because requests go to
+// the wrong server meanwhile.
+func (n *Node) awaitNextUpdate(ctx context.Context, lastSent time.Time, sent map[string]*ownership.Table) error {
+	n.mu.Lock()
+	next := lastSent.Add(time.Duration(n.followers) * followerInterval)
+	n.mu.Unlock()
+	for time.Now().Before(next) {
+		changed := n.view.Changed()
+		for name, t := range n.view.Tables() {
+			if t.NewerThan(sent[name]) {
+				return nil
+			}
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		case <-changed:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
 // addFollowers changes the number of processes that follow this one.
 func (n *Node) addFollowers(change int) {
 	n.mu.Lock()
@@ -236,10 +263,17 @@
 	n.addFollowers(1)
 	defer n.addFollowers(-1)
 	copyVersions := make(map[string]report.CopyVersion)
+	var lastSent time.Time
 	position := n.replica.ChangePosition()
 	var objects []report.Object
 	for _, m := range request.CopyVersions {
-		objects = append(objects, n.replica.ObjectsAfter(m)...)
+		for _, o := range n.replica.ObjectsAfter(m) {
+			c, err := n.encoded.compress(o)
+			if err != nil {
+				return err
+			}
+			objects = append(objects, c)
+		}
 	}
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
@@ -259,14 +293,14 @@
 			u.LastOutage = now.Sub(lastOutage)
 		}
 		changes, next := n.replica.Since(position)
-		objects, position = append(objects, changes...), next
-		for _, o := range objects {
-			compressed, err := n.encoded.compress(o)
-			if err != nil {
-				return err
-			}
-			if len(compressed.Data) <= maxPushSize {
-				u.Objects = append(u.Objects, compressed)
+		encoded, err := n.encoded.bundle(span{position, next}, changes)
+		if err != nil {
+			return err
+		}
+		position = next
+		for _, o := range append(objects, encoded...) {
+			if len(o.Data) <= maxPushSize {
+				u.Objects = append(u.Objects, o)
 			}
 		}
 		objects = nil
@@ -291,6 +325,7 @@
 		if err := send(u); err != nil {
 			return err
 		}
+		lastSent = now
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -298,5 +333,8 @@
 		case <-roleEnded:
 		case <-ticker.C:
 		}
+		if err := n.awaitNextUpdate(ctx, lastSent, sent); err != nil {
+			return err
+		}
 	}
 }
