--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -134,6 +134,8 @@
 	// received holds the latest tables that a coordinator sent. Only the follow loop uses it.
 	received map[string]*ownership.Table
 	recent   recentTables
+	// snapshots is the latest snapshot that another process has asked for.
+	snapshots snapshotCache
 	// readTables is true once the process has read the tables from the store. Only the follow loop uses it.
 	readTables bool
 	// followers is the number of processes that follow this one.
@@ -486,8 +488,15 @@
 	return report.StepDownResponse{Incarnation: n.self.Incarnation, Stopped: stopped}
 }
 
-// Snapshot returns the objects of the replica. It implements report.Handler.
-func (n *Node) Snapshot(time.Time, struct{}) []report.Object { return n.replica.AllObjects() }
+// Snapshot returns the objects of the replica as a bundle, which UnpackSnapshot reverses. It implements
+// report.Handler.
+func (n *Node) Snapshot(now time.Time, _ struct{}) []report.Object {
+	objects, err := n.snapshots.get(now, n.replica.AllObjects)
+	if err != nil {
+		n.logger.WithError(err).Error("snapshot not encoded")
+	}
+	return objects
+}
 
 // Members returns the processes that are known to be alive.
 func (n *Node) Members() []election.Member {
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -15,6 +15,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -308,31 +309,46 @@
 // loadFromPeers loads the objects of the store from peers until the store itself has been read. It asks all
 // of them, because one may have been cut off and have an old copy.
 func (p *Process) loadFromPeers(ctx context.Context) {
+	interval := peerLoadInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(peerLoadInterval):
+		case <-time.After(interval/2 + rand.N(interval)):
 		}
 		if p.replica.Listed(platform.KindConfiguration) && p.replica.Listed(platform.KindServers) && p.replica.Listed(replica.KindTables) {
 			return
 		}
+		asked, loaded := 0, 0
 		for _, seed := range p.settings.Seeds {
 			if seed == p.settings.PeerAddress {
 				continue
 			}
+			asked++
 			objects, err := p.peerClient.Snapshot(ctx, seed)
+			if err == nil {
+				objects, err = cluster.UnpackSnapshot(objects)
+			}
 			if err != nil {
+				p.logger.WithError(err).WithField("peer", seed.String()).Debug("snapshot not loaded")
 				continue
 			}
 			p.replica.LoadSnapshot(time.Now(), objects)
+			loaded++
+		}
+		if loaded > 0 && loaded == asked {
+			interval = maxPeerLoadInterval
 		}
 	}
 }
 
-// peerLoadInterval is the time between two attempts to load objects from peers while the store has not
-// been read.
-const peerLoadInterval = 500 * time.Millisecond
+const (
+	// peerLoadInterval is the mean time between two attempts to load objects from peers while the store has
+	// not been read, and maxPeerLoadInterval that once all of
+	// them have answered: hundreds of processes ask the same three.
+	peerLoadInterval    = 500 * time.Millisecond
+	maxPeerLoadInterval = 4 * time.Second
+)
 
 // drain delays the closing of the listeners until the balancer has removed the process and the process
 // has resigned as coordinator, but at most for maxDrainPercent of the stop timeout.
