--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -353,6 +353,7 @@
 			return
 		}
 		if err != nil {
+			s.node.logger.WithError(err).WithField("service", name).Warn("table can't be read after a conflict")
 			return
 		}
 		if s.isOutdated(o.Revision) {
