election: a lock that its holder can't write is taken 1.2 s after the last write

Cause: a coordinator that the store rejects while it serves others kept the role for 3.3 s, in which it may move nothing: the others counted it as alive for 1.5 s, waited 0.7 s, read the lock and waited until it had not changed for 1.2 s.

Change: the coordinator says in its updates when it last wrote the lock, and with which heartbeat. From 1.2 s after that on, another process may read the lock, and takes it if it shows no later heartbeat. The coordinator itself acts as the only one for 0.8 s after the write, as before. If the answer to a write was lost, the lock shows the later heartbeat, and the usual rule holds. A lost coordinator is replaced sooner by the same rule.

The model of the election states the writes too.

--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/ownership"
 	"bramleystand.org/entry/internal/replica"
 	"bramleystand.org/entry/internal/report"
@@ -145,6 +146,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.era.observe(now, latestEra(u))
+	n.election.RecordHolderWrite(election.Write{Term: u.Term, Heartbeat: u.LockHeartbeat, SentAt: now.Add(-u.LockAge)})
 	if u.LockConfirmed {
 		n.election.RecordHolderAlive(now, u.Term)
 	}
@@ -280,6 +282,7 @@
 	for {
 		n.mu.Lock()
 		term, holding := n.election.HeldTerm()
+		written := n.election.LatestWrite()
 		lockConfirmed := time.Since(n.election.Confirmed()) < confirmationTimeout
 		roleEnded := n.roleEnded
 		n.mu.Unlock()
@@ -288,7 +291,7 @@
 		}
 		changed := n.view.Changed()
 		now := time.Now()
-		u := report.Update{Term: term, Sent: now, LockConfirmed: lockConfirmed, UpToDate: lockConfirmed && n.isCurrent(now), LastOutage: -1, BlockedRequests: n.crashes.Blocked(now)}
+		u := report.Update{Term: term, Sent: now, LockHeartbeat: written.Heartbeat, LockAge: now.Sub(written.SentAt), LockConfirmed: lockConfirmed, UpToDate: lockConfirmed && n.isCurrent(now), LastOutage: -1, BlockedRequests: n.crashes.Blocked(now)}
 		if lastOutage := n.replica.LastOutage(); !lastOutage.IsZero() {
 			u.LastOutage = now.Sub(lastOutage)
 		}
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -72,6 +72,8 @@
 	// lastHeard is the time of the last sign of life from the holder.
 	lastHeard time.Time
 	nextRead  time.Time
+	// stated is the holder's latest successful write of the lock, as it has said itself.
+	stated Write
 
 	// holding is true while the process is the coordinator of the term.
 	holding   bool
@@ -79,6 +81,8 @@
 	nextWrite time.Time
 	// lastConfirmed is when the holder's latest successful write was sent.
 	lastConfirmed time.Time
+	// confirmedHeartbeat is the heartbeat of that write.
+	confirmedHeartbeat uint64
 	// lastRead is when the store last returned or accepted the lock.
 	lastRead time.Time
 	// doubted is true if the lock must be read although the holder has shown a sign of life.
@@ -105,6 +109,40 @@
 // hundreds of processes that will not take it don't read it at once.
 func (e *Election) SetReadDelay(d time.Duration) { e.readDelay = d }
 
+// Write is a successful write of the lock.
+type Write struct {
+	Term      uint64
+	Heartbeat uint64
+	// SentAt is when the holder has sent it.
+	SentAt time.Time
+}
+
+// LatestWrite returns the latest successful write of this process while it is the holder.
+func (e *Election) LatestWrite() Write {
+	return Write{Term: e.term, Heartbeat: e.confirmedHeartbeat, SentAt: e.lastConfirmed}
+}
+
+// RecordHolderWrite records what the holder says of its latest write. A lock that the holder has not written for
+// long can be taken as soon as it is read, whether the holder is lost or only can't reach the store.
+func (e *Election) RecordHolderWrite(w Write) {
+	if w.Term > e.stated.Term || w.Term == e.stated.Term && w.Heartbeat >= e.stated.Heartbeat {
+		e.stated = w
+	}
+}
+
+// isOverdue reports whether the holder, by its own words, has not written the lock for so long that this
+// process may take it.
+func (e *Election) isOverdue(now time.Time) bool {
+	return e.lockKnown && !e.isRestored() && e.stated.Term == e.lock.Term &&
+		now.Sub(e.stated.SentAt) >= staleLockTimeout+e.jitter+e.takeoverDelay+e.readDelay
+}
+
+// mayTakeOverdue reports whether the latest read of the lock confirms that it is overdue: it was made after the
+// lock had become so, and shows no later write than the holder has stated.
+func (e *Election) mayTakeOverdue(now time.Time) bool {
+	return e.isOverdue(now) && e.lock.Heartbeat <= e.stated.Heartbeat && e.lastRead.Sub(e.stated.SentAt) >= staleLockTimeout && now.Sub(e.lastRead) < readInterval
+}
+
 // NextAction returns the action that is due.
 func (e *Election) NextAction(now time.Time) Action {
 	switch {
@@ -115,7 +153,7 @@
 			return NoAction
 		}
 		return WriteLock
-	case now.Before(e.nextRead) || !e.holding && e.lockKnown && !e.doubted && now.Sub(e.lastHeard) < holderTimeout+e.readDelay && e.lock.Holder.Name != "":
+	case now.Before(e.nextRead) || !e.holding && e.lockKnown && !e.doubted && now.Sub(e.lastHeard) < holderTimeout+e.readDelay && e.lock.Holder.Name != "" && !e.isOverdue(now):
 		return NoAction
 	}
 	e.nextRead = now.Add(readInterval + e.readDelay)
@@ -164,6 +202,9 @@
 	if holder.Name == "" || holder.Name == e.self.Name {
 		return now.Sub(e.revisionSeen) >= e.jitter+e.takeoverDelay || holder.Name == e.self.Name
 	}
+	if e.mayTakeOverdue(now) {
+		return true
+	}
 	if now.Sub(e.lastHeard) < holderTimeout {
 		return false
 	}
@@ -228,6 +269,7 @@
 	e.lock, e.revision, e.revisionSeen, e.lockKnown = l, revision, sent, true
 	e.holding, e.term = l.Holder == e.self, l.Term
 	e.lastConfirmed, e.lastRead = sent, sent
+	e.confirmedHeartbeat = l.Heartbeat
 	e.nextWrite = sent.Add(heartbeatInterval)
 }
 
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -65,6 +65,9 @@
 			if term, holding := c.HeldTerm(); holding && holderReachable {
 				for _, other := range candidates {
 					other.RecordHolderAlive(now, term)
+					if other != c {
+						other.RecordHolderWrite(c.LatestWrite())
+					}
 				}
 			}
 		}
@@ -238,6 +241,49 @@
 	}
 }
 
+// Guards against a holder that the store rejects and that keeps the role for seconds, in which nothing may be
+// moved, and against one that is replaced because the answer to a write was lost.
+func TestRejectedHolderIsReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		rejected, answerLost bool
+		replaced             bool
+	}{
+		"rejected by the store": {rejected: true, replaced: true},
+		"one answer lost":       {answerLost: true},
+		"neither":               {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := &store{}
+			a, b := newCandidate("a", now), newCandidate("b", now.Add(time.Second))
+			now = simulate(now, 3*time.Second, s, true, a, b)
+			last := a.LatestWrite()
+			a.storeUnreachable, a.responsesLost = c.rejected, c.answerLost
+			for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+				if s.lock.Heartbeat > last.Heartbeat+1 {
+					a.responsesLost = false
+				}
+				a.performNextAction(now, s)
+				if term, holding := a.HeldTerm(); holding {
+					b.RecordHolderWrite(a.LatestWrite())
+					if now.Sub(a.Confirmed()) < 1500*time.Millisecond {
+						b.RecordHolderAlive(now, term)
+					}
+				}
+				b.performNextAction(now, s)
+				if _, holding := b.HeldTerm(); holding {
+					break
+				}
+			}
+			_, holding := b.HeldTerm()
+			must.Eq(t, c.replaced, holding)
+			if c.replaced {
+				must.Between(t, 1200*time.Millisecond, now.Sub(last.SentAt), 1700*time.Millisecond)
+			}
+		})
+	}
+}
+
 // Guards against a small VM that becomes the coordinator although a larger one is there, and
 // against a lock that nobody takes because only small VMs are left.
 func TestTakeoverDelay(t *testing.T) {
--- a/entry/internal/election/model_test.go
+++ b/entry/internal/election/model_test.go
@@ -243,6 +243,13 @@
 func (m *electionModel) reportAlive() {
 	for _, c := range m.candidates {
 		term, holding := c.HeldTerm()
+		if holding && !c.silent {
+			for _, other := range m.candidates {
+				if other != c && !other.silent {
+					other.RecordHolderWrite(c.LatestWrite())
+				}
+			}
+		}
 		if !holding || c.silent || m.now.Sub(c.Confirmed()) > 1500*time.Millisecond {
 			continue
 		}
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -124,6 +124,10 @@
 	Term uint64
 	// Sent is the time at which the coordinator sent the update, by its own clock.
 	Sent time.Time
+	// LockHeartbeat and LockAge are the heartbeat of the coordinator's latest successful write of the lock, and
+	// the time since it was sent.
+	LockHeartbeat uint64
+	LockAge       time.Duration
 	// LockConfirmed is false if the coordinator has not been able to renew the lock in the store recently.
 	LockConfirmed bool
 	// UpToDate is false if the coordinator's copies of the configuration and the servers may lack changes.
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -129,6 +129,8 @@
 	Objects         []wireObject
 	CopyVersions    []wireCopyVersion
 	BlockedRequests []suspect.Fingerprint
+	LockHeartbeat   uint64
+	LockAge         time.Duration
 }
 
 type wireFollowRequest struct {
@@ -265,7 +267,7 @@
 }
 
 func encodeUpdate(u Update) *wireUpdate {
-	w := &wireUpdate{Term: u.Term, Sent: u.Sent.UnixNano(), LockConfirmed: u.LockConfirmed, UpToDate: u.UpToDate, LastOutage: u.LastOutage, BlockedRequests: u.BlockedRequests, Objects: encodeObjects(u.Objects).Objects}
+	w := &wireUpdate{Term: u.Term, LockHeartbeat: u.LockHeartbeat, LockAge: u.LockAge, Sent: u.Sent.UnixNano(), LockConfirmed: u.LockConfirmed, UpToDate: u.UpToDate, LastOutage: u.LastOutage, BlockedRequests: u.BlockedRequests, Objects: encodeObjects(u.Objects).Objects}
 	w.CopyVersions = encodeCopyVersions(u.CopyVersions)
 	return w
 }
@@ -287,7 +289,7 @@
 }
 
 func decodeUpdate(w *wireUpdate) Update {
-	u := Update{Term: w.Term, Sent: time.Unix(0, w.Sent), LockConfirmed: w.LockConfirmed, UpToDate: w.UpToDate, LastOutage: w.LastOutage, BlockedRequests: w.BlockedRequests, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
+	u := Update{Term: w.Term, LockHeartbeat: w.LockHeartbeat, LockAge: w.LockAge, Sent: time.Unix(0, w.Sent), LockConfirmed: w.LockConfirmed, UpToDate: w.UpToDate, LastOutage: w.LastOutage, BlockedRequests: w.BlockedRequests, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
 	u.CopyVersions = decodeCopyVersions(w.CopyVersions)
 	return u
 }
