cluster: what a reading of the changes found

- The executor of an earlier era did not continue at once when a step had reached its bound of orders.
- A coordinator that does not know when it wrote the lock, because its VM was suspended, stated a time long ago.
- A process whose first, stale list failed did not record the outage.
- The merge of recent latencies stood twice.

--- a/entry/internal/cluster/fallback_internal_test.go
+++ b/entry/internal/cluster/fallback_internal_test.go
@@ -28,6 +28,22 @@
 	s.calls[time.Now().Truncate(100*time.Millisecond)]++
 }
 
+func (s *countingStore) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.calls)
+}
+
+// counted returns the most calls in a window, and all of them.
+func (s *countingStore) counted() (most, sum int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.calls {
+		most, sum = max(most, n), sum+n
+	}
+	return most, sum
+}
+
 func (s *countingStore) GetStale(ctx context.Context, kind, name string) (platform.Object, error) {
 	return s.Get(ctx, kind, name)
 }
@@ -83,16 +99,13 @@
 		peers.mu.Lock()
 		peers.nodes[nodes[lost].self.Address] = newTestNode("nobody", store, newRecordedGrants(), 1)
 		peers.mu.Unlock()
-		clear(store.calls)
+		store.reset()
 		ends[lost]()
 		nodes[lost].mu.Lock()
 		nodes[lost].election = election.New(nodes[lost].self, time.Now(), 0)
 		nodes[lost].mu.Unlock()
 		time.Sleep(5 * time.Second)
-		most, sum := 0, 0
-		for _, n := range store.calls {
-			most, sum = max(most, n), sum+n
-		}
+		most, sum := store.counted()
 		t.Logf("calls in 5 s: %d, in the worst tenth of a second: %d", sum, most)
 		// Each process reads the lock and the tables once; a large VM, which may take over, reads the lock more often.
 		must.LessEq(t, 2*int(100*time.Millisecond/fallBackSpacing), most)
--- a/entry/internal/cluster/previous.go
+++ b/entry/internal/cluster/previous.go
@@ -36,9 +36,13 @@
 			continue
 		}
 		state.coordinator.SetServers(now, servers)
-		for _, o := range state.coordinator.Step(now, state.demand, false) {
+		orders := state.coordinator.Step(now, state.demand, false)
+		for _, o := range orders {
 			group.Go(func() { previous.execute(ctx, state, o) })
 		}
+		if len(orders) >= coordinator.MaxStepOrders {
+			s.wakeNode()
+		}
 		previous.probeSilentServers(ctx, group, now, state)
 	}
 }
--- a/entry/internal/cluster/previous_internal_test.go
+++ b/entry/internal/cluster/previous_internal_test.go
@@ -22,11 +22,21 @@
 // fragileStore is a store that can't be reached after it has accepted the first lock of the second era.
 type fragileStore struct {
 	*restorableStore
-	lost time.Time
+	lostMu sync.Mutex
+	lost   time.Time
+}
+
+// lostAt returns when the store was lost, or zero.
+func (s *fragileStore) lostAt() time.Time {
+	s.lostMu.Lock()
+	defer s.lostMu.Unlock()
+	return s.lost
 }
 
 func (s *fragileStore) Put(ctx context.Context, kind string, o platform.Object) (platform.Object, error) {
 	stored, err := s.restorableStore.Put(ctx, kind, o)
+	s.lostMu.Lock()
+	defer s.lostMu.Unlock()
 	if err == nil && kind == lockKind && revision.Revision(stored.Revision).Era() == 2 && s.lost.IsZero() {
 		s.lost = time.Now()
 		s.setDown(true)
@@ -50,7 +60,7 @@
 		store.setDown(false)
 		time.Sleep(7 * time.Second)
 		must.Greater(t, before, n.CoordinatorTerm())
-		must.Greater(t, 5*time.Second, time.Since(store.lost))
+		must.Greater(t, 5*time.Second, time.Since(store.lostAt()))
 		store.setDown(false)
 		time.Sleep(5 * time.Second)
 		last := restored
@@ -75,7 +85,7 @@
 		restored := time.Now()
 		store.restore(restored.Add(-2 * time.Second))
 		time.Sleep(20 * time.Second)
-		must.False(t, store.lost.IsZero())
+		must.False(t, store.lostAt().IsZero())
 		must.SliceNotEmpty(t, grants.after(restored.Add(8*time.Second)))
 		must.SliceEmpty(t, grants.after(restored.Add(coordinator.MaxOfflineRenewal)))
 	})
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -146,7 +146,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.era.observe(now, latestEra(u))
-	n.election.RecordHolderWrite(election.Write{Term: u.Term, Heartbeat: u.LockHeartbeat, SentAt: now.Add(-u.LockAge)})
+	if u.LockAge >= 0 {
+		n.election.RecordHolderWrite(election.Write{Term: u.Term, Heartbeat: u.LockHeartbeat, SentAt: now.Add(-u.LockAge)})
+	}
 	if u.LockConfirmed {
 		n.election.RecordHolderAlive(now, u.Term)
 	}
@@ -291,7 +293,10 @@
 		}
 		changed := n.view.Changed()
 		now := time.Now()
-		u := report.Update{Term: term, Sent: now, LockHeartbeat: written.Heartbeat, LockAge: now.Sub(written.SentAt), LockConfirmed: lockConfirmed, UpToDate: lockConfirmed && n.isCurrent(now), LastOutage: -1, BlockedRequests: n.crashes.Blocked(now)}
+		u := report.Update{Term: term, Sent: now, LockHeartbeat: written.Heartbeat, LockAge: -1, LockConfirmed: lockConfirmed, UpToDate: lockConfirmed && n.isCurrent(now), LastOutage: -1, BlockedRequests: n.crashes.Blocked(now)}
+		if !written.SentAt.IsZero() {
+			u.LockAge = now.Sub(written.SentAt)
+		}
 		if lastOutage := n.replica.LastOutage(); !lastOutage.IsZero() {
 			u.LastOutage = now.Sub(lastOutage)
 		}
--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -171,9 +171,10 @@
 // They keep their keys although they are silent.
 func (c *Coordinator) SetUnverified(servers map[registry.Instance]bool) { c.unverified = servers }
 
-// Step returns the orders that are due, at most about MaxStepOrders; others follow with the next step. While confirmed is false, the process may no longer be the
-// coordinator. It then renews grants, which the fences of a successor override, but moves no keys,
-// because a successor may have granted keys that look free here to their holder again.
+// Step returns the orders that are due, about MaxStepOrders at most; the others follow with the next steps.
+// While confirmed is false, the process may no longer be the coordinator. It then renews grants, which the
+// fences of a successor override, but moves no keys, because a successor may have granted keys that look
+// free here to their holder again.
 func (c *Coordinator) Step(now time.Time, d Demand, confirmed bool) []Order {
 	if confirmed {
 		c.rebalance(now, d)
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -180,6 +180,7 @@
 	defer cancel()
 	objects, _, err := f.store.ListStale(bounded, f.kind)
 	if err != nil {
+		f.sink.RecordOutage(time.Now())
 		return
 	}
 	f.markCurrent(true)
--- a/entry/internal/latency/histogram.go
+++ b/entry/internal/latency/histogram.go
@@ -72,11 +72,7 @@
 func (h *Histogram) Quantiles(now time.Time) map[string]map[string]int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.rotate(now)
-	recent := newHistogram()
-	for _, r := range h.recent {
-		recent.Merge(r)
-	}
+	recent := h.mergeRecent(now)
 	return map[string]map[string]int64{"total": quantiles(h.total), "recent": quantiles(recent)}
 }
 
@@ -84,12 +80,17 @@
 func (h *Histogram) Recent(now time.Time, percent float64) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return time.Duration(h.mergeRecent(now).ValueAtQuantile(percent)) * time.Millisecond
+}
+
+// mergeRecent returns the recent histograms as one. The mutex is held.
+func (h *Histogram) mergeRecent(now time.Time) *hdrhistogram.Histogram {
 	h.rotate(now)
 	recent := newHistogram()
 	for _, r := range h.recent {
 		recent.Merge(r)
 	}
-	return time.Duration(recent.ValueAtQuantile(percent)) * time.Millisecond
+	return recent
 }
 
 func quantiles(h *hdrhistogram.Histogram) map[string]int64 {
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -125,7 +125,7 @@
 	// Sent is the time at which the coordinator sent the update, by its own clock.
 	Sent time.Time
 	// LockHeartbeat and LockAge are the heartbeat of the coordinator's latest successful write of the lock, and
-	// the time since it was sent.
+	// the time since it was sent; the age is negative if that is not known.
 	LockHeartbeat uint64
 	LockAge       time.Duration
 	// LockConfirmed is false if the coordinator has not been able to renew the lock in the store recently.
