gatewayprocess: the clients of TestStopUnderLoad do not pause after a refusal

The pause of 50 ms that TestLongRequestsBeforeStop needs after a refusal had come to the clients of both tests, and refusals count as answers. The bound stays.

--- a/entry/internal/gatewayprocess/stopload_test.go
+++ b/entry/internal/gatewayprocess/stopload_test.go
@@ -23,6 +23,8 @@
 	path    string
 	// deadline is the time that each request may take.
 	deadline time.Duration
+	// pause is the time after a refusal before the next request.
+	pause time.Duration
 	// cut has the identifiers of the requests that were written whole and got no whole response.
 	cut      []string
 	answered int
@@ -63,7 +65,7 @@
 				c.lost = append(c.lost, id)
 			}
 			if response.StatusCode == http.StatusServiceUnavailable {
-				<-time.After(50 * time.Millisecond)
+				<-time.After(c.pause)
 			}
 			open = keep && !response.Close
 		}
@@ -132,6 +134,7 @@
 			var group sync.WaitGroup
 			for i := range 40 {
 				c := newStopClient(p, fmt.Sprint("client-", i, path[:4]), path, 5*time.Second)
+				c.pause = 50 * time.Millisecond
 				clients = append(clients, c)
 				group.Go(func() { c.run(i%2 == 0) })
 			}
