cluster, follow, view: names and repeated pieces found by a second reading

The start of orders stood twice, in the executor and for the previous one. The follower's first list has the names of what it does: startStale, forwardingWait. The comments on bundles and on failed servers say what the code does.

--- a/entry/internal/cluster/bundle.go
+++ b/entry/internal/cluster/bundle.go
@@ -29,8 +29,8 @@
 // span identifies the changes between two positions of a replica.
 type span struct{ from, to uint64 }
 
-// bundle returns objects as they are sent: small ones together if there is enough of them, and others
-// compressed one by one. Those of a span are encoded once for all followers.
+// bundle returns objects as they are sent: two or more small ones together, and large ones compressed one by
+// one. Those of a span are encoded once for all followers.
 func (d *encodedUpdates) bundle(s span, objects []report.Object) ([]report.Object, error) {
 	d.mu.Lock()
 	out, ok := d.bundles[s]
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -157,12 +157,7 @@
 		state.demand.SetHeld(held)
 		state.coordinator.SetUnverified(unsurveyed)
 		orders := state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove())
-		for _, o := range orders {
-			group.Go(func() { s.execute(ctx, state, o) })
-		}
-		if len(orders) >= coordinator.MaxStepOrders {
-			s.wakeNode()
-		}
+		s.start(ctx, group, s, state, orders)
 		s.writeTable(ctx, group, now, name, state)
 		s.probeSilentServers(ctx, group, now, state)
 		s.logEvents(name, state)
@@ -170,6 +165,17 @@
 	s.logWorkload(now)
 }
 
+// start executes orders of this executor or the previous one. If the step has reached its bound, the next one
+// follows at once.
+func (s *executor) start(ctx context.Context, group *sync.WaitGroup, sender *executor, state *serviceState, orders []coordinator.Order) {
+	for _, o := range orders {
+		group.Go(func() { sender.execute(ctx, state, o) })
+	}
+	if len(orders) >= coordinator.MaxStepOrders {
+		s.wakeNode()
+	}
+}
+
 // configuredServers returns the registered servers of all configured services. An entry of another service
 // may be another writer's, and is no proof that the former server at its address has ended.
 func configuredServers(configuration *traffic.Configuration, servers *view.Servers) []registry.Server {
--- a/entry/internal/cluster/previous.go
+++ b/entry/internal/cluster/previous.go
@@ -36,13 +36,7 @@
 			continue
 		}
 		state.coordinator.SetServers(now, servers)
-		orders := state.coordinator.Step(now, state.demand, false)
-		for _, o := range orders {
-			group.Go(func() { previous.execute(ctx, state, o) })
-		}
-		if len(orders) >= coordinator.MaxStepOrders {
-			s.wakeNode()
-		}
+		s.start(ctx, group, previous, state, state.coordinator.Step(now, state.demand, false))
 		previous.probeSilentServers(ctx, group, now, state)
 	}
 }
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -32,7 +32,9 @@
 			n.clockOffset.setCoordinator(holder.Name)
 			if err := n.peers.Follow(ctx, holder.Address, n.followRequest(), updateTimeout, n.applyUpdate); err != nil && ctx.Err() == nil {
 				n.logger.WithError(err).WithField("coordinator", holder.Name).Info("coordinator not followed")
-				nextList = later(nextList, time.Now().Add(n.doubtHolder()))
+				if earliest := time.Now().Add(n.doubtHolder()); earliest.After(nextList) {
+					nextList = earliest
+				}
 			}
 		}
 		if now := time.Now(); !holding && !now.Before(nextList) {
@@ -46,14 +48,6 @@
 	}
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // doubtHolder makes a process on a large VM read the lock, because the coordinator is no longer followed. The
 // others get to know a new coordinator from its announcement, or read the lock later. It returns how long
 // this process still waits before it reads the store.
@@ -267,7 +261,6 @@
 	n.addFollowers(1)
 	defer n.addFollowers(-1)
 	copyVersions := make(map[string]report.CopyVersion)
-	var lastSent time.Time
 	position := n.replica.ChangePosition()
 	var objects []report.Object
 	for _, m := range request.CopyVersions {
@@ -333,7 +326,6 @@
 		if err := send(u); err != nil {
 			return err
 		}
-		lastSent = now
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -341,7 +333,7 @@
 		case <-roleEnded:
 		case <-ticker.C:
 		}
-		if err := n.awaitNextUpdate(ctx, lastSent, sent); err != nil {
+		if err := n.awaitNextUpdate(ctx, now, sent); err != nil {
 			return err
 		}
 	}
--- a/entry/internal/follow/follow.go
+++ b/entry/internal/follow/follow.go
@@ -40,10 +40,10 @@
 	// batchDelay is the delay between a change and the next watch, so that one call returns all changes
 	// made in the meantime.
 	batchDelay = 80 * time.Millisecond
-	// adoptionTime is how long a process that starts waits for another one that forwards changes.
-	adoptionTime = 2 * time.Second
-	// adoptionCheckInterval is the time between two checks for it.
-	adoptionCheckInterval = 50 * time.Millisecond
+	// forwardingWait is how long a process that starts waits for another one that forwards changes, and
+	// forwardingCheckInterval the time between two checks for it.
+	forwardingWait          = 2 * time.Second
+	forwardingCheckInterval = 50 * time.Millisecond
 	// watchGrace is the time after the watch timeout at which an unanswered watch is cancelled.
 	watchGrace = time.Second
 	// listTimeout limits a list call. The store responds within milliseconds, and within a quarter of a
@@ -91,8 +91,8 @@
 	relistRequested bool
 	// lastResponse is when the store last responded; zero if the latest list failed.
 	lastResponse time.Time
-	// stale is true while the objects are those of a stale list and of another process.
-	stale bool
+	// fromStaleList is true while the objects are those of a stale list and of another process.
+	fromStaleList bool
 }
 
 // New returns a follower that does nothing until Run.
@@ -105,7 +105,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.relistRequested = true
-	if f.stale {
+	if f.fromStaleList {
 		f.lastResponse = time.Time{}
 	}
 	if f.cancelWait != nil {
@@ -121,11 +121,11 @@
 	return f.lastResponse
 }
 
-// markCurrent records that the store has responded, with stale objects or current ones.
-func (f *Follower) markCurrent(stale bool) {
+// markCurrent records that the store has responded, with a stale list or current objects.
+func (f *Follower) markCurrent(fromStaleList bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastResponse, f.stale = time.Now(), stale
+	f.lastResponse, f.fromStaleList = time.Now(), fromStaleList
 }
 
 // markStale records that the copy may be out of date.
@@ -149,7 +149,7 @@
 
 // Run follows the objects until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.adopt(ctx)
+	f.startStale(ctx)
 	delay := minRetryDelay
 	unreachable := false
 	for ctx.Err() == nil {
@@ -173,9 +173,9 @@
 	}
 }
 
-// adopt takes a stale list and waits while another process forwards changes to it. It returns when the objects
-// must be listed again.
-func (f *Follower) adopt(ctx context.Context) {
+// startStale takes a stale list, and waits for another process that forwards changes and then while it does. It
+// returns when the objects must be listed again.
+func (f *Follower) startStale(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	objects, _, err := f.store.ListStale(bounded, f.kind)
@@ -185,12 +185,12 @@
 	}
 	f.markCurrent(true)
 	f.sink.ResetEmpty(time.Now(), objects)
-	for waitUntil := time.Now().Add(adoptionTime); time.Now().Before(waitUntil) && ctx.Err() == nil; {
+	for waitUntil := time.Now().Add(forwardingWait); time.Now().Before(waitUntil) && ctx.Err() == nil; {
 		if f.watchTimeout() == NoWatch {
 			f.waitIdle(ctx)
 			return
 		}
-		bounded, cancel := f.beginWait(ctx, adoptionCheckInterval-watchGrace)
+		bounded, cancel := f.beginWait(ctx, forwardingCheckInterval-watchGrace)
 		<-bounded.Done()
 		cancel()
 		if !errors.Is(bounded.Err(), context.DeadlineExceeded) {
--- a/entry/internal/follow/follow_test.go
+++ b/entry/internal/follow/follow_test.go
@@ -140,13 +140,13 @@
 // Guards against hundreds of processes that each pay for whole lists although another one forwards all changes,
 // and against one that relies on an old list when none does.
 func TestStartWithStaleList(t *testing.T) {
-	for _, adopted := range []bool{true, false} {
+	for _, forwarded := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &fakeStore{revision: 7, stale: 5, changed: make(chan struct{})}
 			sink := &revisionSink{}
 			begin := time.Now()
 			f := follow.New(s, "config", sink, func() time.Duration {
-				if adopted && time.Since(begin) > 300*time.Millisecond {
+				if forwarded && time.Since(begin) > 300*time.Millisecond {
 					return follow.NoWatch
 				}
 				return follow.ShortWatchTimeout
@@ -158,7 +158,7 @@
 			must.Eq(t, 5, sink.currentRevision())
 			time.Sleep(2 * time.Second)
 			must.Eq(t, 1, s.staleCalls)
-			if adopted {
+			if forwarded {
 				must.Eq(t, 0, s.calls)
 				f.Relist()
 				time.Sleep(time.Millisecond)
--- a/entry/internal/reachability/monitor.go
+++ b/entry/internal/reachability/monitor.go
@@ -33,10 +33,10 @@
 )
 
 const (
-	// minFailedServers is the number of servers that must fail without any answer in between before the
-	// process counts as cut off; all of them must if there are no more. usualFailedServers are enough if there
-	// are, but one of serversPerFailed of a large service, up to maxFailedServers: when a third of a
-	// thousand servers is lost, three failures in a row are common.
+	// The process counts as cut off when this number of servers has failed without any answer in between:
+	// one for each serversPerFailed known ones, but at least usualFailedServers and at most
+	// maxFailedServers. If fewer are known, all of them must have failed, and minFailedServers at least.
+	// When a third of a thousand servers is lost, three failures in a row are common.
 	minFailedServers   = 2
 	usualFailedServers = 3
 	maxFailedServers   = 8
--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -105,11 +105,11 @@
 // endedServers returns a function that reports whether a server has ended, because a later one of a configured
 // service is registered at its address.
 func endedServers(registered []registry.Server, c *traffic.Configuration) func(registry.Server) bool {
+	if c == nil {
+		return func(registry.Server) bool { return false }
+	}
 	latest := make(map[netip.AddrPort]registry.Instance, len(registered))
 	for _, server := range registered {
-		if c == nil {
-			break
-		}
 		if _, configured := c.Services[server.Service]; configured && server.Incarnation > latest[server.Address].Incarnation {
 			latest[server.Address] = server.Instance
 		}
