--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,11 +19,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // Figures of the small installation that is played; see the site file chikushi-xgate.
@@ -224,9 +227,9 @@
 
 // run is one run of a request at an upstream.
 type run struct {
-	server     string
-	begin, end time.Time
-	cut        bool
+	server string
+	// cut is true if the run was broken off.
+	cut bool
 }
 
 // fleet is all upstreams, with what they ran.
@@ -238,10 +241,14 @@
 	runs map[string][]*run
 }
 
-func (f *fleet) runsOf(id string) []*run {
+func (f *fleet) runsOf(id string) []run {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.runs[id]
+	var out []run
+	for _, r := range f.runs[id] {
+		out = append(out, *r)
+	}
+	return out
 }
 
 // upstream is one upstream.
@@ -253,10 +260,15 @@
 	seq               int64
 	slots             chan struct{}
 	waiting           chan struct{}
-	mu                sync.Mutex
-	fences            [1 << 16]uint64
-	expiries          [1 << 16]time.Time
-	working           [1 << 16]int
+	server            *http.Server
+	// poison is called when the upstream begins to run a request; nil for none.
+	poison      func(*upstream, *http.Request) bool
+	registering sync.Mutex
+	left        bool
+	mu          sync.Mutex
+	fences      [1 << 16]uint64
+	expiries    [1 << 16]time.Time
+	working     [1 << 16]int
 }
 
 func listen() net.Listener {
@@ -276,7 +288,7 @@
 
 func (f *fleet) start(s *store, id, service string, sharded bool) *upstream {
 	u := &upstream{fleet: f, id: id, service: service, sharded: sharded, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), waiting: make(chan struct{}, slots+queueLength)}
-	u.addr = serve(u)
+	u.listen("127.0.0.1:0")
 	u.register(s)
 	go func() {
 		for range time.Tick(heartbeat) {
@@ -286,7 +298,52 @@
 	return u
 }
 
+// listen serves at an address.
+func (u *upstream) listen(address string) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		giveUp("listen: %v", err)
+	}
+	u.addr = l.Addr().String()
+	u.server = &http.Server{Handler: u, IdleTimeout: 10 * time.Second}
+	go func() { _ = u.server.Serve(l) }()
+}
+
+// crash ends the upstream, which says nothing, and starts it again at its address, as a new instance.
+func (u *upstream) crash(s *store, down time.Duration) {
+	u.registering.Lock()
+	defer u.registering.Unlock()
+	if u.left {
+		return
+	}
+	u.left = true
+	_ = u.server.Close()
+	go func() {
+		time.Sleep(down)
+		next := &upstream{fleet: u.fleet, id: fmt.Sprintf("%s-%d", u.id, time.Now().UnixMilli()), service: u.service, sharded: u.sharded, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), waiting: make(chan struct{}, slots+queueLength), poison: u.poison}
+		next.listen(u.addr)
+		s.remove("servers", u.id)
+		next.register(s)
+		for range time.Tick(heartbeat) {
+			next.register(s)
+		}
+	}()
+}
+
+// leave removes the upstream's entry for good. The upstream goes on serving.
+func (u *upstream) leave(s *store) {
+	u.registering.Lock()
+	defer u.registering.Unlock()
+	u.left = true
+	s.remove("servers", u.id)
+}
+
 func (u *upstream) register(s *store) {
+	u.registering.Lock()
+	defer u.registering.Unlock()
+	if u.left {
+		return
+	}
 	u.seq++
 	s.put("servers", u.id, map[string]any{
 		"service": u.service, "address": u.addr, "zone": "fukuoka-a", "version": "v1", "maxConcurrency": slots,
@@ -344,17 +401,19 @@
 	if u.sharded {
 		defer u.dropKey(key)
 	}
-	this := &run{server: u.id, begin: time.Now()}
+	if u.poison != nil && u.poison(u, r) {
+		return
+	}
+	this := &run{server: u.id}
 	u.fleet.mu.Lock()
 	u.fleet.runs[id] = append(u.fleet.runs[id], this)
 	u.fleet.mu.Unlock()
 	select {
 	case <-time.After(u.fleet.work(r)):
 	case <-r.Context().Done():
+		u.fleet.mu.Lock()
 		this.cut = true
-	}
-	this.end = time.Now()
-	if this.cut {
+		u.fleet.mu.Unlock()
 		return
 	}
 	w.Header().Set("Bramleystand-Response-Signature", "1."+id)
@@ -425,6 +484,7 @@
 // router is a process of the project with its settings.
 type router struct {
 	name, front, ready string
+	control            string
 	command            *exec.Cmd
 	done               chan struct{}
 	killed             bool
@@ -447,6 +507,7 @@
 	}
 	r := &router{name: name, front: freePort(), ready: freePort(), done: make(chan struct{})}
 	control, admin := freePort(), freePort()
+	r.control = control
 	if seed == "" {
 		seed = control
 	}
@@ -709,6 +770,9 @@
 
 var scenarios = map[string]func(log *record, root, temp string) bool{
 	"large-uploads": largeUploads,
+	"idle-clients":  idleClients,
+	"odd-entry":     oddEntry,
+	"poison":        poison,
 }
 
 // workTime returns how long an upstream works on a request: 200 to 600 ms, drawn from the request's identifier.
@@ -718,6 +782,468 @@
 	return time.Duration(200+h.Sum32()%400) * time.Millisecond
 }
 
+// overlap is a time in which two upstreams held the same keys.
+type overlap struct {
+	first, last int
+	held        [2]string
+	since       time.Time
+	took        time.Duration
+}
+
+// watchHolders looks every 10 ms which keys several upstreams hold, until end is closed, and returns the longest
+// time of one key.
+func watchHolders(log *record, upstreams []*upstream, end chan struct{}) overlap {
+	var longest overlap
+	var since [1 << 16]time.Time
+	reported := time.Time{}
+	for {
+		select {
+		case <-end:
+			return longest
+		case <-time.After(10 * time.Millisecond):
+		}
+		now := time.Now()
+		holders := make([][2]*upstream, 1<<16)
+		for _, u := range upstreams {
+			u.mu.Lock()
+			for k := range u.expiries {
+				if !now.Before(u.expiries[k]) {
+					continue
+				}
+				if holders[k][0] == nil {
+					holders[k][0] = u
+				} else {
+					holders[k][1] = u
+				}
+			}
+			u.mu.Unlock()
+		}
+		shared, first := 0, 0
+		for k := range holders {
+			if holders[k][1] == nil {
+				since[k] = time.Time{}
+				continue
+			}
+			if shared == 0 {
+				first = k
+			}
+			shared++
+			if since[k].IsZero() {
+				since[k] = now
+			}
+			if took := now.Sub(since[k]); took > longest.took {
+				longest = overlap{first: k, last: k, held: [2]string{holders[k][0].id, holders[k][1].id}, since: since[k], took: took}
+			}
+		}
+		if shared > 0 && now.Sub(reported) > 250*time.Millisecond {
+			reported = now
+			log.printf("%d keys have two holders; key %d is held by %s and %s", shared, first, holders[first][0].id, holders[first][1].id)
+		}
+	}
+}
+
+// oddEntry lets another writer leave an entry without the field version, which names no upstream to use. It reports
+// whether two upstreams hold the same keys for over half a second.
+func oddEntry(log *record, root, temp string) bool {
+	const clients = 16
+	s := newStore()
+	storeAddress := serve(s)
+	f := &fleet{record: log, runs: make(map[string][]*run), work: workTime}
+	var registry []*upstream
+	for i := range 4 {
+		registry = append(registry, f.start(s, fmt.Sprintf("i-registry%d", i), "placement-registry", true))
+		f.start(s, fmt.Sprintf("i-intake%d", i), "dossier-intake", false)
+	}
+	s.put("config", "main", configuration)
+	r := startRouter(root, temp, "edge-fukuoka-a-1", storeAddress, "")
+	defer r.stop()
+	r.awaitReady()
+	end, ended := make(chan struct{}), make(chan overlap)
+	go func() { ended <- watchHolders(log, registry, end) }()
+	var group sync.WaitGroup
+	var served, failed atomic.Int64
+	for i := range clients {
+		c := &keptClient{front: r.front, name: fmt.Sprintf("confirm%d", i)}
+		group.Go(func() {
+			for {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				if _, a, _ := c.confirm(); a.signed {
+					served.Add(1)
+				} else {
+					failed.Add(1)
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+		})
+	}
+	time.Sleep(5 * time.Second)
+	log.printf("%d confirmations served, %d failed", served.Load(), failed.Load())
+	if trouble {
+		entry := map[string]any{
+			"service": "placement-registry", "address": registry[0].addr, "zone": "fukuoka-a", "maxConcurrency": slots,
+			"state": "ready", "warmupLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
+		}
+		data, _ := json.Marshal(entry)
+		log.printf("another writer leaves servers/w-5c0e7a21: %s; the address is that of %s, which goes on", data, registry[0].id)
+		s.put("servers", "w-5c0e7a21", entry)
+	}
+	time.Sleep(4 * time.Second)
+	log.printf("%s is to leave: its entry is removed, and it goes on serving", registry[0].id)
+	registry[0].leave(s)
+	time.Sleep(6 * time.Second)
+	close(end)
+	longest := <-ended
+	group.Wait()
+	log.printf("%d confirmations served, %d failed", served.Load(), failed.Load())
+	if longest.took > 0 {
+		log.printf("key %d had two holders, %s and %s, for %d ms from %.3f s on", longest.first, longest.held[0], longest.held[1], longest.took.Milliseconds(), longest.since.Sub(log.begin).Seconds())
+	}
+	log.printf("longest time with two holders: %d ms (over 500 ms breaks the rule)", longest.took.Milliseconds())
+	if served.Load() == 0 {
+		giveUp("no request was served")
+	}
+	return longest.took > 500*time.Millisecond
+}
+
+// leader returns the name of the router that wrote to the store under a condition last: the holder of the lock.
+func (s *store) leader(names []string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest *object
+	for _, o := range s.objects {
+		if o.Kind != "servers" && o.Kind != "config" && (latest == nil || o.Rev > latest.Rev) && strings.Contains(o.Kind, "lock") {
+			latest = o
+		}
+	}
+	for _, name := range names {
+		if latest != nil && bytes.Contains(latest.Spec, []byte(strconv.Quote(name))) {
+			return name
+		}
+	}
+	return ""
+}
+
+// poison sends a request that crashes each upstream which runs it, again and again, while the router that leads is
+// restarted three times, as planned work. It reports whether the request reaches upstreams in more than three retries that machines in touch
+// have sent later than stableMs after the third crash.
+func poison(log *record, root, temp string) bool {
+	const (
+		routers    = 4
+		requests   = 10
+		bystanders = 8
+		interval   = 3500 * time.Millisecond
+		stable     = 3 * time.Second
+		down       = 4 * time.Second
+	)
+	s := newStore()
+	storeAddress := serve(s)
+	f := &fleet{record: log, runs: make(map[string][]*run), work: workTime}
+	var mu sync.Mutex
+	var crashes []time.Time
+	arrived := make(map[string]bool)
+	for i := range 4 {
+		f.start(s, fmt.Sprintf("i-registry%d", i), "placement-registry", true)
+	}
+	for i := range 8 {
+		u := f.start(s, fmt.Sprintf("i-intake%d", i), "dossier-intake", false)
+		u.poison = func(u *upstream, r *http.Request) bool {
+			if r.URL.Path != "/upload/poison" {
+				return false
+			}
+			id := r.Header.Get("Bramleystand-Attempt-Id")
+			mu.Lock()
+			crashes = append(crashes, time.Now())
+			arrived[id] = true
+			log.printf("%s begins to run %s and crashes; that is crash %d", u.id, id, len(crashes))
+			mu.Unlock()
+			u.crash(s, down)
+			return true
+		}
+	}
+	s.put("config", "main", configuration)
+	type machine struct {
+		*router
+		calmAt time.Time
+	}
+	machines := make([]*machine, routers)
+	names := make([]string, routers)
+	seed := ""
+	start := func(i int) {
+		r := startRouter(root, temp, names[i], storeAddress, seed)
+		mu.Lock()
+		machines[i] = &machine{router: r, calmAt: time.Now().Add(stable + time.Second)}
+		mu.Unlock()
+	}
+	for i := range routers {
+		names[i] = fmt.Sprintf("edge-fukuoka-a-%d", i+1)
+		start(i)
+		if i == 0 {
+			seed = machines[0].control
+		}
+	}
+	defer func() {
+		for _, m := range machines {
+			m.stop()
+		}
+	}()
+	for _, m := range machines {
+		m.awaitReady()
+	}
+	time.Sleep(4 * time.Second)
+	log.printf("%d routers are ready, %s leads", routers, s.leader(names))
+	restartLeader := func() {
+		name := s.leader(names)
+		i := slices.Index(names, name)
+		if i < 0 {
+			giveUp("no router leads")
+		}
+		log.printf("planned restart: SIGTERM to %s, which leads", name)
+		_ = machines[i].command.Process.Signal(syscall.SIGTERM)
+		<-machines[i].done
+		start(i)
+		machines[i].awaitReady()
+		log.printf("%s runs again and is ready; %s leads", name, s.leader(names))
+	}
+	// Other clients send dossiers all the while.
+	end := make(chan struct{})
+	var group sync.WaitGroup
+	var served, broken atomic.Int64
+	for i := range bystanders {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				mu.Lock()
+				m := machines[(i+n)%routers]
+				mu.Unlock()
+				id := fmt.Sprintf("dossier%d-%d", i, n)
+				a := sendDossier(m.front, id, "/upload/"+id, "good dossier ")
+				for _, r := range f.runsOf(id) {
+					if r.cut {
+						broken.Add(1)
+					}
+				}
+				if a.signed {
+					served.Add(1)
+				} else {
+					time.Sleep(200 * time.Millisecond)
+				}
+			}
+		})
+	}
+	late := 0
+	for n := range requests {
+		time.Sleep(interval)
+		var to *machine
+		for k := range machines {
+			if m := machines[(n+k)%routers]; time.Now().After(m.calmAt) {
+				to = m
+				break
+			}
+		}
+		if to == nil {
+			giveUp("no router is in touch")
+		}
+		mu.Lock()
+		third := time.Time{}
+		if len(crashes) >= 3 {
+			third = crashes[2]
+		}
+		mu.Unlock()
+		id := fmt.Sprintf("poison%d", n+1)
+		sent := time.Now()
+		a := sendDossier(to.front, id, "/upload/poison", "bad dossier ")
+		mu.Lock()
+		reached := arrived[id]
+		mu.Unlock()
+		if reached && !third.IsZero() && sent.After(third.Add(stable)) {
+			late++
+		}
+		log.printf("%s through %s, which is in touch: %v; reached an upstream: %t; retries later than %v after the third crash: %d", id, to.name, a, reached, stable, late)
+		if trouble && (n == 1 || n == 3 || n == 5) {
+			time.Sleep(time.Second)
+			restartLeader()
+		}
+	}
+	close(end)
+	group.Wait()
+	log.printf("%d dossiers of other clients were served, %d were cut off by crashes while they ran", served.Load(), broken.Load())
+	log.printf("%d crashes, %d of them by retries later than %v after the third (more than 3 break the rule)", len(crashes), late, stable)
+	if len(crashes) < 3 {
+		giveUp("the request has crashed fewer than three upstreams")
+	}
+	return late > 3
+}
+
+// sendDossier sends an upload on a new connection and waits for its answer.
+func sendDossier(front, id, path, text string) answer {
+	conn, err := net.DialTimeout("tcp", front, time.Second)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+	body := strings.Repeat(text, 1000)
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nBramleystand-Attempt-Id: %s\r\nBramleystand-Deadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n%s", path, host, id, len(body), body)
+	a, err := readAnswer(bufio.NewReader(conn))
+	a.err = err
+	return a
+}
+
+// limitDescriptors sets the limit of file descriptors of a running process.
+func (r *router) limitDescriptors(n uint64) {
+	limit := [2]uint64{n, n}
+	const noFile = 7
+	if _, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(r.command.Process.Pid), noFile, uintptr(unsafe.Pointer(&limit)), 0, 0, 0); errno != 0 {
+		giveUp("limit the descriptors of the router: %v", errno)
+	}
+}
+
+// descriptors returns the number of open descriptors of the process.
+func (r *router) descriptors() int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.command.Process.Pid))
+	return len(entries)
+}
+
+// lookup sends one idempotent request on a new connection and waits for its answer. The connection stays open unless the
+// request fails.
+func lookup(front, id string) (net.Conn, answer) {
+	conn, err := net.DialTimeout("tcp", front, time.Second)
+	if err != nil {
+		return nil, answer{err: err}
+	}
+	_ = conn.SetDeadline(time.Now().Add(1500 * time.Millisecond))
+	key := time.Now().UnixNano() / 1000 % 65536
+	_, err = fmt.Fprintf(conn, "GET /lookup/%s HTTP/1.1\r\nHost: %s\r\nBramleystand-Attempt-Id: %s\r\nBramleystand-Deadline-Ms: 1500\r\nBramleystand-Shard-Key: %d\r\n\r\n", id, host, id, key)
+	var a answer
+	if err == nil {
+		a, err = readAnswer(bufio.NewReader(conn))
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, answer{err: err}
+	}
+	return conn, a
+}
+
+// idleClients lets clients connect at the rate of a burst, send one request each and leave the connection idle. It
+// reports whether a machine that says that it is ready takes no new connection for stableMs, while seven clients or more try.
+func idleClients(log *record, root, temp string) bool {
+	const (
+		perSecond   = 60
+		playTime    = 72 * time.Second
+		idleTimeout = 15 * time.Second
+		stable      = 3 * time.Second
+		tries       = 5
+		clients     = 8
+	)
+	s := newStore()
+	storeAddress := serve(s)
+	f := &fleet{record: log, runs: make(map[string][]*run), work: func(*http.Request) time.Duration { return 50 * time.Millisecond }}
+	for i := range 4 {
+		f.start(s, fmt.Sprintf("i-registry%d", i), "placement-registry", true)
+		f.start(s, fmt.Sprintf("i-intake%d", i), "dossier-intake", false)
+	}
+	s.put("config", "main", configuration)
+	r := startRouter(root, temp, "edge-fukuoka-a-1", storeAddress, "")
+	defer r.stop()
+	r.limitDescriptors(4100)
+	r.awaitReady()
+	// The balancer asks on one connection each second.
+	balancer := &http.Client{Timeout: 900 * time.Millisecond}
+	isReady := func() bool {
+		response, err := balancer.Get("http://" + r.ready + "/v1/readyz")
+		if err != nil {
+			return false
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}
+	log.printf("%s is ready: %t; %d clients a second begin to connect", r.name, isReady(), perSecond)
+	var served, failed atomic.Int64
+	var idle sync.Map
+	end := make(chan struct{})
+	ticker := time.NewTicker(time.Second / perSecond)
+	defer ticker.Stop()
+	begin, nextLine := time.Now(), time.Now().Add(10*time.Second)
+	for n := 0; time.Since(begin) < playTime; n++ {
+		<-ticker.C
+		go func() {
+			conn, a := lookup(r.front, fmt.Sprintf("lookup%d", n))
+			if conn == nil || !a.signed {
+				failed.Add(1)
+			} else {
+				served.Add(1)
+			}
+			if conn == nil {
+				return
+			}
+			idle.Store(n, conn)
+			if trouble {
+				// The client stays idle for longer than it may. The system may close the connection.
+				_ = conn.SetDeadline(time.Time{})
+				_, _ = conn.Read(make([]byte, 1))
+			} else {
+				select {
+				case <-time.After(idleTimeout * 4 / 5):
+				case <-end:
+				}
+			}
+			_ = conn.Close()
+			idle.Delete(n)
+		}()
+		if time.Now().After(nextLine) {
+			nextLine = nextLine.Add(10 * time.Second)
+			log.printf("%d served, %d failed, the process has %d descriptors, ready: %t", served.Load(), failed.Load(), r.descriptors(), isReady())
+		}
+	}
+	log.printf("%d served, %d failed, the process has %d descriptors; no more clients but %d each second, and idle ones stay", served.Load(), failed.Load(), r.descriptors(), clients)
+	var firstTry time.Time
+	span, tried, longest := time.Duration(0), 0, time.Duration(0)
+	for round := range tries {
+		ready := isReady()
+		var group sync.WaitGroup
+		var taken atomic.Int64
+		start := time.Now()
+		for i := range clients {
+			group.Go(func() {
+				id := fmt.Sprintf("late%d-%d", round, i)
+				conn, a := lookup(r.front, id)
+				if conn != nil {
+					taken.Add(1)
+					_ = conn.Close()
+				}
+				log.printf("%s on a new connection: %v; runs: %d", id, a, len(f.runsOf(id)))
+			})
+		}
+		group.Wait()
+		log.printf("%s says that it is ready: %t; of %d new connections it has taken %d; %d descriptors", r.name, ready, clients, taken.Load(), r.descriptors())
+		if !ready || taken.Load() > 0 {
+			firstTry, span, tried = time.Time{}, 0, 0
+			continue
+		}
+		if firstTry.IsZero() {
+			firstTry = start
+		}
+		span, tried = time.Since(firstTry), tried+clients
+		longest = max(longest, span)
+	}
+	close(end)
+	log.printf("longest time without a new connection while ready: %.1f s (%v or more breaks the rule)", longest.Seconds(), stable)
+	if served.Load() == 0 {
+		giveUp("no request was served")
+	}
+	return longest >= stable && tried >= 7
+}
+
 // largeUploads sends large uploads to one process, together or one after the other, while clients with kept
 // connections confirm placements. It reports whether more than three of their requests were passed on to an upstream
 // and got no answer.
