--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -408,6 +408,7 @@
 	u.fleet.mu.Lock()
 	u.fleet.runs[id] = append(u.fleet.runs[id], this)
 	u.fleet.mu.Unlock()
+	u.fleet.record.printf("%s runs %s", u.id, id)
 	select {
 	case <-time.After(u.fleet.work(r)):
 	case <-r.Context().Done():
@@ -452,10 +453,12 @@
 	for k := in.From; k <= in.Target; k++ {
 		if r.URL.Path == "/v1/grant" && u.fences[k] > in.Fence {
 			u.mu.Unlock()
+			u.fleet.record.printf("%s refuses a grant of %d to %d with generation %d: 409", u.id, in.From, in.Target, in.Fence)
 			w.WriteHeader(http.StatusConflict)
 			return
 		}
 	}
+	renewal := u.fences[in.From] == in.Fence && u.fences[in.Target] == in.Fence
 	for k := in.From; k <= in.Target; k++ {
 		if r.URL.Path == "/v1/release" {
 			u.expiries[k] = time.Time{}
@@ -465,8 +468,12 @@
 	}
 	u.mu.Unlock()
 	if r.URL.Path == "/v1/grant" {
+		if !renewal {
+			u.fleet.record.printf("%s takes a grant of %d to %d with generation %d for %d ms (renewals are not listed)", u.id, in.From, in.Target, in.Fence, in.HoldMs)
+		}
 		return
 	}
+	u.fleet.record.printf("%s takes a release of %d to %d with generation %d", u.id, in.From, in.Target, in.Fence)
 	for busy := true; busy; {
 		busy = false
 		u.mu.Lock()
@@ -871,7 +878,9 @@
 					return
 				default:
 				}
-				if _, a, _ := c.confirm(); a.signed {
+				id, a, _ := c.confirm()
+				log.printf("%s: %v", id, a)
+				if a.signed {
 					served.Add(1)
 				} else {
 					failed.Add(1)
@@ -1025,6 +1034,7 @@
 				mu.Unlock()
 				id := fmt.Sprintf("dossier%d-%d", i, n)
 				a := sendDossier(m.front, id, "/upload/"+id, "good dossier ")
+				log.printf("%s through %s: %v", id, m.name, a)
 				for _, r := range f.runsOf(id) {
 					if r.cut {
 						broken.Add(1)
@@ -1177,7 +1187,9 @@
 	for n := 0; time.Since(begin) < playTime; n++ {
 		<-ticker.C
 		go func() {
-			conn, a := lookup(r.front, fmt.Sprintf("lookup%d", n))
+			id := fmt.Sprintf("lookup%d", n)
+			conn, a := lookup(r.front, id)
+			log.printf("%s on a new connection: %v", id, a)
 			if conn == nil || !a.signed {
 				failed.Add(1)
 			} else {
@@ -1295,7 +1307,7 @@
 				if a.err != nil && kept && len(runs) > 0 {
 					lost++
 					log.printf("%s, on a kept connection, has reached %s and is %v", id, runs[0].server, a)
-				} else if a.err != nil || !a.signed {
+				} else {
 					log.printf("%s, kept: %t, runs: %d: %v", id, kept, len(runs), a)
 				}
 				mu.Unlock()
