--- a/entry/internal/cluster/scale_internal_test.go
+++ b/entry/internal/cluster/scale_internal_test.go
@@ -42,7 +42,7 @@
 
 func serverEntry(i int, revision uint64) platform.Object {
 	return platform.Object{Name: fmt.Sprint("s", i), Revision: revision, Data: fmt.Appendf(nil,
-		`{"service":"svc","address":"10.0.%d.%d:80","zone":"z","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1,"born":5}`, i/200, i%200)}
+		`{"service":"svc","address":"10.0.%d.%d:80","zone":"z","version":"v1","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1,"born":5}`, i/200, i%200)}
 }
 
 func largeTable(revision uint64) *ownership.Table {
--- a/entry/internal/replica/departures_test.go
+++ b/entry/internal/replica/departures_test.go
@@ -18,7 +18,7 @@
 // entryOf returns the entry of the server a in the store.
 func entryOf(era, number uint64, state string, sequence, born int) platform.Object {
 	return platform.Object{Name: "a", Revision: uint64(revision.New(era, number)), Data: fmt.Appendf(nil,
-		`{"service":"svc","address":"10.0.0.1:80","zone":"z","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":%d,"born":%d}`, state, sequence, born)}
+		`{"service":"svc","address":"10.0.0.1:80","zone":"z","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":%d,"born":%d}`, state, sequence, born)}
 }
 
 // Guards against requests to a server whose leaving was acknowledged after a restored store lists its
--- a/entry/internal/replica/replica_test.go
+++ b/entry/internal/replica/replica_test.go
@@ -24,7 +24,7 @@
 // serverEntry returns the entry of a server in the store. Its sequence rises with the revision.
 func serverEntry(name string, revision uint64, state string) platform.Object {
 	return platform.Object{Name: name, Revision: revision, Data: fmt.Appendf(nil,
-		`{"service":"svc","address":"10.0.0.1:80","zone":"z","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":%d,"born":5}`, state, revision)}
+		`{"service":"svc","address":"10.0.0.1:80","zone":"z","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":%d,"born":5}`, state, revision)}
 }
 
 func serverIDs(v *view.View) []string {
@@ -40,9 +40,9 @@
 	v, r := newReplica()
 	list := []platform.Object{serverEntry("a", 1, "ready"), serverEntry("b", 2, "ready")}
 	for i, data := range []string{
-		`null`, `[]`, `"x"`, `{}`, `{"service":3}`, `{"service":"svc","address":"nowhere","zone":"z","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1}`,
-		`{"service":"svc","address":"10.0.0.1:80","zone":"z","maxConcurrency":4,"state":"asleep","warmupLeftMs":0,"seq":1}`,
-		`{"service":"svc","address":"10.0.0.1:80","zone":"z","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1,"born":1.5}`,
+		`null`, `[]`, `"x"`, `{}`, `{"service":3}`, `{"service":"svc","address":"nowhere","zone":"z","version":"v1","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1}`,
+		`{"service":"svc","address":"10.0.0.1:80","zone":"z","version":"v1","maxConcurrency":4,"state":"asleep","warmupLeftMs":0,"seq":1}`,
+		`{"service":"svc","address":"10.0.0.1:80","zone":"z","version":"v1","maxConcurrency":4,"state":"ready","warmupLeftMs":0,"seq":1,"born":1.5}`,
 	} {
 		list = append(list, platform.Object{Name: fmt.Sprint("invalid", i), Revision: 3, Data: []byte(data)})
 	}
