crashes: keep the crashes of requests across coordinators and processes

Cause: the coordinator alone counted crashes, in memory. A report whose call failed lost its crashes, too. And a process that had recorded 4,096 requests without an answer recorded none any more.

Change: the records of a request merge in any order (a round that rises with an answer, the servers that crashed in it). A process reports what it has seen until the coordinator confirms it, and again to a new one; the coordinator sends changes to all, and writes them to the store at most once a second. A bounded table drops the requests with the fewest crashes. "request blocked" is logged with the servers, and the metric crashes counts.

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -74,8 +74,9 @@
 	wake          chan struct{}
 	contact       *contact
 
-	services map[string]*serviceState
-	workload workload
+	services   map[string]*serviceState
+	crashStore crashStore
+	workload   workload
 }
 
 // serviceState holds the coordinator of one service and the state of its calls.
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -88,6 +88,7 @@
 	limits        *requestlimit.Table
 	statements    *statement.Table
 	crashes       *crashes.Tracker
+	crashReports  crashReports
 	reachability  Reachability
 	dialer        Dialer
 	prober        Prober
@@ -391,6 +392,7 @@
 	}
 	n.executor.step(ctx, group, now, n.election.Confirmed())
 	n.executor.survey(ctx, group, now)
+	n.executor.syncCrashes(ctx, group, now)
 	n.handOver(ctx, group, now)
 }
 
@@ -416,9 +418,10 @@
 		return
 	}
 	loads, samples := n.loadCollector.TakeUnreported()
+	crashed, crashVersion := n.unreportedCrashes(holder)
 	r := report.Report{
 		From: n.self, Cores: n.cores, Loads: loads, Samples: samples, RosterVersion: version,
-		Crashes: n.crashes.TakeUnreported(), Limits: n.limits.Observed(time.Now()), Leaving: n.statements.Leaving(time.Now()), Holds: n.statements.Holds(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
+		Crashes: crashed, Limits: n.limits.Observed(time.Now()), Leaving: n.statements.Leaving(time.Now()), Holds: n.statements.Holds(time.Now()), CutOff: n.reachability.CutOff(time.Now()),
 	}
 	if holding {
 		n.Report(time.Now(), r)
@@ -428,6 +431,7 @@
 	if err != nil || !response.Coordinator {
 		return
 	}
+	n.crashReports.version = crashVersion
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.membersAt = time.Now()
@@ -449,7 +453,7 @@
 	}
 	n.membership.add(now, r)
 	n.executor.addReport(now, r)
-	n.crashes.AddReported(now, r.Crashes)
+	n.crashes.Merge(now, r.Crashes)
 	for inst, l := range r.Limits {
 		n.limits.Merge(now, inst, l)
 	}
@@ -532,6 +536,7 @@
 // false if the store can't be reached: no other process could take the role then, and the keys
 // would have no owner once their grants have expired, so this process continues to renew them.
 func (n *Node) Resign(ctx context.Context) bool {
+	n.storeCrashes(ctx)
 	n.mu.Lock()
 	if n.handingOver {
 		n.mu.Unlock()
--- a/entry/internal/cluster/updates.go
+++ b/entry/internal/cluster/updates.go
@@ -115,7 +115,7 @@
 	now := time.Now()
 	n.compareClocks(now, u)
 	n.recordUpdate(now, u)
-	n.crashes.Block(now, u.BlockedRequests)
+	n.crashes.Merge(now, u.Crashes)
 	if u.LastOutage >= 0 {
 		n.replica.NoteOutage(now.Add(-u.LastOutage))
 	}
@@ -263,6 +263,7 @@
 	copyVersions := make(map[string]report.CopyVersion)
 	position := n.replica.ChangePosition()
 	var objects []report.Object
+	var crashVersion uint64
 	for _, m := range request.CopyVersions {
 		for _, o := range n.replica.ObjectsAfter(m) {
 			c, err := n.encoded.compress(o)
@@ -286,7 +287,8 @@
 		}
 		changed := n.view.Changed()
 		now := time.Now()
-		u := report.Update{Term: term, Sent: now, LockHeartbeat: written.Heartbeat, LockAge: -1, LockConfirmed: lockConfirmed, UpToDate: lockConfirmed && n.isCurrent(now), LastOutage: -1, BlockedRequests: n.crashes.Blocked(now)}
+		u := report.Update{Term: term, Sent: now, LockHeartbeat: written.Heartbeat, LockAge: -1, LockConfirmed: lockConfirmed, UpToDate: lockConfirmed && n.isCurrent(now), LastOutage: -1}
+		u.Crashes, crashVersion = n.crashes.Changes(crashVersion, maxCrashEntries)
 		if !written.SentAt.IsZero() {
 			u.LockAge = now.Sub(written.SentAt)
 		}
--- a/entry/internal/crashes/tracker.go
+++ b/entry/internal/crashes/tracker.go
@@ -1,27 +1,36 @@
 // Package crashes detects requests that crash the backend servers which run them, across all
-// entry processes.
+// entry processes and their restarts.
 //
-// Each process records the requests that a server was running when it crashed, and reports them
-// to the coordinator. A request that three servers were running when they crashed is blocked: the
-// coordinator tells all processes to refuse it from then on. A harmless request that ran beside
-// the cause of a crash is not blocked, because it does not meet three crashes in a row, and its
-// count starts again from zero when a server answers it.
+// A request that three servers were running when they crashed is blocked: every process refuses it from then on.
+// A harmless request that ran beside the cause of a crash is not blocked, because its crashes are cleared when a
+// server answers it.
+//
+// Each process has a tracker. It reports what it has observed to the coordinator, which merges the reports and
+// sends what has changed to all processes, and writes it to the platform's store. So the crashes outlive the
+// coordinator, every single process and, if the store has them, all processes at once. What one process has
+// recorded and another one has is merged without regard to order or repetition: clearing begins a new round, a
+// higher round replaces a lower one, and the crashes of one round are united.
 //
 // # Usage
 //
-//	tracker.RecordCrash(f, server)            // at the process that sent the request
-//	report.Crashes = tracker.TakeUnreported() // to the coordinator
-//	tracker.AddReported(now, received)        // at the coordinator
-//	tracker.Block(now, update.BlockedRequests)
+//	tracker.RecordCrash(now, f, server)                         // at the process that sent the request
+//	entries, version := tracker.Observed(reported, maxEntries)  // for its next report
+//	tracker.Merge(now, entries)                                 // at the coordinator
+//	entries, version = tracker.Changes(sent, maxEntries)        // for its next update
+//	tracker.Merge(now, entries)                                 // at all processes
 //	if tracker.IsBlocked(now, f) {
 //		// Refuse the request.
 //	}
 package crashes
 
 import (
+	"container/list"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/suspect"
 )
@@ -36,145 +45,254 @@
 	maxRequests = 4096
 )
 
-// Crash is a request that a server was running when it crashed.
-type Crash struct {
+// Entry is what a process knows of the crashes of one request.
+type Entry struct {
 	Fingerprint suspect.Fingerprint
-	Server      registry.Instance
-	// Cleared is true if a server has answered the request after an earlier crash. The earlier
-	// crashes no longer count, and Server is empty.
-	Cleared bool
+	// Round is the number of times that the crashes were cleared.
+	Round uint32
+	// Servers are those that crashed while they ran the request, in this round.
+	Servers []registry.Instance
+	// Expires is when the crashes no longer count.
+	Expires time.Time
 }
 
-// Tracker holds the crashes that this process has seen and, at the coordinator, those of all
-// processes. It is safe for concurrent use.
-type Tracker struct {
-	mu sync.Mutex
-	// unreported has the crashes that TakeUnreported returns next.
-	unreported []Crash
-	// crashed has the requests of this process with a crash and no response since then.
-	crashed map[suspect.Fingerprint]bool
-	// histories has the crashes of all processes by request, and blocked the requests to refuse
-	// with the time until which they are refused.
-	histories map[suspect.Fingerprint]*history
-	blocked   map[suspect.Fingerprint]time.Time
+// isBlocked reports whether the request must be refused.
+func (e *Entry) isBlocked() bool { return len(e.Servers) >= crashLimit }
+
+// record is an entry with the versions of the tracker at its latest change and, unless it is zero, at the latest
+// change that this process has observed itself.
+type record struct {
+	Entry
+	changed, observed uint64
 }
 
-// history is the set of servers that crashed while they ran a request.
-type history struct {
-	servers map[registry.Instance]bool
-	expires time.Time
+// Tracker holds the crashes that this process has seen or learned of. It is safe for concurrent use.
+type Tracker struct {
+	logger log.Interface
+
+	mu sync.Mutex
+	// version is the number of changes.
+	version uint64
+	// records has an element of byChange for each request; byChange holds *record in the order of change.
+	records  map[suspect.Fingerprint]*list.Element
+	byChange *list.List
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker {
-	return &Tracker{
-		crashed: make(map[suspect.Fingerprint]bool), histories: make(map[suspect.Fingerprint]*history),
-		blocked: make(map[suspect.Fingerprint]time.Time),
-	}
+func NewTracker(logger log.Interface) *Tracker {
+	return &Tracker{logger: logger, records: make(map[suspect.Fingerprint]*list.Element), byChange: list.New()}
 }
 
 // RecordCrash records that a server crashed while it ran the request.
-func (t *Tracker) RecordCrash(f suspect.Fingerprint, s registry.Instance) {
+func (t *Tracker) RecordCrash(now time.Time, f suspect.Fingerprint, s registry.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.unreported) >= maxRequests || len(t.crashed) >= maxRequests {
-		return
+	e := Entry{Fingerprint: f, Servers: []registry.Instance{s}, Expires: now.Add(retention)}
+	if r := t.find(now, f); r != nil {
+		e.Round = r.Round
+	}
+	if r := t.merge(now, e); r != nil {
+		r.observed = r.changed
 	}
-	t.crashed[f] = true
-	t.unreported = append(t.unreported, Crash{Fingerprint: f, Server: s})
 }
 
-// RecordResponse records that a server has answered the request.
-func (t *Tracker) RecordResponse(f suspect.Fingerprint) {
+// RecordResponse records that a server has answered the request, which clears its crashes unless it is blocked.
+func (t *Tracker) RecordResponse(now time.Time, f suspect.Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashed[f] {
-		delete(t.crashed, f)
-		t.unreported = append(t.unreported, Crash{Fingerprint: f, Cleared: true})
+	r := t.find(now, f)
+	if r == nil || len(r.Servers) == 0 {
+		return
+	}
+	if r = t.merge(now, Entry{Fingerprint: f, Round: r.Round + 1, Expires: now.Add(retention)}); r != nil {
+		r.observed = r.changed
 	}
 }
 
-// TakeUnreported returns and removes what was recorded since the last call.
-func (t *Tracker) TakeUnreported() []Crash {
+// Merge adds what another process knows. It returns the number of changes.
+func (t *Tracker) Merge(now time.Time, entries []Entry) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := t.unreported
-	t.unreported = nil
-	return out
+	before := t.version
+	for _, e := range entries {
+		t.merge(now, e)
+	}
+	return t.version - before
 }
 
-// AddReported adds the crashes that a process has reported, and blocks a request that has reached
-// crashLimit.
-func (t *Tracker) AddReported(now time.Time, reported []Crash) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range reported {
-		if r.Cleared {
-			delete(t.histories, r.Fingerprint)
-			continue
-		}
-		h := t.histories[r.Fingerprint]
-		if h == nil || now.After(h.expires) {
-			if len(t.histories) >= maxRequests {
-				t.expire(now)
+// merge adds an entry and returns the record if that has changed it, otherwise nil. The lock is held.
+func (t *Tracker) merge(now time.Time, e Entry) *record {
+	if !now.Before(e.Expires) {
+		return nil
+	}
+	e.Servers = slices.Clone(e.Servers[:min(len(e.Servers), crashLimit)])
+	if latest := now.Add(retention); e.Expires.After(latest) {
+		e.Expires = latest
+	}
+	r := t.find(now, e.Fingerprint)
+	switch {
+	case r == nil:
+		r = t.add(now, e)
+	case r.isBlocked(), r.Round > e.Round && !e.isBlocked():
+		return nil
+	case e.Round > r.Round || e.isBlocked():
+		r.Entry = e
+	default:
+		known := len(r.Servers)
+		for _, s := range e.Servers {
+			if !slices.Contains(r.Servers, s) {
+				r.Servers = append(slices.Clip(r.Servers), s)
 			}
-			h = &history{servers: make(map[registry.Instance]bool)}
-			t.histories[r.Fingerprint] = h
 		}
-		h.servers[r.Server] = true
-		h.expires = now.Add(retention)
-		if len(h.servers) >= crashLimit {
-			t.blocked[r.Fingerprint] = now.Add(retention)
+		if len(r.Servers) == known {
+			return nil
+		}
+		if e.Expires.After(r.Expires) {
+			r.Expires = e.Expires
 		}
 	}
+	if r.isBlocked() {
+		t.logger.WithFields(log.Fields{"request": r.Fingerprint, "servers": serverIDs(r.Servers), "round": r.Round}).Warn("request blocked, it crashes servers")
+	}
+	t.version++
+	r.changed = t.version
+	t.byChange.MoveToBack(t.records[e.Fingerprint])
+	return r
 }
 
-// Block blocks the requests that the coordinator has blocked.
-func (t *Tracker) Block(now time.Time, list []suspect.Fingerprint) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, f := range list {
-		if _, ok := t.blocked[f]; !ok {
-			t.blocked[f] = now.Add(retention)
+func serverIDs(servers []registry.Instance) []string {
+	ids := make([]string, len(servers))
+	for i, s := range servers {
+		ids[i] = s.ID
+	}
+	return ids
+}
+
+// add adds a record. If there is no room, it removes another one. The lock is held.
+func (t *Tracker) add(now time.Time, e Entry) *record {
+	if len(t.records) >= maxRequests {
+		t.evict(now)
+	}
+	r := &record{Entry: e}
+	t.records[e.Fingerprint] = t.byChange.PushBack(r)
+	return r
+}
+
+// find returns the record of a request, or nil if there is none or its crashes no longer count. The lock is held.
+func (t *Tracker) find(now time.Time, f suspect.Fingerprint) *record {
+	element, ok := t.records[f]
+	if !ok {
+		return nil
+	}
+	r := element.Value.(*record)
+	if now.Before(r.Expires) {
+		return r
+	}
+	t.remove(element)
+	return nil
+}
+
+// remove removes a record. The lock is held.
+func (t *Tracker) remove(element *list.Element) {
+	delete(t.records, element.Value.(*record).Fingerprint)
+	t.byChange.Remove(element)
+}
+
+// evict removes all records that have expired or, if there are none, the one with the fewest crashes, of
+// several the one that changed first. The lock is held.
+func (t *Tracker) evict(now time.Time) {
+	before := len(t.records)
+	var victim, next *list.Element
+	for element := t.byChange.Front(); element != nil; element = next {
+		next = element.Next()
+		r := element.Value.(*record)
+		if !now.Before(r.Expires) {
+			t.remove(element)
+		} else if victim == nil || len(r.Servers) < len(victim.Value.(*record).Servers) {
+			victim = element
 		}
 	}
+	if len(t.records) == before {
+		t.remove(victim)
+	}
 }
 
 // IsBlocked reports whether a request must be refused.
 func (t *Tracker) IsBlocked(now time.Time, f suspect.Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	expires, ok := t.blocked[f]
-	if ok && now.After(expires) {
-		delete(t.blocked, f)
-		return false
-	}
-	return ok
+	r := t.find(now, f)
+	return r != nil && r.isBlocked()
 }
 
-// Blocked returns all blocked requests.
-func (t *Tracker) Blocked(now time.Time) []suspect.Fingerprint {
+// Version returns the number of changes.
+func (t *Tracker) Version() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expire(now)
-	var out []suspect.Fingerprint
-	for f := range t.blocked {
-		out = append(out, f)
+	return t.version
+}
+
+// Changes returns up to limit records that have changed after a version, in the order of change, and the version
+// from which the next call continues.
+func (t *Tracker) Changes(after uint64, limit int) ([]Entry, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.since(after, limit, func(*record) bool { return true })
+}
+
+// Observed is Changes for the records whose latest observation of this process itself is after the version.
+func (t *Tracker) Observed(after uint64, limit int) ([]Entry, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.since(after, limit, func(r *record) bool { return r.observed > after })
+}
+
+// Latest returns up to limit records with crashes, those that changed last, and the number of changes so far.
+func (t *Tracker) Latest(limit int) ([]Entry, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for element := t.byChange.Back(); element != nil && len(out) < limit; element = element.Prev() {
+		if r := element.Value.(*record); len(r.Servers) > 0 {
+			out = append(out, r.Entry)
+		}
 	}
-	return out
+	return out, t.version
 }
 
-// expire removes crashes and blocked requests that are older than the retention time. The lock
-// is held.
-func (t *Tracker) expire(now time.Time) {
-	for f, h := range t.histories {
-		if now.After(h.expires) {
-			delete(t.histories, f)
+// since implements Changes for the records that are wanted. The lock is held.
+func (t *Tracker) since(after uint64, limit int, wanted func(*record) bool) ([]Entry, uint64) {
+	element := t.byChange.Back()
+	if element == nil || element.Value.(*record).changed <= after {
+		return nil, after
+	}
+	for element.Prev() != nil && element.Prev().Value.(*record).changed > after {
+		element = element.Prev()
+	}
+	var out []Entry
+	for ; element != nil && len(out) < limit; element = element.Next() {
+		r := element.Value.(*record)
+		after = r.changed
+		if wanted(r) {
+			out = append(out, r.Entry)
 		}
 	}
-	for f, expires := range t.blocked {
-		if now.After(expires) {
-			delete(t.blocked, f)
+	return out, after
+}
+
+// Counts returns the number of requests with crashes that count, and of those that are blocked.
+func (t *Tracker) Counts(now time.Time) (crashed, blocked int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, element := range t.records {
+		r := element.Value.(*record)
+		if !now.Before(r.Expires) || len(r.Servers) == 0 {
+			continue
+		}
+		crashed++
+		if r.isBlocked() {
+			blocked++
 		}
 	}
+	return crashed, blocked
 }
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -82,8 +82,8 @@
 	IsBlocked(now time.Time, f suspect.Fingerprint) bool
 	// RecordCrash records that a server crashed while it ran the request, and RecordResponse
 	// that a server has answered it.
-	RecordCrash(f suspect.Fingerprint, s registry.Instance)
-	RecordResponse(f suspect.Fingerprint)
+	RecordCrash(now time.Time, f suspect.Fingerprint, s registry.Instance)
+	RecordResponse(now time.Time, f suspect.Fingerprint)
 }
 
 // Reachability records which servers this process reaches and tells whether it reaches them.
@@ -415,7 +415,7 @@
 	p.tried[b.server.Instance] = true
 	if b.client.ConnectionRefused(ctx) {
 		// The connection broke and nothing listens on the port any more: the server has crashed.
-		d.crashTracker.RecordCrash(p.fingerprint, b.server.Instance)
+		d.crashTracker.RecordCrash(time.Now(), p.fingerprint, b.server.Instance)
 	}
 	return unknownResult(http.StatusBadGateway, UnusableResponse, f), p.call.Route.Kind.Retryable()
 }
@@ -435,7 +435,7 @@
 		return unknownResult(http.StatusBadGateway, UnusableResponse, errUnverifiedResponse), p.call.Route.Kind.Retryable()
 	}
 	p.tried[b.server.Instance] = true
-	d.crashTracker.RecordResponse(p.fingerprint)
+	d.crashTracker.RecordResponse(time.Now(), p.fingerprint)
 	if r.Status >= http.StatusInternalServerError && p.call.Route.Kind.Retryable() && time.Now().Before(p.call.objective()) {
 		return &Result{Response: r, Status: r.Status, Reason: Answered}, true
 	}
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -133,8 +133,8 @@
 
 func (noTracking) AttemptEnded(dispatch.Observation)                  {}
 func (noTracking) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
-func (noTracking) RecordCrash(suspect.Fingerprint, registry.Instance) {}
-func (noTracking) RecordResponse(suspect.Fingerprint)                 {}
+func (noTracking) RecordCrash(time.Time, suspect.Fingerprint, registry.Instance) {}
+func (noTracking) RecordResponse(time.Time, suspect.Fingerprint)                 {}
 func (noTracking) RequestSent(time.Time, registry.Server) func()      { return func() {} }
 func (noTracking) RecordReached(time.Time, registry.Server)           {}
 func (noTracking) RecordAnswer(time.Time, registry.Server)            {}
@@ -352,7 +352,7 @@
 	crashes map[suspect.Fingerprint]int
 }
 
-func (c *fakeCrashTracker) RecordCrash(f suspect.Fingerprint, _ registry.Instance) {
+func (c *fakeCrashTracker) RecordCrash(_ time.Time, f suspect.Fingerprint, _ registry.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes[f]++
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -54,8 +54,8 @@
 func (noLimits) Release(dispatch.Outcome)                           {}
 func (noLimits) AttemptEnded(dispatch.Observation)                  {}
 func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
-func (noLimits) RecordCrash(suspect.Fingerprint, registry.Instance) {}
-func (noLimits) RecordResponse(suspect.Fingerprint)                 {}
+func (noLimits) RecordCrash(time.Time, suspect.Fingerprint, registry.Instance) {}
+func (noLimits) RecordResponse(time.Time, suspect.Fingerprint)                 {}
 func (noLimits) RequestSent(time.Time, registry.Server) func()      { return func() {} }
 func (noLimits) RecordReached(time.Time, registry.Server)           {}
 func (noLimits) RecordAnswer(time.Time, registry.Server)            {}
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -21,6 +21,7 @@
 		"contact":       func(now time.Time) any { return p.contactCounts(now) },
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
+		"crashes":       func(now time.Time) any { return p.crashCounts(now) },
 		"statements":    func(now time.Time) any { return p.statements.Counts(now) },
 		"relay":         func(time.Time) any { return p.relayCounts() },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
@@ -39,6 +40,12 @@
 	return counts
 }
 
+// crashCounts returns the number of requests that ran when servers crashed, and of those that are blocked.
+func (p *Process) crashCounts(now time.Time) map[string]int {
+	crashed, blocked := p.crashes.Counts(now)
+	return map[string]int{"requests": crashed, "blocked": blocked}
+}
+
 // relayCounts returns the number of calls that the process has sent through others and taken from them.
 func (p *Process) relayCounts() map[string]int64 {
 	counts := p.relayClient.Counts()
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -107,6 +107,7 @@
 	allocator   *slots.Allocator
 	limiter     *slots.Limiter
 	limits      *requestlimit.Table
+	crashes     *crashes.Tracker
 	statements  *statement.Table
 	// reachability tells which servers this process reaches.
 	reachability *reachability.Monitor
@@ -153,18 +154,18 @@
 	p.orderRelays = orderrelay.NewClient(p.peerClient)
 	prober := serverprobe.New(d, p.view)
 	loadCollector := cluster.NewLoadCollector()
-	tracker := crashes.NewTracker()
+	p.crashes = crashes.NewTracker(logger)
 	p.limits = requestlimit.NewTable(logger)
 	p.statements = statement.NewTable(p.view, logger)
 	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
 	grants := newGrantClient(&dialer.ResetOnClose{Dialer: d})
-	p.node = cluster.New(p.self, s.Cores, p.store, grants, p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, tracker, p.reachability, d, prober, p.orderRelays, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, grants, p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, p.crashes, p.reachability, d, prober, p.orderRelays, logger)
 	p.allocator = slots.NewAllocator(p.limits)
 	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
-	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, tracker, p.reachability, p.relayClient, p.statements)
+	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, p.crashes, p.reachability, p.relayClient, p.statements)
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
 	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, grants, p.relayServer), logger)
--- a/entry/internal/report/client.go
+++ b/entry/internal/report/client.go
@@ -124,7 +124,7 @@
 			return fmt.Errorf("report: follow %s: %w", to, err)
 		}
 		watchdog.Reset(timeout)
-		if err := handle(decodeUpdate(&w)); err != nil {
+		if err := handle(decodeUpdate(time.Now(), &w)); err != nil {
 			return fmt.Errorf("report: follow %s: %w", to, err)
 		}
 	}
--- a/entry/internal/report/messages.go
+++ b/entry/internal/report/messages.go
@@ -8,18 +8,17 @@
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/requestlimit"
-	"bramleystand.org/entry/internal/suspect"
 )
 
-// Report is the load of an entry process and the crashes that it has seen since its last report to
-// the coordinator.
+// Report is the load of an entry process and what else it has observed.
 type Report struct {
 	From election.Member
 	// Cores is the CPU time available to the process, in seconds per second.
 	Cores   float64
 	Loads   []Load
 	Samples []Sample
-	Crashes []crashes.Crash
+	// Crashes are those that the process has observed and not reported to this coordinator yet.
+	Crashes []crashes.Entry
 	// Limits are the request limits of servers as responses to the process have stated them lately.
 	Limits map[registry.Instance]requestlimit.Limit
 	// CutOff is true if the process reaches no backend server.
@@ -137,9 +136,8 @@
 	LastOutage   time.Duration
 	Objects      []Object
 	CopyVersions []CopyVersion
-	// BlockedRequests has the fingerprints of requests that must be refused because they crash
-	// backend servers.
-	BlockedRequests []suspect.Fingerprint
+	// Crashes are the crashes of requests that have changed since the previous update.
+	Crashes []crashes.Entry
 }
 
 // StepDown asks a former coordinator to send no more orders to backend servers. It also tells the other
--- a/entry/internal/report/wire.go
+++ b/entry/internal/report/wire.go
@@ -77,12 +77,13 @@
 	Age       int64
 }
 
+// wireCrash has the time until the crashes no longer count in microseconds.
 type wireCrash struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
-	ID          string
-	Instance    int64
-	Cleared     bool
+	Round       uint32
+	Servers     []wireInstance
+	Left        int64
 }
 
 type wireResponse struct {
@@ -120,17 +121,17 @@
 }
 
 type wireUpdate struct {
-	_               struct{} `cbor:",toarray"`
-	Term            uint64
-	Sent            int64
-	LockConfirmed   bool
-	UpToDate        bool
-	LastOutage      time.Duration
-	Objects         []wireObject
-	CopyVersions    []wireCopyVersion
-	BlockedRequests []suspect.Fingerprint
-	LockHeartbeat   uint64
-	LockAge         time.Duration
+	_             struct{} `cbor:",toarray"`
+	Term          uint64
+	Sent          int64
+	LockConfirmed bool
+	UpToDate      bool
+	LastOutage    time.Duration
+	Objects       []wireObject
+	CopyVersions  []wireCopyVersion
+	Crashes       []wireCrash
+	LockHeartbeat uint64
+	LockAge       time.Duration
 }
 
 type wireFollowRequest struct {
@@ -173,9 +174,7 @@
 	for _, s := range r.Samples {
 		w.Samples = append(w.Samples, wireSample{Service: s.Service, ID: s.Instance.ID, Instance: s.Instance.Incarnation, Requests: s.Requests, RelativeTimeSum: s.RelativeTimeSum})
 	}
-	for _, c := range r.Crashes {
-		w.Crashes = append(w.Crashes, wireCrash{Fingerprint: uint64(c.Fingerprint), ID: c.Server.ID, Instance: c.Server.Incarnation, Cleared: c.Cleared})
-	}
+	w.Crashes = encodeCrashes(now, r.Crashes)
 	for inst, l := range r.Limits {
 		w.Limits = append(w.Limits, wireLimit{ID: inst.ID, Instance: inst.Incarnation, InForce: l.InForce, PerSecond: l.PerSecond, Age: now.Sub(l.HeardAt).Microseconds()})
 	}
@@ -197,11 +196,7 @@
 	for _, s := range w.Samples {
 		r.Samples = append(r.Samples, Sample{Service: s.Service, Instance: registry.Instance{ID: s.ID, Incarnation: s.Instance}, Requests: s.Requests, RelativeTimeSum: s.RelativeTimeSum})
 	}
-	for _, c := range w.Crashes {
-		r.Crashes = append(r.Crashes, crashes.Crash{
-			Fingerprint: suspect.Fingerprint(c.Fingerprint), Server: registry.Instance{ID: c.ID, Incarnation: c.Instance}, Cleared: c.Cleared,
-		})
-	}
+	r.Crashes = decodeCrashes(now, w.Crashes)
 	r.Limits = make(map[registry.Instance]requestlimit.Limit, len(w.Limits))
 	for _, l := range w.Limits {
 		r.Limits[registry.Instance{ID: l.ID, Incarnation: l.Instance}] = requestlimit.Limit{
@@ -218,6 +213,30 @@
 	return r
 }
 
+func encodeCrashes(now time.Time, entries []crashes.Entry) []wireCrash {
+	var out []wireCrash
+	for _, e := range entries {
+		w := wireCrash{Fingerprint: uint64(e.Fingerprint), Round: e.Round, Left: e.Expires.Sub(now).Microseconds()}
+		for _, s := range e.Servers {
+			w.Servers = append(w.Servers, wireInstance{ID: s.ID, Instance: s.Incarnation})
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decodeCrashes(now time.Time, list []wireCrash) []crashes.Entry {
+	var out []crashes.Entry
+	for _, w := range list {
+		e := crashes.Entry{Fingerprint: suspect.Fingerprint(w.Fingerprint), Round: w.Round, Expires: now.Add(time.Duration(w.Left) * time.Microsecond)}
+		for _, s := range w.Servers {
+			e.Servers = append(e.Servers, registry.Instance{ID: s.ID, Incarnation: s.Instance})
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 func encodeResponse(r Response) *wireResponse {
 	return &wireResponse{Coordinator: r.Coordinator, Term: r.Term, Confirmed: r.Confirmed, Roster: encodeRoster(r.Roster)}
 }
@@ -267,7 +286,7 @@
 }
 
 func encodeUpdate(u Update) *wireUpdate {
-	w := &wireUpdate{Term: u.Term, LockHeartbeat: u.LockHeartbeat, LockAge: u.LockAge, Sent: u.Sent.UnixNano(), LockConfirmed: u.LockConfirmed, UpToDate: u.UpToDate, LastOutage: u.LastOutage, BlockedRequests: u.BlockedRequests, Objects: encodeObjects(u.Objects).Objects}
+	w := &wireUpdate{Term: u.Term, LockHeartbeat: u.LockHeartbeat, LockAge: u.LockAge, Sent: u.Sent.UnixNano(), LockConfirmed: u.LockConfirmed, UpToDate: u.UpToDate, LastOutage: u.LastOutage, Crashes: encodeCrashes(u.Sent, u.Crashes), Objects: encodeObjects(u.Objects).Objects}
 	w.CopyVersions = encodeCopyVersions(u.CopyVersions)
 	return w
 }
@@ -288,8 +307,8 @@
 	return out
 }
 
-func decodeUpdate(w *wireUpdate) Update {
-	u := Update{Term: w.Term, LockHeartbeat: w.LockHeartbeat, LockAge: w.LockAge, Sent: time.Unix(0, w.Sent), LockConfirmed: w.LockConfirmed, UpToDate: w.UpToDate, LastOutage: w.LastOutage, BlockedRequests: w.BlockedRequests, Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
+func decodeUpdate(now time.Time, w *wireUpdate) Update {
+	u := Update{Term: w.Term, LockHeartbeat: w.LockHeartbeat, LockAge: w.LockAge, Sent: time.Unix(0, w.Sent), LockConfirmed: w.LockConfirmed, UpToDate: w.UpToDate, LastOutage: w.LastOutage, Crashes: decodeCrashes(now, w.Crashes), Objects: decodeObjects(&wireObjects{Objects: w.Objects})}
 	u.CopyVersions = decodeCopyVersions(w.CopyVersions)
 	return u
 }
