dispatch: send nothing to an address at which another server has answered

Cause: 421 means either that the recipient does not hold the key, or that it is not the expected instance. The second one proves that the instance has ended, but was treated as the first: wait for another table, send again to the same address. Nothing kept the proof, so each further request went there too. Services without keys have the same fault with one arrival a request.

Change: the adapter reads which server has answered in place of the expected one; the process takes the instance out of use for 10 s or until its entry is gone, which bounds what a wrong answer can do. Its keys wait for a new owner, and are refused at once from 700 ms after the answer.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -111,6 +111,8 @@
 type Statements interface {
 	// ObserveLeaving records that a server has stated that it leaves.
 	ObserveLeaving(now time.Time, inst registry.Instance)
+	// ObserveEnded records that another server has answered at the address of a server.
+	ObserveEnded(now time.Time, inst registry.Instance, other string)
 	// HoldOff records that a server takes no requests from this process until a time, and HeldUntil returns
 	// the time, or false if the server takes them.
 	HoldOff(now time.Time, inst registry.Instance, until time.Time)
@@ -425,7 +427,7 @@
 	if r.NotRun {
 		p.tried[b.server.Instance] = true
 		result := refusedResult(NotRun, time.Now().Add(refusalRetryDelay), nil)
-		if r.Status == http.StatusMisdirectedRequest && d.isSharded(p.call) {
+		if r.Status == http.StatusMisdirectedRequest && r.OtherServer == "" && d.isSharded(p.call) {
 			delete(p.tried, b.server.Instance)
 			d.awaitChange(ctx, misdirectedWait)
 		}
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -49,6 +49,13 @@
 
 func (testHeaderFields) IsLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
 
+func (testHeaderFields) OtherServer(status int, h http.Header, expected string) string {
+	if other := h.Get("Other"); status == http.StatusMisdirectedRequest && other != expected {
+		return other
+	}
+	return ""
+}
+
 func (testHeaderFields) RetryAfter(now time.Time, h http.Header) (time.Time, bool, error) {
 	left, err := time.ParseDuration(h.Get("Held"))
 	return now.Add(left), err == nil, nil
@@ -131,20 +138,20 @@
 // reachability that takes no server for unreached and a relay that is never available.
 type noTracking struct{}
 
-func (noTracking) AttemptEnded(dispatch.Observation)                  {}
-func (noTracking) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
+func (noTracking) AttemptEnded(dispatch.Observation)                             {}
+func (noTracking) IsBlocked(time.Time, suspect.Fingerprint) bool                 { return false }
 func (noTracking) RecordCrash(time.Time, suspect.Fingerprint, registry.Instance) {}
 func (noTracking) RecordResponse(time.Time, suspect.Fingerprint)                 {}
-func (noTracking) RequestSent(time.Time, registry.Server) func()      { return func() {} }
-func (noTracking) RecordReached(time.Time, registry.Server)           {}
-func (noTracking) RecordAnswer(time.Time, registry.Server)            {}
-func (noTracking) RecordUnreached(time.Time, registry.Server)         {}
-func (noTracking) RecordReset(time.Time, registry.Server)             {}
-func (noTracking) Unreached(time.Time, registry.Server) bool          { return false }
-func (noTracking) CutOffFrom(string) bool                             { return false }
-func (noTracking) Hanging(string) bool                                { return false }
-func (noTracking) Connected(string) context.Context                   { return context.Background() }
-func (noTracking) Available(time.Time, registry.Server) bool          { return false }
+func (noTracking) RequestSent(time.Time, registry.Server) func()                 { return func() {} }
+func (noTracking) RecordReached(time.Time, registry.Server)                      {}
+func (noTracking) RecordAnswer(time.Time, registry.Server)                       {}
+func (noTracking) RecordUnreached(time.Time, registry.Server)                    {}
+func (noTracking) RecordReset(time.Time, registry.Server)                        {}
+func (noTracking) Unreached(time.Time, registry.Server) bool                     { return false }
+func (noTracking) CutOffFrom(string) bool                                        { return false }
+func (noTracking) Hanging(string) bool                                           { return false }
+func (noTracking) Connected(string) context.Context                              { return context.Background() }
+func (noTracking) Available(time.Time, registry.Server) bool                     { return false }
 func (noTracking) Do(context.Context, *dispatch.Call, registry.Server, int) *dispatch.Result {
 	return nil
 }
@@ -154,6 +161,7 @@
 	return time.Time{}, false
 }
 func (noTracking) ObserveLeaving(time.Time, registry.Instance)        {}
+func (noTracking) ObserveEnded(time.Time, registry.Instance, string)  {}
 func (noTracking) ObserveInvalid(time.Time, registry.Instance, error) {}
 
 // fixture is a dispatcher with its view of the configuration, the servers and their keys.
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -163,7 +163,7 @@
 
 // ownerUnreachable reports whether it is useless to wait for an owner of the call's key, and when the
 // client should try again: the service has no ownership table, or a server that still holds the key is in
-// back-off. Such a server stays unreachable for longer than a request can wait.
+// back-off or ended some time ago. The key then stays without an owner for longer than a request can wait.
 func (d *Dispatcher) ownerUnreachable(now time.Time, servers *view.Servers, c *Call) (retryAt time.Time, unreachable bool) {
 	retryAt = now.Add(refusalRetryDelay)
 	table := d.view.Table(c.Service)
@@ -175,6 +175,9 @@
 		return retryAt, false
 	}
 	for _, h := range a.Holders {
+		if at, ended := d.view.EndedAt(now, h.Instance); ended && now.Sub(at) > maxOwnerWait {
+			return retryAt, true
+		}
 		s, ok := servers.Find(now, h.Instance)
 		if !ok {
 			continue
--- a/entry/internal/dispatch/statements.go
+++ b/entry/internal/dispatch/statements.go
@@ -32,6 +32,9 @@
 	if r.Leaving {
 		d.statements.ObserveLeaving(now, inst)
 	}
+	if r.OtherServer != "" {
+		d.statements.ObserveEnded(now, inst, r.OtherServer)
+	}
 	if r.HeldErr != nil {
 		d.statements.ObserveInvalid(now, inst, r.HeldErr)
 	}
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -37,7 +37,8 @@
 
 func (originFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
-func (originFields) IsLeaving(http.Header) (bool, error) { return false, nil }
+func (originFields) IsLeaving(http.Header) (bool, error)         { return false, nil }
+func (originFields) OtherServer(int, http.Header, string) string { return "" }
 func (originFields) RetryAfter(time.Time, http.Header) (time.Time, bool, error) {
 	return time.Time{}, false, nil
 }
@@ -50,22 +51,22 @@
 func (noLimits) Acquire(_ context.Context, _ dispatch.SlotRequest) (dispatch.Slot, error) {
 	return noLimits{}, nil
 }
-func (noLimits) ExpectedWait(dispatch.SlotRequest) time.Duration    { return 0 }
-func (noLimits) Release(dispatch.Outcome)                           {}
-func (noLimits) AttemptEnded(dispatch.Observation)                  {}
-func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool      { return false }
+func (noLimits) ExpectedWait(dispatch.SlotRequest) time.Duration               { return 0 }
+func (noLimits) Release(dispatch.Outcome)                                      {}
+func (noLimits) AttemptEnded(dispatch.Observation)                             {}
+func (noLimits) IsBlocked(time.Time, suspect.Fingerprint) bool                 { return false }
 func (noLimits) RecordCrash(time.Time, suspect.Fingerprint, registry.Instance) {}
 func (noLimits) RecordResponse(time.Time, suspect.Fingerprint)                 {}
-func (noLimits) RequestSent(time.Time, registry.Server) func()      { return func() {} }
-func (noLimits) RecordReached(time.Time, registry.Server)           {}
-func (noLimits) RecordAnswer(time.Time, registry.Server)            {}
-func (noLimits) RecordUnreached(time.Time, registry.Server)         {}
-func (noLimits) RecordReset(time.Time, registry.Server)             {}
-func (noLimits) Unreached(time.Time, registry.Server) bool          { return false }
-func (noLimits) CutOffFrom(string) bool                             { return false }
-func (noLimits) Hanging(string) bool                                { return false }
-func (noLimits) Connected(string) context.Context                   { return context.Background() }
-func (noLimits) Available(time.Time, registry.Server) bool          { return false }
+func (noLimits) RequestSent(time.Time, registry.Server) func()                 { return func() {} }
+func (noLimits) RecordReached(time.Time, registry.Server)                      {}
+func (noLimits) RecordAnswer(time.Time, registry.Server)                       {}
+func (noLimits) RecordUnreached(time.Time, registry.Server)                    {}
+func (noLimits) RecordReset(time.Time, registry.Server)                        {}
+func (noLimits) Unreached(time.Time, registry.Server) bool                     { return false }
+func (noLimits) CutOffFrom(string) bool                                        { return false }
+func (noLimits) Hanging(string) bool                                           { return false }
+func (noLimits) Connected(string) context.Context                              { return context.Background() }
+func (noLimits) Available(time.Time, registry.Server) bool                     { return false }
 func (noLimits) Do(context.Context, *dispatch.Call, registry.Server, int) *dispatch.Result {
 	return nil
 }
@@ -75,6 +76,7 @@
 	return time.Time{}, false
 }
 func (noLimits) ObserveLeaving(time.Time, registry.Instance)        {}
+func (noLimits) ObserveEnded(time.Time, registry.Instance, string)  {}
 func (noLimits) ObserveInvalid(time.Time, registry.Instance, error) {}
 
 // startGateway serves a handler whose requests are sent to a server that answers each with serve.
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -466,7 +466,12 @@
 		return
 	}
 	key, err := strconv.Atoi(r.Header.Get("Bramleystand-Shard-Key"))
-	if r.Header.Get("Bramleystand-Expect-Instance") != b.id || !b.plain && (err != nil || !time.Now().Before(b.expiries[key])) {
+	if r.Header.Get("Bramleystand-Expect-Instance") != b.id {
+		w.Header().Set("Bramleystand-Instance-Id", b.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !b.plain && (err != nil || !time.Now().Before(b.expiries[key])) {
 		w.Header().Set("Bramleystand-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -222,7 +222,8 @@
 		return &Response{
 			HeldUntil: heldUntil, HeldErr: heldErr,
 			Leaving: leaving, LeavingErr: leavingErr,
-			Status: head.StatusCode, Header: head.Header, Body: body,
+			OtherServer: c.fields.OtherServer(head.StatusCode, head.Header, r.Server),
+			Status:      head.StatusCode, Header: head.Header, Body: body,
 			Limit:          Limit{PerSecond: perSecond, Named: named, Err: limitErr},
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
 			HasServerProof: c.fields.HasProof(head.Header),
--- a/entry/internal/origin/fields.go
+++ b/entry/internal/origin/fields.go
@@ -16,6 +16,9 @@
 	AddRequestFields(add func(name, value string), left time.Duration, server string)
 	// NotRun reports whether a response states that the request was not run.
 	NotRun(status int, h http.Header) bool
+	// OtherServer returns the identifier of the server that has refused a request because another one was
+	// expected, which has ended; "" for any other response.
+	OtherServer(status int, h http.Header, expected string) string
 	// RequestLimit returns the requests a second that the server of a response takes from all processes
 	// together, and whether the response names them. An error means that they can't be read.
 	RequestLimit(h http.Header) (perSecond float64, named bool, err error)
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -22,6 +22,9 @@
 	Body   []byte
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
+	// OtherServer is the identifier of the server that has refused the request because another one was
+	// expected, which has ended; empty if none has.
+	OtherServer string
 	// HasServerProof is true if the response carries the server's proof that it made the response.
 	HasServerProof bool
 	// HeldUntil is the time until which the server wants no request from this process, as it states when it
--- a/entry/internal/statement/table.go
+++ b/entry/internal/statement/table.go
@@ -1,5 +1,6 @@
 // Package statement handles what backend servers state about themselves in their responses: that they leave,
-// or that they take no requests from this process until a time.
+// that they take no requests from this process until a time, or that they are another server than the expected
+// one, which has ended.
 //
 // That a server leaves is evidence of its own beside the server's entry in the store, whichever comes first. It
 // is final for the instance, and holds without the store and without other processes: the process marks the
@@ -16,6 +17,7 @@
 //	table.ObserveLeaving(now, instance)
 //	report.Leaving = table.Leaving(now)
 //	table.MergeLeaving(now, instance, reporter)
+//	table.ObserveEnded(now, instance, other)
 //	table.HoldOff(now, instance, until)
 //	until, held := table.HeldUntil(now, instance)
 package statement
@@ -43,10 +45,12 @@
 	invalidLogInterval = 10 * time.Second
 )
 
-// View is told which servers leave.
+// View is told which servers leave and which have ended.
 type View interface {
 	// SetLeaving marks a server as leaving, and reports whether that is new.
 	SetLeaving(now time.Time, inst registry.Instance) bool
+	// SetEnded marks a server as ended, and reports whether that is new.
+	SetEnded(now time.Time, inst registry.Instance) bool
 }
 
 // Table holds the statements that responses to this process have made lately. It is safe for concurrent use.
@@ -110,6 +114,14 @@
 	t.logger.WithFields(fields).Info("server states that it leaves")
 }
 
+// ObserveEnded records that the server with the identifier other has answered at the address of a server, which
+// has ended therefore.
+func (t *Table) ObserveEnded(now time.Time, inst registry.Instance, other string) {
+	if t.view.SetEnded(now, inst) {
+		t.logger.WithFields(log.Fields{"server": inst.ID, "life": inst.Incarnation, "other": other}).Info("another server answers at the address of a server")
+	}
+}
+
 // HoldOff records that a server takes no requests from this process until a time.
 func (t *Table) HoldOff(now time.Time, inst registry.Instance, until time.Time) {
 	t.mu.Lock()
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -38,14 +38,23 @@
 	changed chan struct{}
 	// leaving holds the servers that have stated that they leave, with the time of the first statement.
 	leaving map[registry.Instance]time.Time
+	// ended holds the servers at whose address another one has answered, with the time at which it did.
+	ended map[registry.Instance]time.Time
 }
 
-// maxLeaving limits the servers whose statements that they leave are remembered.
-const maxLeaving = 1024
+const (
+	// maxLeaving limits the servers whose statements that they leave are remembered.
+	maxLeaving = 1024
+	// maxEnded limits the servers that are remembered as ended.
+	maxEnded = 1024
+	// endedTime is how long a server counts as ended. By then its entry is gone, unless the store is down or
+	// the answer was wrong.
+	endedTime = 10 * time.Second
+)
 
 // New returns a view without configuration, servers and tables.
 func New() *View {
-	v := &View{changed: make(chan struct{}), leaving: make(map[registry.Instance]time.Time)}
+	v := &View{changed: make(chan struct{}), leaving: make(map[registry.Instance]time.Time), ended: make(map[registry.Instance]time.Time)}
 	v.servers.Store(&Servers{byInstance: map[registry.Instance]*TrackedServer{}, byService: map[string][]registry.Server{}})
 	v.tables.Store(&map[string]*ownership.Table{})
 	return v
@@ -107,10 +116,45 @@
 func (v *View) SetServers(now time.Time, list []registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.servers.Store(v.servers.Load().update(now, list, v.leaving, endedServers(list, v.configuration.Load())))
+	v.updateServers(now, list)
+}
+
+// updateServers derives the set of servers from a list of registered ones. The lock is held.
+func (v *View) updateServers(now time.Time, registered []registry.Server) {
+	replaced := endedServers(registered, v.configuration.Load())
+	ended := func(s registry.Server) bool {
+		at, answered := v.ended[s.Instance]
+		return answered && now.Sub(at) < endedTime || replaced(s)
+	}
+	v.servers.Store(v.servers.Load().update(now, registered, v.leaving, ended))
 	v.notifyChange()
 }
 
+// SetEnded records that another server has answered at the address of a server, and reports whether that is
+// new. The server gets no more requests from then on, whatever its entry says.
+func (v *View) SetEnded(now time.Time, inst registry.Instance) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at, known := v.ended[inst]; known && now.Sub(at) < endedTime {
+		return false
+	}
+	maps.DeleteFunc(v.ended, func(_ registry.Instance, at time.Time) bool { return now.Sub(at) >= endedTime })
+	if len(v.ended) >= maxEnded {
+		return false
+	}
+	v.ended[inst] = now
+	v.updateServers(now, v.servers.Load().Registered())
+	return true
+}
+
+// EndedAt returns when another server has answered at the address of a server, or false if none has lately.
+func (v *View) EndedAt(now time.Time, inst registry.Instance) (time.Time, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at, ok := v.ended[inst]
+	return at, ok && now.Sub(at) < endedTime
+}
+
 // SetLeaving records that a server has stated that it leaves, and reports whether that is new. The server
 // counts as draining from then on, whatever its entry says.
 func (v *View) SetLeaving(now time.Time, inst registry.Instance) bool {
@@ -123,10 +167,7 @@
 		v.forgetLeaving()
 	}
 	v.leaving[inst] = now
-	servers := v.servers.Load()
-	registered := servers.Registered()
-	v.servers.Store(servers.update(now, registered, v.leaving, endedServers(registered, v.configuration.Load())))
-	v.notifyChange()
+	v.updateServers(now, v.servers.Load().Registered())
 	return true
 }
 
