--- a/entry/internal/backend/client.go
+++ b/entry/internal/backend/client.go
@@ -24,6 +24,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
@@ -40,6 +42,7 @@
 	address      string
 	dialer       Dialer
 	dialPermits  chan struct{}
+	heads        *bodybudget.Budget
 	requestPool  *pool
 	grantPool    *pool
 	probePool    *pool
@@ -51,7 +54,7 @@
 // New returns a client that has at most the given number of connections open, which must
 // be at least 3.
 func New(address netip.AddrPort, connections int, d Dialer) *Client {
-	c := &Client{address: address.String(), dialer: d, dialPermits: make(chan struct{}, maxParallelDials)}
+	c := &Client{address: address.String(), heads: bodybudget.New(maxHeadMemory), dialer: d, dialPermits: make(chan struct{}, maxParallelDials)}
 	c.requestPool = newPool(c.dial, max(1, connections-reservedConnections))
 	c.grantPool = newPool(c.dial, 1)
 	c.probePool = newPool(c.dial, 1)
--- a/entry/internal/backend/conn.go
+++ b/entry/internal/backend/conn.go
@@ -9,19 +9,29 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
 	// readBufferSize is the size of the buffer for response heads. Larger reads of bodies bypass it.
 	readBufferSize = 4 << 10
-	// maxHeadSize is the maximum size of a response head.
-	maxHeadSize = 1 << 20
+	// maxHeadSize is the maximum size of a response head, and maxInterimSize that of a final one together with
+	// the heads of interim responses.
+	maxHeadSize    = 64 << 10
+	maxInterimSize = 1 << 20
+	// maxHeadMemory bounds the memory for the large heads of all responses of a server in progress.
+	maxHeadMemory = 8 << 20
 	// maxIdleTime is how long a connection may be idle and still be reused. An older one
 	// may have gone silent, and opening a new one takes only about 1 ms.
 	maxIdleTime = 5 * time.Second
 )
 
-var errHeadTooLarge = eris.New("backend: response head exceeds 1 MiB")
+var (
+	errHeadTooLarge    = eris.New("backend: response head exceeds 64 KiB")
+	errInterimTooLarge = eris.New("backend: response head exceeds 1 MiB with the interim responses before it")
+	errHeadMemory      = eris.New("backend: no memory left for the response head, those of other responses take it")
+)
 
 // conn is a connection to the server that records for how long it has been waiting for bytes.
 type conn struct {
@@ -38,6 +48,8 @@
 	// headBudget is the number of bytes that may still be read of a response head; negative
 	// outside a head.
 	headBudget int
+	// head reserves the memory for the head.
+	head bodybudget.Head
 	// readStart and lastWrite are nanoseconds since opened: when the read in progress began,
 	// 0 without one, and when bytes were last written.
 	readStart atomic.Int64
@@ -88,6 +100,9 @@
 	c.readStart.Store(0)
 	if c.headBudget > 0 {
 		c.headBudget = max(0, c.headBudget-n)
+		if !c.head.Add(n) {
+			return 0, errHeadMemory
+		}
 	}
 	return n, err
 }
--- a/entry/internal/backend/exchange.go
+++ b/entry/internal/backend/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"bramleystand.org/common/outcome"
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
@@ -50,7 +52,9 @@
 	bodyReader     io.ReadCloser
 	// framed is true if the response has a length or chunked coding, so that its end can be
 	// told from a broken connection.
-	framed      bool
+	framed bool
+	// memory is where the memory for a large head is reserved until the exchange ends.
+	memory      *bodybudget.Account
 	keepAlive   bool
 	readErr     error
 	releaseOnce sync.Once
@@ -74,7 +78,7 @@
 		p.put(cn, true)
 		return nil, notRunError(err)
 	}
-	x := &exchange{ctx: ctx, pool: p, conn: cn, stopAfterFunc: context.AfterFunc(ctx, func() { cn.SetDeadline(pastTime) })}
+	x := &exchange{ctx: ctx, pool: p, conn: cn, memory: c.heads.Open(), stopAfterFunc: context.AfterFunc(ctx, func() { cn.SetDeadline(pastTime) })}
 	cn.setOverdue(r.Overdue)
 	if n, err := cn.Write(*buffer); err != nil {
 		x.release(false)
@@ -135,16 +139,22 @@
 
 // readHead reads the head of the final response and skips interim responses (1xx), whose
 // bytes show that the server is still working on the request. All of them together have at
-// most maxHeadSize bytes, which is enough for one each 250 ms for more than two hours.
+// most maxInterimSize bytes, which is enough for one each 250 ms for more than two hours.
 func (x *exchange) readHead(method string) error {
 	var request *http.Request
 	if method == http.MethodHead {
 		request = headRequest
 	}
-	x.conn.headBudget = maxHeadSize
 	defer func() { x.conn.headBudget = -1 }()
-	for {
+	for left := maxInterimSize; ; {
+		budget := min(maxHeadSize, left)
+		x.conn.headBudget = budget
+		x.conn.head.Begin(x.memory)
 		r, err := http.ReadResponse(x.conn.reader, request)
+		left -= budget - x.conn.headBudget
+		if left == 0 && errors.Is(err, errHeadTooLarge) {
+			err = errInterimTooLarge
+		}
 		if err != nil {
 			return fmt.Errorf("backend: read response: %w", err)
 		}
--- a/entry/internal/backend/responsebody.go
+++ b/entry/internal/backend/responsebody.go
@@ -53,6 +53,8 @@
 				reusable = false
 			}
 		}
+		x.conn.head.Keep()
+		x.memory.Close()
 		x.pool.put(x.conn, reusable)
 	})
 }
--- a/entry/internal/bodybudget/budget.go
+++ b/entry/internal/bodybudget/budget.go
@@ -1,4 +1,4 @@
-// Package bodybudget limits the memory for the bodies of all responses in progress.
+// Package bodybudget limits the memory for the bodies, and for large heads, of all responses in progress.
 //
 // # Usage
 //
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -169,6 +169,43 @@
 	must.Eq(t, 200, small[0].StatusCode)
 }
 
+// Guards against response heads that together exhaust the memory: of a short header line, ten times its bytes are
+// held. Servers send heads without end, each just below the limit of one head before it pauses.
+func TestMemoryForHeads(t *testing.T) {
+	const requests, limit, slack = 90, 32 << 20, 16 << 20
+	var lines strings.Builder
+	for i := 0; lines.Len() < 63<<10; i++ {
+		fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	settled, release := make(chan struct{}, 2*requests), make(chan struct{})
+	s := startGateway(t, traffic.NonIdempotent, func(c net.Conn, id string) {
+		if id == "small" {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: yes\r\nContent-Length: 1\r\n\r\na", id)
+			return
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: yes\r\n%s", id, lines.String())
+		if err == nil {
+			// The gateway has read the lines or closed the connection once the server waits for its next byte.
+			<-time.After(500 * time.Millisecond)
+		}
+		settled <- struct{}{}
+		<-release
+	})
+	t.Cleanup(func() { close(release) })
+	before := heapInUse()
+	deadline := time.Now().Add(30 * time.Second)
+	for i := range requests {
+		go sendRawUntil(t, s, getRequest("/p/x", fmt.Sprintf("Id: %d\r\n", i)), deadline)
+	}
+	for range requests {
+		<-settled
+	}
+	must.LessEq(t, limit+slack, heapInUse()-before)
+	small := sendRaw(t, s, getRequest("/p/x", "Id: small\r\n"))
+	must.Len(t, 1, small)
+	must.Eq(t, 200, small[0].StatusCode)
+}
+
 // heapInUse returns the bytes of live objects.
 func heapInUse() int64 {
 	runtime.GC()
--- a/entry/internal/gatewayprocess/newclient_internal_test.go
+++ b/entry/internal/gatewayprocess/newclient_internal_test.go
@@ -23,19 +23,27 @@
 			must.NoError(t, err)
 			defer l.Close()
 			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = io.WriteString(c, text)
+					_ = c.Close()
 				}
-				defer c.Close()
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-				_, _ = io.WriteString(c, text)
 			}()
-			response, err := newClient(&net.Dialer{}).Get("http://" + l.Addr().String())
-			if err == nil {
-				response.Body.Close()
+			dial := (&net.Dialer{}).DialContext
+			for _, c := range []struct {
+				client *http.Client
+				limit  string
+			}{{newClient(&net.Dialer{}), "exceeded 65536 bytes"}, {&http.Client{Transport: newOrderTransport(dial)}, "exceeded 4096 bytes"}} {
+				response, err := c.client.Get("http://" + l.Addr().String())
+				if err == nil {
+					response.Body.Close()
+				}
+				must.ErrorContains(t, err, c.limit)
 			}
-			must.ErrorContains(t, err, "exceeded 65536 bytes")
 		})
 	}
 }
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -85,6 +85,8 @@
 	// maxHeaderBytes limits the head of a request before the limit of the configuration is known, and the
 	// heads of responses to calls of the store and of backend servers.
 	maxHeaderBytes = 64 << 10
+	// maxOrderHeaderBytes limits the head of a response to a grant or release.
+	maxOrderHeaderBytes = 4 << 10
 )
 
 // Process is an entry process with its listeners and background loops.
@@ -190,11 +192,18 @@
 	}
 }
 
+// newOrderTransport returns a transport for orders, hundreds of which may be in progress.
+func newOrderTransport(dial grantpool.DialFunc) *http.Transport {
+	t := newTransport(dial)
+	t.MaxResponseHeaderBytes = maxOrderHeaderBytes
+	return t
+}
+
 // newGrantClient returns a client for orders to backend servers.
 func newGrantClient(d cluster.Dialer) *platform.GrantClient {
-	single := newTransport(d.DialContext)
+	single := newOrderTransport(d.DialContext)
 	single.DisableKeepAlives = true
-	return platform.NewGrantClient(single, grantpool.New(d.DialContext, newTransport))
+	return platform.NewGrantClient(single, grantpool.New(d.DialContext, newOrderTransport))
 }
 
 func (p *Process) openListeners() error {
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -71,7 +71,7 @@
 	errHeadTooLarge     = eris.New("origin: the response head is larger than 64 KiB")
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
 	errTransferTooLarge = eris.New("origin: the response body takes more than 32 MiB with the framing of its chunks")
-	errMemoryLimit      = eris.New("origin: no memory left for the response body, the bodies of other responses take it")
+	errMemoryLimit      = eris.New("origin: no memory left for the response, other responses take it")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
 	errConnectionLimit  = eris.New("origin: all connections to the server are in use")
 )
@@ -142,6 +142,11 @@
 	if !stop() {
 		reusable = false
 	}
+	if err != nil {
+		k.head.Release()
+	} else {
+		k.head.Keep()
+	}
 	c.putConn(k, reusable, response)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -198,7 +203,7 @@
 // readResponse reads responses until the one that belongs to the request.
 func (c *Client) readResponse(k *conn, r *Request) (*Response, bool, error) {
 	for k.heads = 0; k.heads < maxResponses; k.heads++ {
-		head, err := readHead(k, r.Method)
+		head, err := readHead(k, r)
 		if err != nil {
 			return nil, false, err
 		}
@@ -246,14 +251,17 @@
 }
 
 // readHead reads the head of the final response and skips interim (1xx) responses. It reads at most
-// maxHeadBytes from the server.
-func readHead(k *conn, method string) (*http.Response, error) {
+// maxHeadBytes from the server, and reserves the memory for them in the request's account.
+func readHead(k *conn, r *Request) (*http.Response, error) {
 	k.limited.N = maxHeadBytes
+	k.head.Begin(r.Memory)
+	k.inHead = true
+	defer func() { k.inHead = false }()
 	for {
 		if !k.receivesHTTP() {
 			return nil, errNotHTTP
 		}
-		head, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		head, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
 		if err != nil && k.limited.N <= 0 {
 			return nil, errHeadTooLarge
 		}
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"bramleystand.org/entry/internal/bodybudget"
 )
 
 const (
@@ -34,7 +36,10 @@
 	net.Conn
 	// limited is the source of reader. Its limit is set before each part of a response is read.
 	limited *io.LimitedReader
-	reader  *bufio.Reader
+	// head reserves the memory for the head that is read while inHead is true.
+	head   bodybudget.Head
+	inHead bool
+	reader *bufio.Reader
 	// heads is the number of responses to other requests that were read for the present request.
 	heads int
 	// idleSince is when the connection became idle, and idleUntil when it must no longer be used.
@@ -64,8 +69,22 @@
 }
 
 func newConn(inner net.Conn) *conn {
-	limited := &io.LimitedReader{R: inner}
-	return &conn{Conn: inner, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
+	c := &conn{Conn: inner}
+	c.limited = &io.LimitedReader{R: countedReader{c}}
+	c.reader = bufio.NewReaderSize(c.limited, readBufferSize)
+	return c
+}
+
+// countedReader reads from a connection and reserves the memory for heads.
+type countedReader struct{ conn *conn }
+
+// Read implements io.Reader.
+func (r countedReader) Read(b []byte) (int, error) {
+	n, err := r.conn.Conn.Read(b)
+	if r.conn.inHead && !r.conn.head.Add(n) {
+		return 0, errMemoryLimit
+	}
+	return n, err
 }
 
 // isReusable reports whether an idle connection may be used for another request: it has not
--- a/entry/internal/origin/endless_test.go
+++ b/entry/internal/origin/endless_test.go
@@ -292,3 +292,40 @@
 	r.Memory.Close()
 	must.Eq(t, 0, budget.Used())
 }
+
+// Guards against large heads for which no memory is reserved, and against memory that stays reserved after a
+// response that failed, was skipped, or whose request has ended.
+func TestMemoryOfHead(t *testing.T) {
+	large := "X: " + strings.Repeat("a", 20<<10) + "\r\n"
+	for _, c := range []struct {
+		name, text, cause string
+		limit             int64
+		reserved          bool
+	}{
+		{"used", formatResponse("1", large, "x"), "", 1 << 20, true},
+		{"skipped", formatResponse("2", large, "x") + formatResponse("1", "", "x"), "", 1 << 20, false},
+		{"small", formatResponse("1", "", "x"), "", 1 << 10, false},
+		{"no memory", formatResponse("1", large, "x"), "no memory left", 100 << 10, false},
+		{"broken off", "HTTP/1.1 200 OK\r\n" + large, "unexpected EOF", 1 << 20, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			budget := bodybudget.New(c.limit)
+			_, client := startUnhurried(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(conn, c.text)
+				_ = conn.(*net.TCPConn).CloseWrite()
+			})
+			r := request("1")
+			r.Memory = budget.Open()
+			_, err := client.Do(t.Context(), r)
+			if c.cause != "" {
+				must.ErrorContains(t, err, c.cause)
+			} else {
+				must.NoError(t, err)
+			}
+			must.Eq(t, c.reserved, budget.Used() > 0)
+			r.Memory.Close()
+			must.Eq(t, 0, budget.Used())
+		})
+	}
+}
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -36,6 +36,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/bodybudget"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/origin"
@@ -322,7 +323,7 @@
 		if r.Response == nil {
 			return r, nil
 		}
-		if !call.Memory.Reserve(origin.CountedSize(w.BodyLength)) {
+		if !call.Memory.Reserve(bodybudget.HeadSize(headBytes(w.Header)) + origin.CountedSize(w.BodyLength)) {
 			return nil, errNoMemory
 		}
 		var err error
--- a/entry/internal/relay/messages.go
+++ b/entry/internal/relay/messages.go
@@ -85,6 +85,15 @@
 	return out
 }
 
+// headBytes returns the size of the fields as header lines.
+func headBytes(fields []wireField) int64 {
+	var n int64
+	for _, f := range fields {
+		n += int64(len(f.Name) + len(f.Value) + len(": \r\n"))
+	}
+	return n
+}
+
 func decodeHeader(fields []wireField) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
