--- a/entry/internal/cluster/crashstore.go
+++ b/entry/internal/cluster/crashstore.go
@@ -61,6 +61,7 @@
 	})
 }
 
+// readCrashes merges what the store has. Crashes that this process knows beyond that are written next.
 func (s *executor) readCrashes(ctx context.Context) error {
 	o, err := s.node.store.Get(ctx, crashKind, crashName)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
@@ -83,6 +84,8 @@
 	return nil
 }
 
+// writeCrashes replaces what the store has. If another coordinator has written it meanwhile, it is read again
+// first.
 func (s *executor) writeCrashes(ctx context.Context) error {
 	entries, version := s.node.crashes.Latest(maxCrashEntries)
 	data, err := crashes.Encode(entries)
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -425,6 +425,7 @@
 	}
 	if holding {
 		n.Report(time.Now(), r)
+		n.crashReports.version = crashVersion
 		return
 	}
 	response, err := n.peers.Report(ctx, holder.Address, r)
