--- a/common/gatewaysettings/settings.go
+++ b/common/gatewaysettings/settings.go
@@ -36,6 +36,9 @@
 	Seeds []netip.AddrPort
 	// Stop is the maximum duration of a graceful stop.
 	Stop time.Duration
+	// Evacuation is the time in which the servers of a data centre must have ceased to get requests
+	// after the operator has asked for it; zero if the platform knows no evacuations.
+	Evacuation time.Duration
 	// RetryBudget limits how many requests to a service all entry processes together may retry.
 	RetryBudget RetryBudget
 	// Cores is the CPU time that the process gets per second, in seconds of a core of
@@ -66,6 +69,7 @@
 	Store         netip.AddrPort    `json:"store"`
 	Seeds         []netip.AddrPort  `json:"seeds"`
 	Stop          settings.Duration `json:"stop"`
+	Evacuation    settings.Duration `json:"evacuate,omitempty"`
 	RetryBudget   retriesJSON       `json:"retries"`
 	Cores         coresJSON         `json:"cores"`
 	MemoryLimit   int64             `json:"memory"`
@@ -97,7 +101,7 @@
 	parseErr := settings.Decode(data, &w)
 	s := Settings{
 		Name: w.Name, DataCentre: w.Centre, ClientAddress: w.ClientAddress, ReadyAddress: w.ReadyAddress, PeerAddress: w.PeerAddress, AdminAddress: w.AdminAddress,
-		Store: w.Store, Seeds: w.Seeds, Stop: time.Duration(w.Stop), MemoryLimit: w.MemoryLimit * megabyte,
+		Store: w.Store, Seeds: w.Seeds, Stop: time.Duration(w.Stop), Evacuation: time.Duration(w.Evacuation), MemoryLimit: w.MemoryLimit * megabyte,
 		RetryBudget: RetryBudget(w.RetryBudget), Cores: w.Cores.Share * w.Cores.Speed, LogLimit: linebudget.Limit(w.LogLimit),
 	}
 	if err := s.validate(parseErr); err != nil {
--- a/common/gatewaysettings/settings_test.go
+++ b/common/gatewaysettings/settings_test.go
@@ -31,6 +31,7 @@
 	for change, want := range map[[2]string]string{
 		{`"10.1.0.1:81"`, `"10.1.0.1:80"`}:  "ready: 10.1.0.1:80 is not allowed, allowed: an address other than that of client",
 		{`"6s"`, `"1ms"`}:                   "stop: 1ms is not allowed",
+		{`"6s"`, `"6s","evacuate":"1ms"`}:   "evacuate: 1ms is not allowed, allowed: 500ms to 10m0s",
 		{`"share":0.2`, `"share":-1`}:       "retries.share: -1 is not allowed, allowed: 0 to 1",
 		{`"processes":16`, `"processes":0`}: "retries.processes: 0 is not allowed",
 		{`"lines":200`, `"lines":1`}:        "logs.lines: 1 is not allowed, allowed: 10 to 100000",
--- a/common/gatewaysettings/validate.go
+++ b/common/gatewaysettings/validate.go
@@ -12,11 +12,14 @@
 
 // Bounds of the values.
 const (
-	minStop      = time.Second
-	maxStop      = 10 * time.Minute
-	minMemory    = 32 * megabyte
-	maxProcesses = 10_000
-	maxCores     = 10_000
+	minStop   = time.Second
+	maxStop   = 10 * time.Minute
+	minMemory = 32 * megabyte
+	// minEvacuation leaves time for the request to reach all processes and for a move of keys.
+	minEvacuation = 500 * time.Millisecond
+	maxEvacuation = 10 * time.Minute
+	maxProcesses  = 10_000
+	maxCores      = 10_000
 	// A line takes about 300 bytes. Below 10 lines per second even rare events would be left out.
 	minLines = 10
 	maxLines = 100_000
@@ -52,6 +55,7 @@
 		check(fmt.Sprintf("seeds[%d]", i), a.IsValid() && a.Port() != 0, a, "the IP address and port of an entry process")
 	}
 	check("stop", s.Stop >= minStop && s.Stop <= maxStop, s.Stop, fmt.Sprintf("%s to %s", minStop, maxStop))
+	check("evacuate", s.Evacuation == 0 || s.Evacuation >= minEvacuation && s.Evacuation <= maxEvacuation, s.Evacuation, fmt.Sprintf("%s to %s", minEvacuation, maxEvacuation))
 	check("retries.share", s.RetryBudget.Share >= 0 && s.RetryBudget.Share <= 1, s.RetryBudget.Share, "0 to 1")
 	check("retries.slack", s.RetryBudget.Burst >= 0, s.RetryBudget.Burst, "0 or more")
 	check("retries.processes", s.RetryBudget.Processes >= 1 && s.RetryBudget.Processes <= maxProcesses, s.RetryBudget.Processes, fmt.Sprintf("1 to %d", maxProcesses))
--- a/common/traffic/configuration.go
+++ b/common/traffic/configuration.go
@@ -16,6 +16,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -46,6 +47,11 @@
 		}
 		c.routes[host][r.Prefix] = r
 	}
+	for name, s := range services {
+		if s.ColdRate < 0 || math.IsNaN(s.ColdRate) || math.IsInf(s.ColdRate, 0) {
+			problems = append(problems, fmt.Errorf("traffic: service %q: rate %v of cold servers must be finite and not negative", name, s.ColdRate))
+		}
+	}
 	problems = append(problems, validateLimits(limits))
 	if err := errors.Join(problems...); err != nil {
 		return nil, err
--- a/common/traffic/service.go
+++ b/common/traffic/service.go
@@ -14,4 +14,7 @@
 	// WarmUp is how long requests for a key are slow on a server that took it over without a
 	// handover.
 	WarmUp time.Duration
+	// ColdRate is the number of requests a second that a server bears while it is cold, after its
+	// start for example; zero if it needs no protection.
+	ColdRate float64
 }
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -140,7 +140,7 @@
 		}
 		state := s.services[name]
 		if state == nil {
-			state = &serviceState{demand: demand.NewService(now, s.node.limits), probing: make(map[registry.Instance]bool)}
+			state = &serviceState{demand: demand.NewService(now, s.node.rates), probing: make(map[registry.Instance]bool)}
 			s.services[name] = state
 		}
 		if state.coordinator == nil {
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, statements, crashTracker, reachability, dialer, prober, relays, logger)
+//	n := cluster.New(self, cores, store, grants, peers, view, replica, loadCollector, limits, rates, statements, crashTracker, reachability, dialer, prober, relays, logger)
 //	go n.Run(ctx)
 //	defer n.Resign(ctx)
 package cluster
@@ -21,6 +21,7 @@
 	"github.com/apex/log"
 
 	"bramleystand.org/entry/internal/crashes"
+	"bramleystand.org/entry/internal/demand"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/ownership"
@@ -86,14 +87,16 @@
 	replica       *replica.Replica
 	loadCollector *LoadCollector
 	limits        *requestlimit.Table
-	statements    *statement.Table
-	crashes       *crashes.Tracker
-	crashReports  crashReports
-	reachability  Reachability
-	dialer        Dialer
-	prober        Prober
-	relays        Relays
-	logger        log.Interface
+	// rates has the limits of servers with those of cold ones.
+	rates        demand.Limits
+	statements   *statement.Table
+	crashes      *crashes.Tracker
+	crashReports crashReports
+	reachability Reachability
+	dialer       Dialer
+	prober       Prober
+	relays       Relays
+	logger       log.Interface
 
 	mu              sync.Mutex
 	election        *election.Election
@@ -165,12 +168,12 @@
 }
 
 // New returns a node that does nothing until Run. cores is the processor time of the VM in cores.
-func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, statements *statement.Table, t *crashes.Tracker, reach Reachability, dialer Dialer, prober Prober, relays Relays, logger log.Interface) *Node {
+func New(self election.Member, cores float64, store Store, grants Grants, peers Peers, v *view.View, r *replica.Replica, l *LoadCollector, limits *requestlimit.Table, rates demand.Limits, statements *statement.Table, t *crashes.Tracker, reach Reachability, dialer Dialer, prober Prober, relays Relays, logger log.Interface) *Node {
 	now := time.Now()
 	e := election.New(self, now, rand.N(maxJitter))
 	e.SetTakeoverDelay(takeoverDelay(cores, 0))
 	return &Node{
-		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, statements: statements, crashes: t, reachability: reach, dialer: dialer, prober: prober, relays: relays, logger: logger,
+		self: self, cores: cores, store: store, grants: grants, peers: peers, view: v, replica: r, loadCollector: l, limits: limits, rates: rates, statements: statements, crashes: t, reachability: reach, dialer: dialer, prober: prober, relays: relays, logger: logger,
 		election: e, roleEnded: make(chan struct{}), membership: membership{reporters: make(map[string]reporter)},
 		members: []election.Member{self}, watchers: make(map[string]StoreWatcher), received: make(map[string]*ownership.Table), orders: make(map[string]int),
 	}
--- a/entry/internal/cluster/restore_internal_test.go
+++ b/entry/internal/cluster/restore_internal_test.go
@@ -306,7 +306,7 @@
 	}
 	v.SetServers(time.Now(), list)
 	self := election.Member{Name: name, Incarnation: time.Now().UnixNano()}
-	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(logger), statement.NewTable(v, logger), crashes.NewTracker(logger), fullyConnected{}, noDialer{}, noReach{}, noReach{}, logger)
+	return New(self, 1, store, grants, noPeers{}, v, replica.New(v, logger), NewLoadCollector(), requestlimit.NewTable(logger), requestlimit.NewTable(logger), statement.NewTable(v, logger), crashes.NewTracker(logger), fullyConnected{}, noDialer{}, noReach{}, noReach{}, logger)
 }
 
 // run runs a process and returns a function that ends it.
--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -188,6 +188,10 @@
 	tableRevision uint64
 	// ownerWait is the time that the call has waited for an owner of its key.
 	ownerWait time.Duration
+	// slot is the slot of the selected server if both were selected together, and placementWait the time that
+	// it took.
+	slot          Slot
+	placementWait time.Duration
 }
 
 // Do returns the final response to a call.
@@ -231,16 +235,16 @@
 			return p.finalResult(refusal)
 		}
 		begin := time.Now()
-		p.steps = append(p.steps, Step{Server: b.server.ID})
+		p.steps = append(p.steps, Step{Server: b.server.ID, Waited: p.placementWait})
 		var result *Result
 		var retry bool
-		if d.canRelay(begin, p, b.server) {
+		if p.slot == nil && d.canRelay(begin, p, b.server) {
 			result, retry = d.attemptThroughPeer(ctx, p, b)
 		} else {
 			result, retry = d.attempt(ctx, waitCtx, p, b)
 		}
 		step := &p.steps[len(p.steps)-1]
-		step.Reason, step.Took = result.Reason, time.Since(begin)-step.Waited
+		step.Reason, step.Took = result.Reason, time.Since(begin)-step.Waited+p.placementWait
 		switch {
 		case !retry && result.Response != nil:
 			return result
@@ -270,10 +274,15 @@
 // attempt sends the request to a server; retry tells whether another attempt may succeed.
 func (d *Dispatcher) attempt(ctx, waitCtx context.Context, p *progress, b *backend) (r *Result, retry bool) {
 	c := p.call
-	c.SetPhase(AwaitsSlot, b.server.ID)
-	requested := time.Now()
-	slot, err := d.limiter.Acquire(waitCtx, d.slotRequest(c, b))
-	p.steps[len(p.steps)-1].Waited = time.Since(requested)
+	slot := p.slot
+	p.slot = nil
+	var err error
+	if slot == nil {
+		c.SetPhase(AwaitsSlot, b.server.ID)
+		requested := time.Now()
+		slot, err = d.limiter.Acquire(waitCtx, d.slotRequest(c, b.server))
+		p.steps[len(p.steps)-1].Waited = time.Since(requested)
+	}
 	if err != nil {
 		return d.handleNoSlot(waitCtx, p, b, err)
 	}
@@ -321,7 +330,7 @@
 	} else {
 		serviceTime = 0
 	}
-	slot.Release(outcome(serviceTime, response))
+	slot.Release(outcome(serviceTime, response, failure, requestCtx.Err() != nil))
 	if failure == nil || failure.Sent {
 		p.attempts++
 	}
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -47,7 +47,8 @@
 	return perSecond, err == nil, nil
 }
 
-func (testHeaderFields) IsLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
+func (testHeaderFields) ServerLoad(http.Header) (*registry.Load, error) { return nil, nil }
+func (testHeaderFields) IsLeaving(h http.Header) (bool, error)          { return h.Get("Leaving") != "", nil }
 
 func (testHeaderFields) OtherServer(status int, h http.Header, expected string) string {
 	if other := h.Get("Other"); status == http.StatusMisdirectedRequest && other != expected {
--- a/entry/internal/dispatch/limiter.go
+++ b/entry/internal/dispatch/limiter.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/requestlimit"
 )
@@ -16,6 +18,33 @@
 	ExpectedWait(r SlotRequest) time.Duration
 }
 
+// Placer selects the server of a request together with its slot. A Limiter that implements it is used for
+// services whose requests may run on any of their servers.
+type Placer interface {
+	// Place waits for a slot of the server on which the request is expected to end first. It returns
+	// ErrNoPool if it can't select a server, and a *RefusalError if no slot is available in time.
+	Place(ctx context.Context, r PlaceRequest) (Slot, registry.Instance, error)
+}
+
+// ErrNoPool means that a Placer can't select a server.
+var ErrNoPool = eris.New("dispatch: no process can select a server")
+
+// PlaceRequest describes a request that may run on any server of a service.
+type PlaceRequest struct {
+	Service string
+	// Rank, Arrived, Objective and Deadline are as in SlotRequest.
+	Rank      int
+	Arrived   time.Time
+	Objective time.Time
+	Deadline  time.Time
+	// Excluded are the identifiers of servers that must not be selected, and Warm those of servers to which
+	// there is an open connection that the request may use.
+	Excluded []string
+	Warm     []string
+	// Large is true if the transfer of the body between data centres has a price.
+	Large bool
+}
+
 // SlotRequest describes a request that needs a slot of a server.
 type SlotRequest struct {
 	Server registry.Server
--- a/entry/internal/dispatch/select.go
+++ b/entry/internal/dispatch/select.go
@@ -35,6 +35,9 @@
 	if d.isSharded(p.call) {
 		return d.selectOwner(ctx, p)
 	}
+	if b, refusal, selected := d.place(ctx, p); selected {
+		return b, refusal
+	}
 	servers := d.view.Servers()
 	now := time.Now()
 	// unreached is the best server that only other processes may reach.
@@ -76,7 +79,7 @@
 // cost returns the expected time until a server's response, the wait for a slot included, plus a
 // penalty if the server is in another data centre.
 func (d *Dispatcher) cost(c *Call, b *backend) time.Duration {
-	cost := b.expectedTime() + d.limiter.ExpectedWait(d.slotRequest(c, b))
+	cost := b.expectedTime() + d.limiter.ExpectedWait(d.slotRequest(c, b.server))
 	if b.server.DataCentre == d.dataCentre {
 		return cost
 	}
--- a/entry/internal/dispatch/shutdown.go
+++ b/entry/internal/dispatch/shutdown.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bramleystand.org/common/registry"
 	"github.com/rotisserie/eris"
 )
 
@@ -94,8 +95,8 @@
 
 // slotRequest returns the request of a call for a slot. A response after the end of a shutdown has no
 // value.
-func (d *Dispatcher) slotRequest(c *Call, b *backend) SlotRequest {
-	r := c.slotRequest(b.server)
+func (d *Dispatcher) slotRequest(c *Call, server registry.Server) SlotRequest {
+	r := c.slotRequest(server)
 	if s := d.shutdown.Load(); s != nil {
 		r.Objective, r.Deadline = earlier(r.Objective, s.End), earlier(r.Deadline, s.End)
 	}
--- a/entry/internal/dispatch/statements.go
+++ b/entry/internal/dispatch/statements.go
@@ -29,6 +29,9 @@
 	if r.LeavingErr != nil {
 		d.statements.ObserveInvalid(now, inst, r.LeavingErr)
 	}
+	if r.LoadErr != nil {
+		d.statements.ObserveInvalid(now, inst, r.LoadErr)
+	}
 	if r.Leaving {
 		d.statements.ObserveLeaving(now, inst)
 	}
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -37,8 +37,9 @@
 
 func (originFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
-func (originFields) IsLeaving(http.Header) (bool, error)         { return false, nil }
-func (originFields) OtherServer(int, http.Header, string) string { return "" }
+func (originFields) ServerLoad(http.Header) (*registry.Load, error) { return nil, nil }
+func (originFields) IsLeaving(http.Header) (bool, error)            { return false, nil }
+func (originFields) OtherServer(int, http.Header, string) string    { return "" }
 func (originFields) RetryAfter(time.Time, http.Header) (time.Time, bool, error) {
 	return time.Time{}, false, nil
 }
--- a/entry/internal/gatewayprocess/fakes_test.go
+++ b/entry/internal/gatewayprocess/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -295,6 +296,9 @@
 	turnAway func(from string) string
 	// work returns how long a request takes; nil for no time.
 	work func(id string) time.Duration
+	// centre is the data centre of the server, "x" if it is empty, and coldMs how long it stays cold.
+	centre string
+	coldMs int
 	// plain is true if the server runs requests without grants.
 	plain bool
 	// requests has the requests that arrived, and the time at which each did.
@@ -431,7 +435,7 @@
 
 // registryEntry returns the server's entry in the store.
 func (b *fakeBackend) registryEntry(state string) string {
-	return fmt.Sprintf(`{"service":"keyed","address":%q,"zone":"x","version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":0,"seq":1,"born":%d}`, b.address, state, b.born)
+	return fmt.Sprintf(`{"service":"keyed","address":%q,"zone":%q,"version":"v1","maxConcurrency":4,"state":%q,"warmupLeftMs":%d,"seq":1,"born":%d}`, b.address, cmp.Or(b.centre, "x"), state, b.coldMs, b.born)
 }
 
 // ServeHTTP implements http.Handler.
--- a/entry/internal/gatewayprocess/metrics.go
+++ b/entry/internal/gatewayprocess/metrics.go
@@ -22,6 +22,8 @@
 		"limits":        func(now time.Time) any { return p.limitCounts(now) },
 		"reachability":  func(now time.Time) any { return p.reachabilityCounts(now) },
 		"crashes":       func(now time.Time) any { return p.crashCounts(now) },
+		"cold":          func(now time.Time) any { return p.coldLimits.Count(now) },
+		"evacuated":     func(time.Time) any { return p.view.Evacuated() },
 		"statements":    func(now time.Time) any { return p.statements.Counts(now) },
 		"relay":         func(time.Time) any { return p.relayCounts() },
 		"configuration": func(time.Time) any { return p.configurationVersion() },
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -35,6 +35,7 @@
 	"bramleystand.org/common/gatewaysettings"
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/cluster"
+	"bramleystand.org/entry/internal/coldstart"
 	"bramleystand.org/entry/internal/crashes"
 	"bramleystand.org/entry/internal/dialer"
 	"bramleystand.org/entry/internal/dispatch"
@@ -85,6 +86,9 @@
 	// maxHeaderBytes limits the head of a request before the limit of the configuration is known, and the
 	// heads of responses to calls of the store and of backend servers.
 	maxHeaderBytes = 64 << 10
+	// evacuationGraceDivisor sets which part of the time for an evacuation passes before requests for keys
+	// are no longer sent; the request for the evacuation may take the rest to arrive.
+	evacuationGraceDivisor = 2
 	// maxOrderHeaderBytes limits the head of a response to a grant or release.
 	maxOrderHeaderBytes = 4 << 10
 )
@@ -109,6 +113,7 @@
 	allocator   *slots.Allocator
 	limiter     *slots.Limiter
 	limits      *requestlimit.Table
+	coldLimits  *coldstart.Limits
 	crashes     *crashes.Tracker
 	statements  *statement.Table
 	// reachability tells which servers this process reaches.
@@ -158,12 +163,13 @@
 	loadCollector := cluster.NewLoadCollector()
 	p.crashes = crashes.NewTracker(logger)
 	p.limits = requestlimit.NewTable(logger)
+	p.coldLimits = coldstart.New(p.limits, p.view)
 	p.statements = statement.NewTable(p.view, logger)
 	p.reachability = reachability.New(func() []registry.Server { return p.view.Servers().Registered() }, prober, logger)
 	grants := newGrantClient(&dialer.ResetOnClose{Dialer: d})
-	p.node = cluster.New(p.self, s.Cores, p.store, grants, p.peerClient, p.view, p.replica, loadCollector, p.limits, p.statements, p.crashes, p.reachability, d, prober, p.orderRelays, logger)
-	p.allocator = slots.NewAllocator(p.limits)
-	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, logger)
+	p.node = cluster.New(p.self, s.Cores, p.store, grants, p.peerClient, p.view, p.replica, loadCollector, p.limits, p.coldLimits, p.statements, p.crashes, p.reachability, d, prober, p.orderRelays, logger)
+	p.allocator = slots.NewAllocator(p.limits, p.coldLimits, p.view)
+	p.limiter = slots.New(p.loopContext, p.self, p.allocator, p.peerClient, p.node, p.limits, p.coldLimits, p.view, logger)
 	p.retrySettings.Store(&s.RetryBudget)
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
@@ -171,7 +177,7 @@
 	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
 	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
 	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, grants, p.relayServer), logger)
-	for name, kind := range map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers} {
+	for name, kind := range p.followedKinds() {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
 		p.followers[name] = f
@@ -180,6 +186,17 @@
 	return p, nil
 }
 
+// followedKinds returns the kinds of objects that the process keeps copies of, by the names of the copies in the
+// metrics. Evacuations are followed only where the settings state a time for them.
+func (p *Process) followedKinds() map[string]string {
+	kinds := map[string]string{"configuration": platform.KindConfiguration, "servers": platform.KindServers}
+	if p.settings.Evacuation > 0 {
+		kinds["evacuations"] = platform.KindEvacuations
+		p.replica.SetEvacuationGrace(p.settings.Evacuation / evacuationGraceDivisor)
+	}
+	return kinds
+}
+
 // newClient returns an HTTP client for calls to the store and for grants to backend servers.
 func newClient(d cluster.Dialer) *http.Client {
 	return &http.Client{Transport: newTransport(d.DialContext)}
--- a/entry/internal/gatewayprocess/process_test.go
+++ b/entry/internal/gatewayprocess/process_test.go
@@ -86,7 +86,7 @@
 	p := &testProcess{logs: &recordedMessages{}, metrics: new(expvar.Map), done: make(chan error, 1), file: filepath.Join(t.TempDir(), "settings.json")}
 	p.settings = gatewaysettings.Settings{
 		Name: name, DataCentre: "x", ClientAddress: unusedAddress(t), ReadyAddress: unusedAddress(t), PeerAddress: unusedAddress(t), AdminAddress: unusedAddress(t), Store: storeAddress,
-		Seeds: seeds, Stop: stop, Cores: 1, MemoryLimit: 200 << 20, RetryBudget: gatewaysettings.RetryBudget{Share: 0.2, Burst: 50, Processes: 4},
+		Seeds: seeds, Stop: stop, Evacuation: evacuationTime, Cores: 1, MemoryLimit: 200 << 20, RetryBudget: gatewaysettings.RetryBudget{Share: 0.2, Burst: 50, Processes: 4},
 	}
 	must.NoError(t, os.WriteFile(p.file, []byte("not read at the start"), 0o600))
 	process, err := gatewayprocess.New(p.settings, p.file, time.Now(), p.metrics, &log.Logger{Handler: p.logs, Level: log.InfoLevel})
--- /dev/null
+++ b/entry/internal/httpserver/server_test.go
@@ -0,0 +1,390 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"bramleystand.org/entry/internal/bodybudget"
+	"bramleystand.org/entry/internal/httpserver"
+)
+
+// testHandler answers with the path and body of a request. A request for /wait waits until it is released, one for
+// /close closes the connection and one for /unread does not read its body. Requests for /alone are not handled ahead.
+type testHandler struct {
+	mu       sync.Mutex
+	handled  []string
+	released chan struct{}
+	left     atomic.Int64
+}
+
+func (h *testHandler) AllowsAhead(r *http.Request) bool { return r.URL.Path != "/alone" }
+
+func (h *testHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.handled = append(h.handled, r.URL.Path)
+	h.mu.Unlock()
+	var body []byte
+	if r.URL.Path != "/unread" {
+		body, _ = io.ReadAll(r.Body)
+	}
+	if strings.HasPrefix(r.URL.Path, "/wait") {
+		select {
+		case <-h.released:
+		case <-r.Context().Done():
+			h.left.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if r.URL.Path == "/close" {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/large" {
+		body = make([]byte, 8<<20)
+	}
+	text := r.URL.Path + string(body)
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	_, _ = io.WriteString(w, text)
+}
+
+func (h *testHandler) paths() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.handled...)
+}
+
+// testServer is a server with its handler and limits.
+type testServer struct {
+	*httpserver.Server
+	address string
+	handler *testHandler
+	limits  atomic.Pointer[httpserver.Limits]
+}
+
+func startServer(t testing.TB) *testServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &testServer{address: l.Addr().String(), handler: &testHandler{released: make(chan struct{})}}
+	s.limits.Store(&httpserver.Limits{HeadBytes: 16 << 10, HeadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, Connections: 100})
+	s.Server = httpserver.New(l, s.handler, func() httpserver.Limits { return *s.limits.Load() }, bodybudget.New(2<<20), &log.Logger{Handler: discard.New()})
+	go func() { _ = s.Serve() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+	})
+	return s
+}
+
+// change changes the limits.
+func (s *testServer) change(f func(*httpserver.Limits)) {
+	l := *s.limits.Load()
+	f(&l)
+	s.limits.Store(&l)
+}
+
+// client is a connection to a server.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *testServer) dial(t testing.TB) *client {
+	c, err := net.Dial("tcp", s.address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	must.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return &client{Conn: c, reader: bufio.NewReader(c)}
+}
+
+func (c *client) send(t testing.TB, text string) {
+	_, err := io.WriteString(c, text)
+	must.NoError(t, err)
+}
+
+// get returns a request for a path without a body.
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// response reads a response and returns its status and body.
+func (c *client) response(t testing.TB) (*http.Response, string) {
+	r, err := http.ReadResponse(c.reader, nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	must.NoError(t, err)
+	return r, string(body)
+}
+
+// ends reports whether the connection ends without further bytes.
+func (c *client) ends() bool {
+	_, err := c.reader.ReadByte()
+	return err != nil
+}
+
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if f() {
+			return
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+// Guards against requests sent ahead that wait for each other, and against responses in another order.
+func TestRequestsAheadRunSideBySide(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, get("/wait-1")+get("/b")+get("/wait-3")+get("/d"))
+	eventually(t, "not all requests are handled at once", func() bool { return len(s.handler.paths()) == 4 })
+	close(s.handler.released)
+	for _, path := range []string{"/wait-1", "/b", "/wait-3", "/d"} {
+		_, body := c.response(t)
+		must.Eq(t, path, body)
+	}
+	must.Eq(t, 3, s.Counts()["ahead"])
+}
+
+// Guards against a final action that is handled although the response before it closes the connection, so that the
+// client sends it again.
+func TestNothingIsHandledBehindClose(t *testing.T) {
+	for _, last := range []string{get("/alone"), "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy"} {
+		s := startServer(t)
+		c := s.dial(t)
+		c.send(t, get("/wait")+strings.Replace(get("/close"), "Host: h", "Host: h\r\nConnection: close", 1)+last)
+		eventually(t, "the first request is not handled", func() bool { return len(s.handler.paths()) == 1 })
+		close(s.handler.released)
+		_, body := c.response(t)
+		must.Eq(t, "/wait", body)
+		r, _ := c.response(t)
+		must.True(t, r.Close)
+		must.True(t, c.ends())
+		must.Eq(t, []string{"/wait", "/close"}, s.handler.paths())
+	}
+}
+
+// Guards against a response that closes the connection while later requests are already handled.
+func TestCloseWaitsForHandledRequests(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, get("/wait")+get("/close")+get("/wait-3"))
+	eventually(t, "not all requests are handled", func() bool { return len(s.handler.paths()) == 3 })
+	close(s.handler.released)
+	for range 3 {
+		r, _ := c.response(t)
+		must.False(t, r.Close)
+	}
+	c.send(t, get("/close"))
+	r, _ := c.response(t)
+	must.True(t, r.Close)
+	must.True(t, c.ends())
+}
+
+// Guards against requests that go on after their client has left, also those that wait behind others.
+func TestLeavingClientEndsAllRequests(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, get("/wait-1")+get("/wait-2")+get("/alone"))
+	eventually(t, "the requests are not handled", func() bool { return len(s.handler.paths()) == 2 })
+	must.NoError(t, c.Close())
+	eventually(t, "the requests go on", func() bool { return s.handler.left.Load() == 2 })
+	eventually(t, "the connection stays", func() bool { return s.Counts()["open"] == 0 })
+	must.Len(t, 2, s.handler.paths())
+}
+
+// Guards against one connection that takes all of the requests which may be handled at once.
+func TestRequestsAheadAreLimited(t *testing.T) {
+	s := startServer(t)
+	c, other := s.dial(t), s.dial(t)
+	c.send(t, strings.Repeat(get("/wait"), 200))
+	eventually(t, "too few requests are handled", func() bool { return len(s.handler.paths()) == 64 })
+	other.send(t, get("/a"))
+	_, body := other.response(t)
+	must.Eq(t, "/a", body)
+	close(s.handler.released)
+	for range 200 {
+		_, body := c.response(t)
+		must.Eq(t, "/wait", body)
+	}
+}
+
+// Guards against a client that does not read and so holds its response and connection for ever.
+func TestClientThatDoesNotRead(t *testing.T) {
+	s := startServer(t)
+	s.change(func(l *httpserver.Limits) { l.WriteTimeout = 200 * time.Millisecond })
+	c := s.dial(t)
+	c.send(t, get("/large")+get("/large"))
+	eventually(t, "the connection stays", func() bool { return s.Counts()["open"] == 0 })
+	must.Eq(t, 1, s.Counts()["stalled"])
+}
+
+// Guards against new connections that fail because of idle ones, and against the end of one that has a request.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	s := startServer(t)
+	busy := s.dial(t)
+	busy.send(t, get("/wait"))
+	eventually(t, "the request is not handled", func() bool { return len(s.handler.paths()) == 1 })
+	s.change(func(l *httpserver.Limits) { l.Connections = 3 })
+	oldest := s.dial(t)
+	eventually(t, "not accepted", func() bool { return s.Counts()["open"] == 2 })
+	s.dial(t)
+	eventually(t, "not accepted", func() bool { return s.Counts()["open"] == 3 })
+	next := s.dial(t)
+	next.send(t, get("/next"))
+	_, body := next.response(t)
+	must.Eq(t, "/next", body)
+	must.True(t, oldest.ends())
+	must.Eq(t, 1, s.Counts()["evicted"])
+	close(s.handler.released)
+	_, body = busy.response(t)
+	must.Eq(t, "/wait", body)
+}
+
+// Guards against timeouts that are not in force, or that do not follow a change on an open connection.
+func TestTimeouts(t *testing.T) {
+	for _, sent := range []string{"", "GET / HT"} {
+		s := startServer(t)
+		c := s.dial(t)
+		c.send(t, get("/a"))
+		_, _ = c.response(t)
+		s.change(func(l *httpserver.Limits) { l.HeadTimeout, l.IdleTimeout = 100*time.Millisecond, 100*time.Millisecond })
+		c.send(t, get("/b"))
+		_, _ = c.response(t)
+		c.send(t, sent)
+		must.True(t, c.ends())
+	}
+}
+
+// Guards against heads that take more memory than is reserved: they cost many times their bytes.
+func TestHeadsOfShortFields(t *testing.T) {
+	s := startServer(t)
+	fields := strings.Repeat("a:\r\n", 3000)
+	var clients []*client
+	for range 20 {
+		c := s.dial(t)
+		c.send(t, "GET /wait HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n")
+		clients = append(clients, c)
+	}
+	eventually(t, "no request is refused", func() bool { return s.Counts()["heads"] > 0 })
+	eventually(t, "not all requests are answered or handled", func() bool {
+		return int(s.Counts()["heads"])+len(s.handler.paths()) == len(clients)
+	})
+	close(s.handler.released)
+	refused := 0
+	for _, c := range clients {
+		if r, _ := c.response(t); r.StatusCode == http.StatusServiceUnavailable {
+			must.NotEq(t, "", r.Header.Get("Retry-After"))
+			refused++
+		}
+	}
+	must.Eq(t, int(s.Counts()["heads"]), refused)
+	c := s.dial(t)
+	c.send(t, "GET /again HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n")
+	r, _ := c.response(t)
+	must.Eq(t, http.StatusOK, r.StatusCode)
+}
+
+// Guards against malformed requests that are handled, or that leave the connection at a point where the rest counts as
+// the next request.
+func TestMalformedRequests(t *testing.T) {
+	for text, status := range map[string]int{
+		"GET\r\n\r\n":                                   400,
+		"GET / HTTP/2.0\r\nHost: h\r\n\r\n":             505,
+		"GET / HTTP/1.1\r\n\r\n":                        400,
+		"GET / HTTP/1.1\r\nHost: h\r\nA : b\r\n\r\n":    400,
+		"GET / HTTP/1.1\r\nHost: h\r\nA: b\x01\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n":           400,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n":                               400,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999999999\r\n\r\n":             400,
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n":                          400,
+		"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 40<<10) + "\r\n\r\n":            431,
+		"POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nGET / HTTP/1.1\r\n":        200,
+		"POST /x HTTP/1.0\r\nHost: h\r\nContent-Length: 1\r\n\r\nx" + get("/smuggled"):           200,
+		"POST /unread HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + get("/chunk"): 200,
+	} {
+		s := startServer(t)
+		c := s.dial(t)
+		c.send(t, text)
+		r, _ := c.response(t)
+		must.Eq(t, status, r.StatusCode, must.Sprintf("%.60q", text))
+		must.True(t, r.Close || r.ProtoMinor == 0, must.Sprintf("%.60q", text))
+		must.True(t, c.ends())
+		must.LessEq(t, 1, len(s.handler.paths()))
+	}
+}
+
+// Guards against bodies, interim responses and methods that are handled in another way than the standard server does.
+func TestBodies(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	_, body := c.response(t)
+	must.Eq(t, "/aabc", body)
+	c.send(t, "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"+get("/c"))
+	_, body = c.response(t)
+	must.Eq(t, "/babc", body)
+	_, body = c.response(t)
+	must.Eq(t, "/c", body)
+	c.send(t, "POST /d HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	line, err := c.reader.ReadString('\n')
+	must.NoError(t, err)
+	must.Eq(t, "HTTP/1.1 100 Continue\r\n", line)
+	_, _ = c.reader.ReadString('\n')
+	c.send(t, "x")
+	_, body = c.response(t)
+	must.Eq(t, "/dx", body)
+	c.send(t, strings.Replace(get("/e"), "GET", "HEAD", 1)+get("/f"))
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodHead})
+	must.NoError(t, err)
+	must.Eq(t, 2, r.ContentLength)
+	_, body = c.response(t)
+	must.Eq(t, "/f", body)
+}
+
+// Guards against a shutdown that cuts requests off or does not end.
+func TestShutdown(t *testing.T) {
+	s := startServer(t)
+	idle, busy := s.dial(t), s.dial(t)
+	busy.send(t, get("/wait")+get("/wait"))
+	eventually(t, "the requests are not handled", func() bool { return len(s.handler.paths()) == 2 && s.Counts()["open"] == 2 })
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	must.True(t, idle.ends())
+	close(s.handler.released)
+	_, _ = busy.response(t)
+	r, body := busy.response(t)
+	must.Eq(t, "/wait", body)
+	must.True(t, r.Close)
+	must.NoError(t, <-done)
+}
+
+// BenchmarkRequests measures requests on a connection, one after the other and sent ahead.
+func BenchmarkRequests(b *testing.B) {
+	for _, ahead := range []int{1, 16} {
+		b.Run(fmt.Sprint("ahead ", ahead), func(b *testing.B) {
+			s := startServer(b)
+			s.handler.handled = make([]string, 0, 1<<20)
+			c := s.dial(b)
+			_ = c.SetDeadline(time.Time{})
+			text := strings.Repeat(get("/a"), ahead)
+			for n := 0; n < b.N; n += ahead {
+				c.send(b, text)
+				for range ahead {
+					_, _ = c.response(b)
+				}
+			}
+		})
+	}
+}
--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -115,6 +115,19 @@
 	c.maxIdle = n
 }
 
+// HasIdle reports whether there is an idle connection that a request may use. If fresh is true, it is one that has
+// been idle for a short time only.
+func (c *Client) HasIdle(now time.Time, fresh bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.idle {
+		if now.Before(k.idleUntil) && (!fresh || now.Sub(k.idleSince) <= maxFreshIdleTime/2) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the idle connections. Those in use are closed after their request.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -224,8 +237,10 @@
 		perSecond, named, limitErr := c.fields.RequestLimit(head.Header)
 		leaving, leavingErr := c.fields.IsLeaving(head.Header)
 		heldUntil, heldErr := c.heldUntil(head)
+		load, loadErr := c.fields.ServerLoad(head.Header)
 		return &Response{
 			HeldUntil: heldUntil, HeldErr: heldErr,
+			Load: load, LoadErr: loadErr,
 			Leaving: leaving, LeavingErr: leavingErr,
 			OtherServer: c.fields.OtherServer(head.StatusCode, head.Header, r.Server),
 			Status:      head.StatusCode, Header: head.Header, Body: body,
@@ -255,13 +270,16 @@
 func readHead(k *conn, r *Request) (*http.Response, error) {
 	k.limited.N = maxHeadBytes
 	k.head.Begin(r.Memory)
-	k.inHead = true
+	k.inHead, k.headErr = true, nil
 	defer func() { k.inHead = false }()
 	for {
 		if !k.receivesHTTP() {
 			return nil, errNotHTTP
 		}
 		head, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		if err == nil {
+			err = k.headErr
+		}
 		if err != nil && k.limited.N <= 0 {
 			return nil, errHeadTooLarge
 		}
--- a/entry/internal/origin/client_test.go
+++ b/entry/internal/origin/client_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/origin"
 )
 
@@ -36,8 +37,9 @@
 }
 func (testHeaderFields) RequestLimit(http.Header) (float64, bool, error) { return 0, false, nil }
 
-func (testHeaderFields) IsLeaving(http.Header) (bool, error)         { return false, nil }
-func (testHeaderFields) OtherServer(int, http.Header, string) string { return "" }
+func (testHeaderFields) ServerLoad(http.Header) (*registry.Load, error) { return nil, nil }
+func (testHeaderFields) IsLeaving(http.Header) (bool, error)            { return false, nil }
+func (testHeaderFields) OtherServer(int, http.Header, string) string    { return "" }
 
 func (testHeaderFields) RetryAfter(time.Time, http.Header) (time.Time, bool, error) {
 	return time.Time{}, false, nil
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -39,7 +39,9 @@
 	// head reserves the memory for the head that is read while inHead is true.
 	head   bodybudget.Head
 	inHead bool
-	reader *bufio.Reader
+	// headErr is the error of reading the head.
+	headErr error
+	reader  *bufio.Reader
 	// heads is the number of responses to other requests that were read for the present request.
 	heads int
 	// idleSince is when the connection became idle, and idleUntil when it must no longer be used.
@@ -80,10 +82,19 @@
 
 // Read implements io.Reader.
 func (r countedReader) Read(b []byte) (int, error) {
-	n, err := r.conn.Conn.Read(b)
-	if r.conn.inHead && !r.conn.head.Add(n) {
-		return 0, errMemoryLimit
+	c := r.conn
+	if !c.inHead {
+		return c.Conn.Read(b)
 	}
+	// An error ends the head for good: net/http takes a line that an error cuts off for a whole one and reads on.
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
+	n, err := c.Conn.Read(b)
+	if !c.head.Add(n) {
+		n, err = 0, errMemoryLimit
+	}
+	c.headErr = err
 	return n, err
 }
 
--- a/entry/internal/origin/fields.go
+++ b/entry/internal/origin/fields.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"bramleystand.org/common/registry"
 )
 
 // HeaderFields reads and writes the header fields that are specific to the platform.
@@ -28,6 +30,9 @@
 	// RetryAfter returns the time until which the server of a response that has arrived now wants no
 	// request, and whether the response names one. An error means that it can't be used.
 	RetryAfter(now time.Time, h http.Header) (at time.Time, named bool, err error)
+	// ServerLoad returns the load that the server of a response reports of itself, or nil if it reports none.
+	// An error means that the report can't be used.
+	ServerLoad(h http.Header) (*registry.Load, error)
 	// HasProof reports whether a response carries the server's proof that it made the response.
 	HasProof(h http.Header) bool
 }
--- a/entry/internal/origin/response.go
+++ b/entry/internal/origin/response.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"bramleystand.org/common/registry"
 )
 
 // Limit is the number of requests a second that a server takes from all processes together, as stated in
@@ -31,6 +33,9 @@
 	// turns a request away; zero if it states none. HeldErr is why its statement can't be used, or nil.
 	HeldUntil time.Time
 	HeldErr   error
+	// Load is the load that the server reports of itself, or nil, and LoadErr why its report can't be used.
+	Load    *registry.Load
+	LoadErr error
 	// Reused is true if the connection had been used for an earlier request.
 	Reused bool
 	// Leaving is true if the server states that it leaves, and LeavingErr is why its statement can't be
--- a/entry/internal/replica/departures.go
+++ b/entry/internal/replica/departures.go
@@ -43,7 +43,8 @@
 }
 
 // latest returns the state of an instance after an entry, given its state before. Draining is final. The
-// entry states the remaining warm-up time as of its last change, so the first value is kept.
+// entry states the remaining warm-up time as of its last change, so the first value is kept, unless a later
+// entry states so much more that the server must have become cold again.
 func latest(known, s registry.Server) registry.Server {
 	if s.Incarnation == 0 {
 		// Sequences of an unknown incarnation can't be compared.
@@ -54,10 +55,16 @@
 		return known
 	}
 	s.Draining = s.Draining || known.Draining
-	s.WarmAt = known.WarmAt
+	if s.Sequence == known.Sequence || s.WarmAt.Sub(known.WarmAt) < coldAgainTime {
+		s.WarmAt = known.WarmAt
+	}
 	return s
 }
 
+// coldAgainTime is how much later than known a server must become warm to count as cold again. Entries that
+// were written during one warm-up differ by the age of their last change, about a heartbeat.
+const coldAgainTime = time.Second
+
 // removeServer removes a server and remembers its state. The lock is held.
 func (r *Replica) removeServer(now time.Time, name string, confirmed bool) {
 	s, ok := r.servers[name]
--- a/entry/internal/replica/replica.go
+++ b/entry/internal/replica/replica.go
@@ -64,6 +64,8 @@
 	copyVersions map[string]report.CopyVersion
 	// listed holds the kinds that have been listed from the store.
 	listed map[string]bool
+	// evacuationGrace is how long requests for their keys are sent to the servers of an evacuated data centre.
+	evacuationGrace time.Duration
 	// configurationRevision is the revision of the last valid configuration that was received.
 	configurationRevision uint64
 }
@@ -82,6 +84,10 @@
 	}
 }
 
+// SetEvacuationGrace sets for how long requests for their keys are sent to the servers of a data centre after
+// the operator has asked for its evacuation. It must be called before the objects of that kind are read.
+func (r *Replica) SetEvacuationGrace(grace time.Duration) { r.evacuationGrace = grace }
+
 // Sink returns the sink for the objects of one kind.
 func (r *Replica) Sink(kind string) *Sink { return &Sink{replica: r, kind: kind} }
 
@@ -208,9 +214,7 @@
 		}
 		r.handleChange(now, kind, o)
 	}
-	if kind == platform.KindServers {
-		r.publishServers(now)
-	}
+	r.publish(now, kind)
 }
 
 // apply applies changes of a kind. The lock is held.
@@ -232,9 +236,7 @@
 		r.recordChange(kind, e.Object, false)
 		r.handleChange(now, kind, e.Object)
 	}
-	if kind == platform.KindServers {
-		r.publishServers(now)
-	}
+	r.publish(now, kind)
 }
 
 // handleChange decodes a new or changed object and updates the view. An object that can't be decoded
@@ -317,6 +319,35 @@
 	r.removeServer(now, name, true)
 }
 
+// publish passes the objects of a kind to the view that are passed on together. The lock is held.
+func (r *Replica) publish(now time.Time, kind string) {
+	switch kind {
+	case platform.KindServers:
+		r.publishServers(now)
+	case platform.KindEvacuations:
+		r.publishEvacuations(now)
+	}
+}
+
+// publishEvacuations passes the evacuated data centres to the view. An object that can't be decoded counts
+// too, because its name is all that matters. The lock is held.
+func (r *Replica) publishEvacuations(now time.Time) {
+	begun, ended := r.view.SetEvacuations(now, slices.Sorted(maps.Keys(r.objects[platform.KindEvacuations])), r.evacuationGrace)
+	servers := make(map[string]int)
+	for _, s := range r.servers {
+		servers[s.DataCentre]++
+	}
+	for _, c := range begun {
+		r.logger.WithFields(log.Fields{"centre": c, "servers": servers[c]}).Info("evacuation of data centre begins")
+		if servers[c] == 0 {
+			r.logger.WithField("centre", c).Warn("evacuation names a data centre without servers")
+		}
+	}
+	for _, c := range ended {
+		r.logger.WithFields(log.Fields{"centre": c, "servers": servers[c]}).Info("evacuation of data centre has ended")
+	}
+}
+
 // publishServers passes the list of servers to the view. The lock is held.
 func (r *Replica) publishServers(now time.Time) {
 	if len(r.sortedNames) != len(r.servers) || !r.sortedNamesKnown() {
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -26,7 +26,9 @@
 
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/admission"
+	"bramleystand.org/entry/internal/placement"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/view"
 )
 
 const (
@@ -42,17 +44,34 @@
 	// wake tells Run that a request has begun to wait.
 	wake   chan struct{}
 	limits *requestlimit.Table
+	// rates has the limits that the requests to servers are kept to.
+	rates Rates
 
 	// mu is locked before the lock of limits.
 	mu       sync.Mutex
 	servers  map[registry.Instance]*serverState
 	requests map[requestID]activeRequest
+	pools    map[poolKey]*pool
+	// lastPlaced is the identifier of the last request in the ledgers of the pools.
+	lastPlaced uint64
+	view       *view.View
+}
+
+// Rates has the request limits of servers, those of cold ones included.
+type Rates interface {
+	// Get returns the limit of a server.
+	Get(now time.Time, inst registry.Instance) requestlimit.Limit
+	// IsCold reports whether the limit must be kept to by all processes together, because the server is cold.
+	IsCold(now time.Time, inst registry.Instance) bool
 }
 
 // activeRequest is a request with the server whose slot it has or waits for.
 type activeRequest struct {
 	request *admission.Request
 	server  registry.Instance
+	// pool is the pool that the request was placed in, or nil, and placedID its identifier there.
+	pool     *pool
+	placedID uint64
 }
 
 // serverState is the scheduler of a server with the time of its last use.
@@ -93,8 +112,8 @@
 }
 
 // NewAllocator returns an allocator without servers.
-func NewAllocator(t *requestlimit.Table) *Allocator {
-	return &Allocator{wake: make(chan struct{}, 1), limits: t, servers: make(map[registry.Instance]*serverState), requests: make(map[requestID]activeRequest)}
+func NewAllocator(t *requestlimit.Table, r Rates, v *view.View) *Allocator {
+	return &Allocator{wake: make(chan struct{}, 1), limits: t, rates: r, servers: make(map[registry.Instance]*serverState), requests: make(map[requestID]activeRequest), pools: make(map[poolKey]*pool), view: v}
 }
 
 // Run refuses requests that have waited too long, until the context ends. It sleeps while
@@ -138,6 +157,11 @@
 			delete(a.servers, inst)
 		}
 	}
+	for key, p := range a.pools {
+		if now.Sub(p.lastUsed) > idleServerTimeout {
+			delete(a.pools, key)
+		}
+	}
 	a.mu.Unlock()
 	sendAll(replies)
 	return waiting
@@ -166,6 +190,9 @@
 	defer a.mu.Unlock()
 	switch m.action {
 	case acquire:
+		if m.placed != nil {
+			return a.place(now, from, m)
+		}
 		return a.acquire(now, from, m)
 	case release:
 		return a.release(now, requestID{from, m.number}, m)
@@ -188,22 +215,28 @@
 		Rank: m.rank, Arrived: m.arrived, Objective: m.objective, Deadline: m.deadline,
 		Tag: requestID{from, m.number},
 	}
-	a.requests[requestID{from, m.number}] = activeRequest{r, m.instance}
+	a.requests[requestID{from, m.number}] = activeRequest{request: r, server: m.instance}
 	out := a.toReplies(now, s, s.scheduler.Submit(now, r))
-	if s.scheduler.HasQueued() {
-		select {
-		case a.wake <- struct{}{}:
-		default:
-		}
-	}
+	a.wakeIfQueued(s)
 	return out
 }
 
+// wakeIfQueued makes Run check for requests that have waited too long if some wait for a server.
+func (a *Allocator) wakeIfQueued(s *serverState) {
+	if !s.scheduler.HasQueued() {
+		return
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
 // applyLimit records the statement of a server that a message carries and limits its requests by the
 // latest one. The lock is held.
 func (a *Allocator) applyLimit(now time.Time, s *serverState, m message) {
 	a.limits.Merge(now, m.instance, m.limit)
-	if l := a.limits.Get(now, m.instance); l.InForce {
+	if l := a.rates.Get(now, m.instance); l.InForce {
 		s.scheduler.SetRate(now, l.Rate()*s.share)
 		return
 	}
@@ -213,11 +246,19 @@
 // release frees the slot of a request, or withdraws a request that waits. The lock is held.
 func (a *Allocator) release(now time.Time, id requestID, m message) []addressedReply {
 	r, ok := a.requests[id]
+	m.instance = r.server
 	s := a.servers[m.instance]
 	if !ok || s == nil {
 		return nil
 	}
 	delete(a.requests, id)
+	if r.pool != nil {
+		outcome := placement.Outcome{NotRun: true}
+		if m.placed != nil {
+			outcome = m.placed.outcome
+		}
+		r.pool.ledger.End(now, r.server, r.placedID, outcome)
+	}
 	s.lastUsed = now
 	a.applyLimit(now, s, m)
 	return a.toReplies(now, s, s.scheduler.Finish(now, r.request, m.serviceTime))
@@ -229,9 +270,19 @@
 	var out []addressedReply
 	for _, d := range decisions {
 		id := d.Request.Tag.(requestID)
+		active := a.requests[id]
 		r := reply{
 			number: id.number, started: d.Started, wait: s.scheduler.ExpectedWait(now, d.Request.Rank),
-			limit: a.limits.Get(now, a.requests[id].server),
+			limit: a.limits.Get(now, active.server),
+		}
+		if p := active.pool; p != nil {
+			r.server = active.server
+			if d.Started {
+				p.ledger.Start(now, active.server, active.placedID, d.Request.Rank)
+			} else {
+				p.ledger.End(now, active.server, active.placedID, placement.Outcome{NotRun: true})
+			}
+			r.wait, r.took = p.ledger.Estimate(now, d.Request.Rank)
 		}
 		if !d.Started {
 			delete(a.requests, id)
@@ -281,6 +332,9 @@
 			continue
 		}
 		delete(a.requests, id)
+		if r.pool != nil {
+			r.pool.ledger.End(now, r.server, r.placedID, placement.Outcome{NotRun: true})
+		}
 		if s := a.servers[r.server]; s != nil {
 			replies = append(replies, a.toReplies(now, s, s.scheduler.Finish(now, r.request, 0))...)
 		}
--- a/entry/internal/slots/heartbeat_internal_test.go
+++ b/entry/internal/slots/heartbeat_internal_test.go
@@ -51,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		a := NewAllocator(requestlimit.NewTable(logger))
+		a := newTestAllocator(requestlimit.NewTable(logger))
 		s := &messageStream{ctx: ctx, messages: make(chan message)}
 		go func() { _ = a.HandleRPC(s, slotsMethod) }()
 		acquireSlot := func(number uint64) {
@@ -92,7 +92,7 @@
 func TestIdleLinkNeedsNoHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var lost atomic.Bool
-		l, err := connect(t.Context(), silentPeers{}, fixedMembers{{}}[0].Address, func(int) { lost.Store(true) })
+		l, err := connect(t.Context(), silentPeers{}, fixedMembers{{}}[0].Address, slotsMethod, func(int) { lost.Store(true) })
 		must.NoError(t, err)
 		time.Sleep(idleLinkTimeout - time.Millisecond)
 		synctest.Wait()
--- a/entry/internal/slots/limit_internal_test.go
+++ b/entry/internal/slots/limit_internal_test.go
@@ -10,9 +10,11 @@
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/coldstart"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/view"
 )
 
 var limitedServer = registry.Instance{ID: "limited", Incarnation: 1}
@@ -57,7 +59,7 @@
 	return n
 }
 
-func newLimitAllocator() *Allocator { return NewAllocator(requestlimit.NewTable(logger)) }
+func newLimitAllocator() *Allocator { return newTestAllocator(requestlimit.NewTable(logger)) }
 
 // Guards against an allocator that gives out more than a limit that only a returned slot has told it.
 func TestReturnedSlotLimitsRequests(t *testing.T) {
@@ -134,7 +136,7 @@
 	defer cancel()
 	now := time.Unix(1000, 0)
 	members := fixedMembers{{Name: "a", DataCentre: "x"}, {Name: "c", DataCentre: "x"}}
-	lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, newLimitAllocator(), silentPeers{}, members, requestlimit.NewTable(logger), logger)
+	lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, newLimitAllocator(), silentPeers{}, members, requestlimit.NewTable(logger), coldstart.New(requestlimit.NewTable(logger), view.New()), view.New(), logger)
 	server := registry.Server{Instance: limitedServer, DataCentre: "x"}
 	regular, _, substitute := lm.allocatorOf(now, server)
 	must.False(t, substitute)
@@ -160,7 +162,7 @@
 		defer cancel()
 		limits := requestlimit.NewTable(logger)
 		self := election.Member{Name: "a", DataCentre: "x"}
-		lm := New(ctx, self, NewAllocator(limits), silentPeers{}, outdatedMembers{fixedMembers{self}}, limits, logger)
+		lm := New(ctx, self, newTestAllocator(limits), silentPeers{}, outdatedMembers{fixedMembers{self}}, limits, coldstart.New(limits, view.New()), view.New(), logger)
 		now := time.Now()
 		limits.Merge(now, limitedServer, requestlimit.Limit{PerSecond: 4, InForce: true, HeardAt: now})
 		started := 0
--- a/entry/internal/slots/limiter.go
+++ b/entry/internal/slots/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +13,9 @@
 	"bramleystand.org/common/registry"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
+	"bramleystand.org/entry/internal/placement"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/view"
 )
 
 const (
@@ -41,13 +44,20 @@
 	peers          Peers
 	members        Members
 	limits         *requestlimit.Table
+	rates          Rates
 	logger         log.Interface
 
 	mu sync.Mutex
-	// links are the links to the allocators of other processes, by process name.
-	links map[string]*linkEntry
-	// excluded holds the failed allocators, by process name, with the end of their exclusion.
-	excluded map[string]time.Time
+	// links are the links to the allocators of other processes.
+	links map[linkID]*linkEntry
+	// excluded holds the failed allocators, by process name, with the end of their exclusion, and
+	// placementExcluded those that place no requests.
+	excluded          map[string]time.Time
+	placementExcluded map[string]time.Time
+	// pools has the pools by service, and poolEstimates what the latest replies said of them.
+	pools         map[string]*servicePools
+	poolEstimates map[poolKey]poolEstimate
+	view          *view.View
 	// allocators has the allocators by data centre, selected from knownMembers. It is nil if
 	// they must be selected anew.
 	allocators map[string][]election.Member
@@ -62,6 +72,12 @@
 	fallback *Allocator
 }
 
+// linkID identifies a link to an allocator.
+type linkID struct {
+	name   string
+	method string
+}
+
 // linkEntry is a link that is open or being opened. The link is set, or nil after a failure, when
 // ready is closed.
 type linkEntry struct {
@@ -76,11 +92,12 @@
 }
 
 // New returns a limiter whose links end with the context.
-func New(ctx context.Context, self election.Member, a *Allocator, p Peers, m Members, t *requestlimit.Table, logger log.Interface) *Limiter {
+func New(ctx context.Context, self election.Member, a *Allocator, p Peers, m Members, t *requestlimit.Table, r Rates, v *view.View, logger log.Interface) *Limiter {
 	lm := &Limiter{
-		ctx: ctx, self: self, allocator: a, peers: p, members: m, limits: t, logger: logger, links: make(map[string]*linkEntry),
-		excluded: make(map[string]time.Time), waitEstimates: make(map[registry.Instance]waitEstimate),
-		pending: make(map[uint64]chan reply), fallback: NewAllocator(t),
+		ctx: ctx, self: self, allocator: a, peers: p, members: m, limits: t, rates: r, logger: logger, links: make(map[linkID]*linkEntry), view: v,
+		excluded: make(map[string]time.Time), placementExcluded: make(map[string]time.Time),
+		pools: make(map[string]*servicePools), poolEstimates: make(map[poolKey]poolEstimate), waitEstimates: make(map[registry.Instance]waitEstimate),
+		pending: make(map[uint64]chan reply), fallback: NewAllocator(t, r, v),
 	}
 	lm.localRequester = &requester{reply: lm.deliverLocal}
 	return lm
@@ -99,7 +116,7 @@
 	if now.Sub(e.at) <= estimateLifetime {
 		return e.wait
 	}
-	if l := lm.limits.Get(now, r.Server.Instance); l.IsCurrent(now) {
+	if l := lm.rates.Get(now, r.Server.Instance); l.IsCurrent(now) {
 		return l.Interval()
 	}
 	return 0
@@ -129,6 +146,10 @@
 			return s, err
 		}
 	}
+	if now := time.Now(); lm.rates.IsCold(now, r.Server.Instance) {
+		// The smallest share of each of some hundred processes would exceed what a cold server bears.
+		return nil, &dispatch.RefusalError{RetryAt: now.Add(exclusionTime), OverLimit: true, Limit: lm.rates.Get(now, r.Server.Instance)}
+	}
 	m.slots = max(1, m.slots/fallbackDivisor)
 	m.share = 1 / float64(max(1, len(lm.members.Members())))
 	return lm.acquireLocal(ctx, lm.fallback, m)
@@ -156,48 +177,79 @@
 	members := lm.members.Members()
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
-	for name, until := range lm.excluded {
-		if !now.Before(until) {
-			delete(lm.excluded, name)
+	lm.updateAllocators(now, members)
+	selected := selectAllocator(lm.allocators, s)
+	return selected.Name, selected, len(lm.excluded) > 0 && selected.Name != selectAllocator(lm.regular, s).Name
+}
+
+// updateAllocators selects the allocators anew if the members have changed or an exclusion has ended. The lock is
+// held.
+func (lm *Limiter) updateAllocators(now time.Time, members []election.Member) {
+	ended := func(_ string, until time.Time) bool { return !now.Before(until) }
+	if before := len(lm.excluded); before > 0 {
+		if maps.DeleteFunc(lm.excluded, ended); len(lm.excluded) < before {
 			lm.allocators = nil
 		}
 	}
+	if before := len(lm.placementExcluded); before > 0 {
+		if maps.DeleteFunc(lm.placementExcluded, ended); len(lm.placementExcluded) < before {
+			clear(lm.pools)
+		}
+	}
 	if lm.allocators == nil || !slices.Equal(members, lm.knownMembers) {
 		lm.knownMembers, lm.allocators, lm.regular = members, selectAllocators(members, lm.excluded), selectAllocators(members, nil)
+		clear(lm.pools)
 	}
-	selected := selectAllocator(lm.allocators, s)
-	return selected.Name, selected, len(lm.excluded) > 0 && selected.Name != selectAllocator(lm.regular, s).Name
 }
 
 // acquireRemote requests a slot from an allocator in another process. It returns errLinkLost if
 // the allocator has failed.
 func (lm *Limiter) acquireRemote(ctx context.Context, name string, to election.Member, m message) (dispatch.Slot, error) {
-	l := lm.link(ctx, name, to)
+	r, m, release, err := lm.askRemote(ctx, linkID{name, slotsMethod}, to, m)
+	if err != nil {
+		return nil, err
+	}
+	return lm.handleReply(r, m, release)
+}
+
+// askRemote sends a request to an allocator in another process. It returns the reply, the message with its
+// number, and the function that releases the slot or withdraws the request.
+func (lm *Limiter) askRemote(ctx context.Context, key linkID, to election.Member, m message) (reply, message, func(message), error) {
+	l := lm.link(ctx, key, to)
 	if l == nil {
 		if ctx.Err() != nil {
-			return nil, context.Cause(ctx)
+			return reply{}, m, nil, context.Cause(ctx)
 		}
-		return nil, errLinkLost
+		return reply{}, m, nil, errLinkLost
 	}
 	number, replies, err := l.acquire(m)
 	if err != nil {
-		return nil, errLinkLost
+		return reply{}, m, nil, errLinkLost
 	}
 	m.number = number
 	select {
 	case r, open := <-replies:
 		if !open {
-			return nil, errLinkLost
+			return reply{}, m, nil, errLinkLost
 		}
-		return lm.handleReply(r, m, l.release)
+		return r, m, l.release, nil
 	case <-ctx.Done():
 		l.release(m)
-		return nil, context.Cause(ctx)
+		return reply{}, m, nil, context.Cause(ctx)
 	}
 }
 
 // acquireLocal requests a slot from an allocator in this process.
 func (lm *Limiter) acquireLocal(ctx context.Context, a *Allocator, m message) (dispatch.Slot, error) {
+	r, m, release, err := lm.askLocal(ctx, a, m)
+	if err != nil {
+		return nil, err
+	}
+	return lm.handleReply(r, m, release)
+}
+
+// askLocal is askRemote for an allocator in this process.
+func (lm *Limiter) askLocal(ctx context.Context, a *Allocator, m message) (reply, message, func(message), error) {
 	c := make(chan reply, 1)
 	lm.mu.Lock()
 	lm.lastNumber++
@@ -215,10 +267,10 @@
 	}
 	select {
 	case r := <-c:
-		return lm.handleReply(r, m, releaseLocal)
+		return r, m, releaseLocal, nil
 	case <-ctx.Done():
 		releaseLocal(m)
-		return nil, context.Cause(ctx)
+		return reply{}, m, nil, context.Cause(ctx)
 	}
 }
 
@@ -253,13 +305,13 @@
 
 // link returns the link to an allocator and opens it if there is none. It returns nil if
 // the link can't be opened.
-func (lm *Limiter) link(ctx context.Context, name string, to election.Member) *link {
+func (lm *Limiter) link(ctx context.Context, key linkID, to election.Member) *link {
 	lm.mu.Lock()
-	e := lm.links[name]
+	e := lm.links[key]
 	if e == nil {
 		e = &linkEntry{ready: make(chan struct{})}
-		lm.links[name] = e
-		go lm.openLink(name, to, e)
+		lm.links[key] = e
+		go lm.openLink(key, to, e)
 	}
 	lm.mu.Unlock()
 	select {
@@ -271,13 +323,13 @@
 }
 
 // openLink opens a link. If that fails, the allocator is excluded for exclusionTime.
-func (lm *Limiter) openLink(name string, to election.Member, e *linkEntry) {
-	l, err := connect(lm.ctx, lm.peers, to.Address, func(waiting int) {
-		lm.logger.WithFields(log.Fields{"allocator": name, "waiting": waiting}).Info("connection to allocator closed")
-		lm.close(name, e, true)
+func (lm *Limiter) openLink(key linkID, to election.Member, e *linkEntry) {
+	l, err := connect(lm.ctx, lm.peers, to.Address, key.method, func(waiting int) {
+		lm.logger.WithFields(log.Fields{"allocator": key.name, "waiting": waiting}).Info("connection to allocator closed")
+		lm.close(key, e, true)
 	})
 	if err != nil {
-		lm.close(name, e, false)
+		lm.close(key, e, false)
 	}
 	e.link = l
 	close(e.ready)
@@ -285,16 +337,23 @@
 
 // close removes a link that could not be opened or is lost. Unless it was closed because it
 // was idle, its allocator is excluded for exclusionTime.
-func (lm *Limiter) close(name string, e *linkEntry, opened bool) {
+func (lm *Limiter) close(key linkID, e *linkEntry, opened bool) {
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
-	if lm.links[name] == e {
-		delete(lm.links, name)
+	if lm.links[key] == e {
+		delete(lm.links, key)
 	}
-	if !opened || e.link != nil && e.link.recentlyUsed() {
-		lm.excluded[name] = time.Now().Add(exclusionTime)
-		lm.allocators = nil
+	if opened && (e.link == nil || !e.link.recentlyUsed()) {
+		return
 	}
+	until := time.Now().Add(exclusionTime)
+	if key.method == placementMethod {
+		lm.placementExcluded[key.name] = until
+		clear(lm.pools)
+		return
+	}
+	lm.excluded[key.name] = until
+	lm.allocators = nil
 }
 
 // slot implements dispatch.Slot.
@@ -314,5 +373,8 @@
 	}
 	s.limits.Observe(now, s.message.instance, s.granted, o.Limit)
 	s.message.serviceTime, s.message.limit = o.ServiceTime, s.limits.Get(now, s.message.instance)
+	if p := s.message.placed; p != nil {
+		p.outcome = placement.Outcome{ServiceTime: o.ServiceTime, Failed: o.Failed, NotRun: o.NotRun, Load: o.Load}
+	}
 	s.release(s.message)
 }
--- a/entry/internal/slots/limiter_internal_test.go
+++ b/entry/internal/slots/limiter_internal_test.go
@@ -15,9 +15,11 @@
 	"storj.io/drpc/drpcpool"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/coldstart"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/requestlimit"
+	"bramleystand.org/entry/internal/view"
 )
 
 var logger = &log.Logger{Handler: discard.New()}
@@ -60,8 +62,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, NewAllocator(requestlimit.NewTable(logger)), silentPeers{},
-			fixedMembers{{Name: "a", DataCentre: "x"}}, requestlimit.NewTable(logger), logger)
+		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, newTestAllocator(requestlimit.NewTable(logger)), silentPeers{},
+			fixedMembers{{Name: "a", DataCentre: "x"}}, requestlimit.NewTable(logger), coldstart.New(requestlimit.NewTable(logger), view.New()), view.New(), logger)
 		go lm.Run(ctx)
 		begin := time.Now()
 		r := dispatch.SlotRequest{
@@ -101,10 +103,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		peers := recordingPeers{dialed: make(chan netip.AddrPort, 10)}
-		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, NewAllocator(requestlimit.NewTable(logger)), peers, fixedMembers{
+		lm := New(ctx, election.Member{Name: "b", DataCentre: "y"}, newTestAllocator(requestlimit.NewTable(logger)), peers, fixedMembers{
 			{Name: "a", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:1")},
 			{Name: "c", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:2")},
-		}, requestlimit.NewTable(logger), logger)
+		}, requestlimit.NewTable(logger), coldstart.New(requestlimit.NewTable(logger), view.New()), view.New(), logger)
 		go lm.Run(ctx)
 		begin := time.Now()
 		r := dispatch.SlotRequest{
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -14,11 +14,13 @@
 	"github.com/shoenig/test/must"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/coldstart"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/report"
 	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/slots"
+	"bramleystand.org/entry/internal/view"
 )
 
 // memberList implements slots.Members with the members that a test has started.
@@ -63,9 +65,9 @@
 	m := &member{Member: election.Member{Name: name, DataCentre: centre, Address: netip.MustParseAddrPort(l.Addr().String())}, stop: cancel}
 	logger := &log.Logger{Handler: discard.New()}
 	limits := requestlimit.NewTable(logger)
-	allocator := slots.NewAllocator(limits)
+	allocator := slots.NewAllocator(limits, coldstart.New(limits, view.New()), view.New())
 	client := report.NewClient(&net.Dialer{})
-	m.limiter = slots.New(ctx, m.Member, allocator, client, members, limits, logger)
+	m.limiter = slots.New(ctx, m.Member, allocator, client, members, limits, coldstart.New(limits, view.New()), view.New(), logger)
 	var group sync.WaitGroup
 	group.Go(func() { allocator.Run(ctx) })
 	group.Go(func() { m.limiter.Run(ctx) })
--- a/entry/internal/slots/limitsoak_internal_test.go
+++ b/entry/internal/slots/limitsoak_internal_test.go
@@ -19,10 +19,12 @@
 	"storj.io/drpc/drpcserver"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/coldstart"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/election"
 	"bramleystand.org/entry/internal/requestlimit"
 	"bramleystand.org/entry/internal/rpc"
+	"bramleystand.org/entry/internal/view"
 )
 
 var (
@@ -126,9 +128,9 @@
 	}}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	limits := requestlimit.NewTable(logger)
-	allocator := NewAllocator(limits)
+	allocator := newTestAllocator(limits)
 	p.server = drpcserver.NewWithOptions(allocator, drpcserver.Options{Manager: rpc.Manager})
-	p.limiter = New(p.ctx, p.self, allocator, soakPeers{s, name}, s, limits, logger)
+	p.limiter = New(p.ctx, p.self, allocator, soakPeers{s, name}, s, limits, coldstart.New(limits, view.New()), view.New(), logger)
 	go allocator.Run(p.ctx)
 	go p.limiter.Run(p.ctx)
 	return p
--- a/entry/internal/slots/link.go
+++ b/entry/internal/slots/link.go
@@ -35,6 +35,7 @@
 type link struct {
 	cancel context.CancelFunc
 	stream drpc.Stream
+	method string
 
 	// sendMu serializes messages. It is locked before mu.
 	sendMu sync.Mutex
@@ -54,7 +55,7 @@
 
 // connect opens a link and receives replies until the link is lost; then it calls onLost with the
 // number of requests that wait for a reply, before they learn of the loss.
-func connect(ctx context.Context, p Peers, to netip.AddrPort, onLost func(waiting int)) (*link, error) {
+func connect(ctx context.Context, p Peers, to netip.AddrPort, method string, onLost func(waiting int)) (*link, error) {
 	bounded, stop := context.WithTimeout(ctx, connectTimeout)
 	conn, err := p.Dial(bounded, to)
 	stop()
@@ -62,13 +63,13 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stream, err := conn.NewStream(ctx, slotsMethod, rpc.Encoding{})
+	stream, err := conn.NewStream(ctx, method, rpc.Encoding{})
 	if err != nil {
 		cancel()
 		_ = conn.Close()
 		return nil, fmt.Errorf("slots: open stream to %s: %w", to, err)
 	}
-	l := &link{cancel: cancel, stream: stream, pending: make(map[uint64]chan reply), lastUsed: time.Now()}
+	l := &link{cancel: cancel, stream: stream, method: method, pending: make(map[uint64]chan reply), lastUsed: time.Now()}
 	l.overdue = time.AfterFunc(heartbeatTimeout, cancel)
 	l.overdue.Stop()
 	l.unused = time.AfterFunc(idleLinkTimeout, l.closeUnused)
@@ -87,14 +88,25 @@
 // receive delivers replies until the stream ends or is cancelled.
 func (l *link) receive() {
 	for {
-		var w wireReply
-		if err := l.stream.MsgRecv(&w, rpc.Encoding{}); err != nil {
+		r, err := l.receiveReply()
+		if err != nil {
 			return
 		}
-		l.deliver(decodeReply(time.Now(), &w))
+		l.deliver(r)
 	}
 }
 
+func (l *link) receiveReply() (reply, error) {
+	if l.method == placementMethod {
+		var w wirePlacementReply
+		err := l.stream.MsgRecv(&w, rpc.Encoding{})
+		return decodePlacementReply(time.Now(), &w), err
+	}
+	var w wireReply
+	err := l.stream.MsgRecv(&w, rpc.Encoding{})
+	return decodeReply(time.Now(), &w), err
+}
+
 // closeUnused closes the link if it has not been used for idleLinkTimeout, and otherwise checks it again
 // when that time would end.
 func (l *link) closeUnused() {
@@ -190,7 +202,11 @@
 func (l *link) write(m message) error {
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
-	if err := l.stream.MsgSend(encodeMessage(time.Now(), m), rpc.Encoding{}); err != nil {
+	var out drpc.Message = encodeMessage(time.Now(), m)
+	if l.method == placementMethod {
+		out = encodePlacement(time.Now(), m)
+	}
+	if err := l.stream.MsgSend(out, rpc.Encoding{}); err != nil {
 		l.cancel()
 		return fmt.Errorf("slots: send: %w", err)
 	}
--- a/entry/internal/slots/messages.go
+++ b/entry/internal/slots/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/placement"
 	"bramleystand.org/entry/internal/requestlimit"
 )
 
@@ -33,6 +34,19 @@
 	limit requestlimit.Limit
 	// share is the part of the server's request limit that the allocator may give out, from 0 to 1.
 	share float64
+	// placed is set for requests that may run on any server of a pool.
+	placed *placed
+}
+
+// placed is the part of a message about a request to be placed.
+type placed struct {
+	pool poolKey
+	// excluded and warm are the identifiers of the servers that must not be selected, and of those to which
+	// the process has an open connection.
+	excluded []string
+	warm     []string
+	// outcome is what the request has shown, in a release.
+	outcome placement.Outcome
 }
 
 // reply goes from an allocator to a process. A reply with number 0 is a heartbeat.
@@ -47,6 +61,10 @@
 	// request was refused because of it.
 	limit     requestlimit.Limit
 	overLimit bool
+	// server is the selected server of a request that was placed, and took the expected time of another one
+	// like it. instance is empty if the pool has no server.
+	server registry.Instance
+	took   time.Duration
 }
 
 type wireMessage struct {
--- a/entry/internal/slots/selectallocators.go
+++ b/entry/internal/slots/selectallocators.go
@@ -24,14 +24,19 @@
 
 // selectAllocator returns the allocator of a server by rendezvous hashing. It has no name if there is none.
 func selectAllocator(allocators map[string][]election.Member, s registry.Server) election.Member {
-	candidates, ok := allocators[s.DataCentre]
+	return selectByName(allocators, s.DataCentre, s.ID)
+}
+
+// selectByName returns the allocator of a data centre for whatever has the given name.
+func selectByName(allocators map[string][]election.Member, centre, name string) election.Member {
+	candidates, ok := allocators[centre]
 	if !ok {
 		candidates = allocators[allDataCentres]
 	}
 	var best election.Member
 	var highest uint64
 	for _, m := range candidates {
-		if score := xxhash.Sum64String(m.Name + "\x00" + s.ID); best.Name == "" || score > highest {
+		if score := xxhash.Sum64String(m.Name + "\x00" + name); best.Name == "" || score > highest {
 			best, highest = m, score
 		}
 	}
--- a/entry/internal/slots/server.go
+++ b/entry/internal/slots/server.go
@@ -13,15 +13,20 @@
 	"bramleystand.org/entry/internal/rpc"
 )
 
-// slotsMethod is the name of the RPC method between a process and an allocator.
-const slotsMethod = "/bramleystand/slots"
+// slotsMethod and placementMethod are the names of the RPC methods between a process and an allocator, for the
+// slots of a server and for requests that may run on any server of a pool. They are separate because a build
+// that doesn't know the second one still serves the first.
+const (
+	slotsMethod     = "/bramleystand/slots"
+	placementMethod = "/bramleystand/placement"
+)
 
 // heartbeatInterval is the time between two heartbeats of an allocator at which requests wait.
 const heartbeatInterval = 200 * time.Millisecond
 
 // HandleRPC serves the stream of a process that requests slots. It implements report.RPCHandler.
 func (a *Allocator) HandleRPC(stream drpc.Stream, method string) error {
-	if method != slotsMethod {
+	if method != slotsMethod && method != placementMethod {
 		return eris.Errorf("slots: RPC method %q is unknown", method)
 	}
 	var mu sync.Mutex
@@ -29,7 +34,11 @@
 	write := func(r reply) {
 		mu.Lock()
 		defer mu.Unlock()
-		if err := stream.MsgSend(encodeReply(time.Now(), r), rpc.Encoding{}); err != nil {
+		var out drpc.Message = encodeReply(time.Now(), r)
+		if method == placementMethod {
+			out = encodePlacementReply(time.Now(), r)
+		}
+		if err := stream.MsgSend(out, rpc.Encoding{}); err != nil {
 			beats.stop()
 		}
 	}
@@ -41,15 +50,14 @@
 	}}
 	defer func() { a.releaseAll(time.Now(), from) }()
 	for {
-		var w wireMessage
-		if err := stream.MsgRecv(&w, rpc.Encoding{}); err != nil {
+		m, err := receiveMessage(stream, method)
+		if err != nil {
 			if errors.Is(err, context.Canceled) {
 				return nil
 			}
 			return fmt.Errorf("slots: receive: %w", err)
 		}
 		now := time.Now()
-		m := decodeMessage(now, &w)
 		if m.action == acquire {
 			beats.requested(m.number)
 		} else {
@@ -59,3 +67,15 @@
 		beats.start()
 	}
 }
+
+// receiveMessage returns the next message of a process.
+func receiveMessage(stream drpc.Stream, method string) (message, error) {
+	if method == placementMethod {
+		var w wirePlacement
+		err := stream.MsgRecv(&w, rpc.Encoding{})
+		return decodePlacement(time.Now(), &w), err
+	}
+	var w wireMessage
+	err := stream.MsgRecv(&w, rpc.Encoding{})
+	return decodeMessage(time.Now(), &w), err
+}
--- a/entry/internal/view/servers.go
+++ b/entry/internal/view/servers.go
@@ -38,6 +38,15 @@
 	return t.Server, true
 }
 
+// Get returns a server whether requests may be sent to it or not.
+func (s *Servers) Get(inst registry.Instance) (registry.Server, bool) {
+	t, ok := s.byInstance[inst]
+	if !ok {
+		return registry.Server{}, false
+	}
+	return t.Server, true
+}
+
 // AcceptsRequests reports whether a server is registered and not draining.
 func (s *Servers) AcceptsRequests(inst registry.Instance) bool {
 	t, ok := s.byInstance[inst]
@@ -54,16 +63,22 @@
 }
 
 // update returns the set for a new list of registered servers. A server that is not in the list stays
-// known for leaveGrace, unless it is in ended. Those in leaving count as draining since the given times.
-func (s *Servers) update(now time.Time, registered []registry.Server, leaving map[registry.Instance]time.Time, ended func(registry.Server) bool) *Servers {
+// known for leaveGrace, unless it is in ended. Those in leaving count as draining since the given times, and
+// those of the data centres in evacuated may be used until the given times.
+func (s *Servers) update(now time.Time, registered []registry.Server, leaving map[registry.Instance]time.Time, evacuated map[string]time.Time, ended func(registry.Server) bool) *Servers {
 	next := &Servers{byInstance: make(map[registry.Instance]*TrackedServer, len(registered)), byService: make(map[string][]registry.Server, len(s.byService)), registered: make([]registry.Server, 0, len(registered))}
 	for _, server := range registered {
 		leavingSince, isLeaving := leaving[server.Instance]
-		server.Draining = server.Draining || isLeaving
+		leaves := server.Draining || isLeaving
+		evacuatedUntil, isEvacuated := evacuated[server.DataCentre]
+		server.Draining = leaves || isEvacuated
 		t := s.trackedServer(now, server)
 		if end := leavingSince.Add(leaveGrace); isLeaving && end.Before(t.UsableUntil) {
 			t = &TrackedServer{Server: server, UsableUntil: end}
 		}
+		if isEvacuated && (!leaves || evacuatedUntil.Before(t.UsableUntil)) {
+			t = &TrackedServer{Server: server, UsableUntil: evacuatedUntil}
+		}
 		if _, known := next.byInstance[server.Instance]; !known {
 			next.registered = append(next.registered, t.Server)
 		}
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -40,6 +40,10 @@
 	leaving map[registry.Instance]time.Time
 	// ended holds the servers at whose address another one has answered, with the time at which it did.
 	ended map[registry.Instance]time.Time
+	// listed is the latest list of registered servers as SetServers got it.
+	listed []registry.Server
+	// evacuations holds the evacuated data centres and those whose evacuation has ended lately.
+	evacuations evacuations
 }
 
 const (
@@ -54,7 +58,7 @@
 
 // New returns a view without configuration, servers and tables.
 func New() *View {
-	v := &View{changed: make(chan struct{}), leaving: make(map[registry.Instance]time.Time), ended: make(map[registry.Instance]time.Time)}
+	v := &View{changed: make(chan struct{}), leaving: make(map[registry.Instance]time.Time), ended: make(map[registry.Instance]time.Time), evacuations: newEvacuations()}
 	v.servers.Store(&Servers{byInstance: map[registry.Instance]*TrackedServer{}, byService: map[string][]registry.Server{}})
 	v.tables.Store(&map[string]*ownership.Table{})
 	return v
@@ -116,17 +120,39 @@
 func (v *View) SetServers(now time.Time, list []registry.Server) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.updateServers(now, list)
+	v.listed = list
+	v.updateServers(now)
 }
 
-// updateServers derives the set of servers from a list of registered ones. The lock is held.
-func (v *View) updateServers(now time.Time, registered []registry.Server) {
+// SetEvacuations replaces the list of evacuated data centres and reports which have been added and which
+// removed. The servers of an evacuated data centre count as draining: requests for their keys are sent to
+// them for the given grace at most, and no others.
+func (v *View) SetEvacuations(now time.Time, centres []string, grace time.Duration) (begun, ended []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	begun, ended = v.evacuations.set(now, centres, grace)
+	if len(begun)+len(ended) > 0 {
+		v.updateServers(now)
+	}
+	return begun, ended
+}
+
+// Evacuated returns the evacuated data centres in alphabetical order.
+func (v *View) Evacuated() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.evacuations.list()
+}
+
+// updateServers derives the set of servers from the latest list of registered ones. The lock is held.
+func (v *View) updateServers(now time.Time) {
+	registered := v.evacuations.withColdReturns(now, v.listed)
 	replaced := endedServers(registered, v.configuration.Load())
 	ended := func(s registry.Server) bool {
 		at, answered := v.ended[s.Instance]
 		return answered && now.Sub(at) < endedTime || replaced(s)
 	}
-	v.servers.Store(v.servers.Load().update(now, registered, v.leaving, ended))
+	v.servers.Store(v.servers.Load().update(now, registered, v.leaving, v.evacuations.usableUntil, ended))
 	v.notifyChange()
 }
 
@@ -143,7 +169,7 @@
 		return false
 	}
 	v.ended[inst] = now
-	v.updateServers(now, v.servers.Load().Registered())
+	v.updateServers(now)
 	return true
 }
 
@@ -167,7 +193,7 @@
 		v.forgetLeaving()
 	}
 	v.leaving[inst] = now
-	v.updateServers(now, v.servers.Load().Registered())
+	v.updateServers(now)
 	return true
 }
 
