origin: a response without a length ends after its request

Cause: a server that answers a long upload early without a length and then resets the connection. The write of the upload gets the error of the reset and the read an end as after a close, so a part of the body counted as complete.

Change: a response that ends with its connection counts only if the whole request was sent without an error. Statuses below 100 and above 599 are errors. An idle connection is kept for four fifths of the timeout that the server states (at most 30 s) instead of 4 s.

--- a/entry/internal/origin/client.go
+++ b/entry/internal/origin/client.go
@@ -58,6 +58,8 @@
 	// maxResponses is the number of responses that are read for one request, while those to other
 	// requests are skipped.
 	maxResponses = 3
+	// maxStatus is the largest status of HTTP.
+	maxStatus = 599
 	// defaultMaxIdle is the number of idle connections that are kept for a server unless SetMaxIdle changes it.
 	defaultMaxIdle = 8
 	// sweepInterval is the time between two checks of the idle connections.
@@ -72,6 +74,8 @@
 	errResponseTooLarge = eris.New("origin: the response body is larger than 16 MiB")
 	errTransferTooLarge = eris.New("origin: the response body takes more than 32 MiB with the framing of its chunks")
 	errMemoryLimit      = eris.New("origin: no memory left for the response, other responses take it")
+	errStatus           = eris.New("origin: the status of the response is not one of HTTP")
+	errUnfinished       = eris.New("origin: the connection has ended before the request was sent, so the response may not be complete")
 	errProtocolSwitch   = eris.New("origin: the server switched protocols, which was not requested")
 	errConnectionLimit  = eris.New("origin: all connections to the server are in use")
 )
@@ -198,10 +202,18 @@
 			sent <- err
 		}()
 	}
-	response, keep, err := c.readResponse(k, r)
+	response, framed, keep, err := c.readResponse(k, r)
 	if err != nil {
 		return nil, false, err
 	}
+	if !framed {
+		// The response ends with the connection. If the connection was reset, the write of the request may have
+		// got the error, and the read an end as after a close. The connection must have ended after the request.
+		if err := <-sent; err != nil {
+			return nil, false, fmt.Errorf("%w: %w", errUnfinished, err)
+		}
+		return response, false, nil
+	}
 	// The server may have responded before it has read the whole body. It would then take the
 	// next request on this connection for the rest of the body.
 	select {
@@ -213,26 +225,27 @@
 	return response, keep, nil
 }
 
-// readResponse reads responses until the one that belongs to the request.
-func (c *Client) readResponse(k *conn, r *Request) (*Response, bool, error) {
+// readResponse reads responses until the one that belongs to the request. The response is framed if its length
+// does not follow from the end of the connection.
+func (c *Client) readResponse(k *conn, r *Request) (response *Response, framed, keep bool, err error) {
 	for k.heads = 0; k.heads < maxResponses; k.heads++ {
 		head, err := readHead(k, r)
 		if err != nil {
-			return nil, false, err
+			return nil, false, false, err
 		}
-		framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
+		framed = head.ContentLength >= 0 || len(head.TransferEncoding) > 0
 		if id := c.fields.ID(head.Header); id != r.ID {
 			if id == "" || !framed || head.Close {
-				return nil, false, errWrongRequestID
+				return nil, false, false, errWrongRequestID
 			}
 			if err := skipBody(k, head); err != nil {
-				return nil, false, err
+				return nil, false, false, err
 			}
 			continue
 		}
 		body, err := readBody(k, r, head)
 		if err != nil {
-			return nil, false, err
+			return nil, false, false, err
 		}
 		perSecond, named, limitErr := c.fields.RequestLimit(head.Header)
 		leaving, leavingErr := c.fields.IsLeaving(head.Header)
@@ -247,9 +260,9 @@
 			Limit:          Limit{PerSecond: perSecond, Named: named, Err: limitErr},
 			NotRun:         c.fields.NotRun(head.StatusCode, head.Header),
 			HasServerProof: c.fields.HasProof(head.Header),
-		}, framed && !head.Close && k.reader.Buffered() == 0, nil
+		}, framed, framed && !head.Close && k.reader.Buffered() == 0, nil
 	}
-	return nil, false, errWrongRequestID
+	return nil, false, false, errWrongRequestID
 }
 
 // heldUntil returns the time until which the server wants no request, or zero. Only a response with the status
@@ -289,6 +302,9 @@
 		if head.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
+		if head.StatusCode < http.StatusContinue || head.StatusCode > maxStatus {
+			return nil, errStatus
+		}
 		if head.StatusCode >= http.StatusOK {
 			return head, nil
 		}
--- a/entry/internal/origin/conn.go
+++ b/entry/internal/origin/conn.go
@@ -21,10 +21,11 @@
 	readBufferSize = 2 << 10
 	// responsePrefix is how every HTTP/1 response begins.
 	responsePrefix = "HTTP/1."
-	// maxIdleTime is how long an idle connection is kept, unless the server states a shorter
-	// timeout in a Keep-Alive field. It is four fifths of the shortest idle timeout that servers
-	// commonly have, 5 s.
-	maxIdleTime = 4 * time.Second
+	// defaultIdleTime is how long an idle connection is kept if the server states no timeout in a Keep-Alive
+	// field. It is four fifths of the shortest idle timeout that servers commonly have, 5 s.
+	defaultIdleTime = 4 * time.Second
+	// maxIdleTime is how long an idle connection is kept at most.
+	maxIdleTime = 30 * time.Second
 	// maxFreshIdleTime is the longest idle time of a connection for a request that must not run
 	// twice. A server may close an idle connection at any moment. If the request is sent at the
 	// same moment, its outcome is unknown, while a new connection takes only about 1 ms.
@@ -148,7 +149,7 @@
 // markIdle marks the connection as idle and sets its expiry from the timeout in the Keep-Alive
 // field of the last response, if there is one.
 func (c *conn) markIdle(now time.Time, h http.Header) {
-	c.idleSince, c.idleUntil, c.reused = now, now.Add(maxIdleTime), true
+	c.idleSince, c.idleUntil, c.reused = now, now.Add(defaultIdleTime), true
 	for _, value := range h["Keep-Alive"] {
 		for part := range strings.SplitSeq(value, ",") {
 			name, number, _ := strings.Cut(strings.TrimSpace(part), "=")
