httpserver, bounds: bound what clients hold, and handle requests sent ahead

Cause: net/http handles the requests of a connection one after the other, and bounds neither the connections nor the memory of all heads; bodies were counted only once they had been read; timeouts were constants.

Change: - httpserver serves clients, readiness checks and operators: idempotent requests run ahead, responses in order, limits that follow the configuration, the longest idle connection makes room. - bounds divides memory and descriptors of the VM; the start refuses settings for which the parts do not fit. - Bodies are reserved in three steps before they are read; one without progress for a second gives its room back. A 503 for want of room states a Retry-After. - boundedlistener limits the connections of peers.

--- a/common/gatewaysettings/settings.go
+++ b/common/gatewaysettings/settings.go
@@ -46,6 +46,9 @@
 	Cores float64
 	// MemoryLimit is the memory limit of the process in bytes.
 	MemoryLimit int64
+	// Descriptors is the number of file descriptors that the process may open; zero for what the operating
+	// system allows it.
+	Descriptors int
 	// LogLimit limits what the process writes to its log per second.
 	LogLimit linebudget.Limit
 }
@@ -73,6 +76,7 @@
 	RetryBudget   retriesJSON       `json:"retries"`
 	Cores         coresJSON         `json:"cores"`
 	MemoryLimit   int64             `json:"memory"`
+	Descriptors   int               `json:"descriptors,omitempty"`
 	LogLimit      logsJSON          `json:"logs"`
 }
 
@@ -101,7 +105,7 @@
 	parseErr := settings.Decode(data, &w)
 	s := Settings{
 		Name: w.Name, DataCentre: w.Centre, ClientAddress: w.ClientAddress, ReadyAddress: w.ReadyAddress, PeerAddress: w.PeerAddress, AdminAddress: w.AdminAddress,
-		Store: w.Store, Seeds: w.Seeds, Stop: time.Duration(w.Stop), Evacuation: time.Duration(w.Evacuation), MemoryLimit: w.MemoryLimit * megabyte,
+		Store: w.Store, Seeds: w.Seeds, Stop: time.Duration(w.Stop), Evacuation: time.Duration(w.Evacuation), MemoryLimit: w.MemoryLimit * megabyte, Descriptors: w.Descriptors,
 		RetryBudget: RetryBudget(w.RetryBudget), Cores: w.Cores.Share * w.Cores.Speed, LogLimit: linebudget.Limit(w.LogLimit),
 	}
 	if err := s.validate(parseErr); err != nil {
--- a/common/gatewaysettings/validate.go
+++ b/common/gatewaysettings/validate.go
@@ -16,10 +16,11 @@
 	maxStop   = 10 * time.Minute
 	minMemory = 32 * megabyte
 	// minEvacuation leaves time for the request to reach all processes and for a move of keys.
-	minEvacuation = 500 * time.Millisecond
-	maxEvacuation = 10 * time.Minute
-	maxProcesses  = 10_000
-	maxCores      = 10_000
+	minEvacuation  = 500 * time.Millisecond
+	maxEvacuation  = 10 * time.Minute
+	maxProcesses   = 10_000
+	maxCores       = 10_000
+	maxDescriptors = 10_000_000
 	// A line takes about 300 bytes. Below 10 lines per second even rare events would be left out.
 	minLines = 10
 	maxLines = 100_000
@@ -61,6 +62,7 @@
 	check("retries.processes", s.RetryBudget.Processes >= 1 && s.RetryBudget.Processes <= maxProcesses, s.RetryBudget.Processes, fmt.Sprintf("1 to %d", maxProcesses))
 	check("cores", s.Cores > 0 && s.Cores <= maxCores, s.Cores, fmt.Sprintf("a share and a speed whose product is above 0 and at most %d", maxCores))
 	check("memory", s.MemoryLimit >= minMemory, s.MemoryLimit, fmt.Sprintf("%d MB or more", minMemory/megabyte))
+	check("descriptors", s.Descriptors >= 0 && s.Descriptors <= maxDescriptors, s.Descriptors, fmt.Sprintf("0 to %d", maxDescriptors))
 	check("logs.lines", s.LogLimit.Lines >= minLines && s.LogLimit.Lines <= maxLines, s.LogLimit.Lines, fmt.Sprintf("%d to %d", minLines, maxLines))
 	check("logs.bytes", s.LogLimit.Bytes >= minBytes && s.LogLimit.Bytes <= maxBytes, s.LogLimit.Bytes, fmt.Sprintf("%d to %d", minBytes, maxBytes))
 	return errors.Join(problems...)
--- a/entry/internal/bodybudget/account.go
+++ b/entry/internal/bodybudget/account.go
@@ -12,7 +12,7 @@
 	if a == nil {
 		return true
 	}
-	if a.budget.used.Add(n) > a.budget.limit {
+	if a.budget.used.Add(n) > a.budget.limit.Load() {
 		a.budget.used.Add(-n)
 		return false
 	}
--- a/entry/internal/bodybudget/budget.go
+++ b/entry/internal/bodybudget/budget.go
@@ -1,4 +1,4 @@
-// Package bodybudget limits the memory for the bodies, and for large heads, of all responses in progress.
+// Package bodybudget limits the memory for the bodies and large heads of all requests or responses in progress.
 //
 // # Usage
 //
@@ -14,12 +14,19 @@
 
 // Budget is a number of bytes that all accounts share. It is safe for concurrent use.
 type Budget struct {
-	limit int64
+	limit atomic.Int64
 	used  atomic.Int64
 }
 
 // New returns a budget of the given number of bytes.
-func New(limit int64) *Budget { return &Budget{limit: limit} }
+func New(limit int64) *Budget {
+	b := &Budget{}
+	b.limit.Store(limit)
+	return b
+}
+
+// SetLimit changes the number of bytes. What is reserved already stays reserved.
+func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
 
 // Used returns the number of bytes that are reserved.
 func (b *Budget) Used() int64 { return b.used.Load() }
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -6,12 +6,11 @@
 //
 // # Usage
 //
-//	handler := gateway.New(view, dispatcher, fields, loadCollector, counters, logger)
+//	handler := gateway.New(view, dispatcher, fields, loadCollector, counters, bounds, logger)
 //	server := khttp.NewServer(khttp.Timeout(0), khttp.Filter(handler.Filter))
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +26,7 @@
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/traffic"
 	"bramleystand.org/entry/internal/bodybudget"
+	"bramleystand.org/entry/internal/bounds"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/origin"
 	"bramleystand.org/entry/internal/view"
@@ -35,12 +35,8 @@
 const (
 	// unconfiguredRetryDelay is the Retry-After time of a process that has no configuration yet.
 	unconfiguredRetryDelay = 300 * time.Millisecond
-	// maxBufferedBytes limits the memory for the bodies of all requests in progress.
-	maxBufferedBytes = 64 << 20
-	// maxResponseBytes limits the memory for the bodies of all responses above 64 KiB, until they are
-	// written to their clients. It has room for one of the largest responses, 16 MiB, while its buffer grows. With
-	// maxBufferedBytes it stays below the memory of the smallest VMs, 184 MB.
-	maxResponseBytes = 32 << 20
+	// noRoomRetryDelay is the Retry-After time of a request whose body finds no room.
+	noRoomRetryDelay = 500 * time.Millisecond
 )
 
 // Dispatcher sends a request to a backend server and returns the final result.
@@ -55,24 +51,25 @@
 
 // Handler serves the requests of clients.
 type Handler struct {
-	view          *view.View
-	dispatcher    Dispatcher
-	fields        HeaderFields
-	loadRecorder  LoadRecorder
-	roundRobin    *roundRobin
-	counters      *Counters
-	logger        log.Interface
-	active        *activeCalls
-	bodyReads     *bodyReads
-	stopping      atomic.Bool
-	bufferedBytes atomic.Int64
-	// responseMemory is the budget for the bodies of responses.
+	view         *view.View
+	bounds       bounds.Bounds
+	dispatcher   Dispatcher
+	fields       HeaderFields
+	loadRecorder LoadRecorder
+	roundRobin   *roundRobin
+	counters     *Counters
+	logger       log.Interface
+	active       *activeCalls
+	bodyReads    *bodyReads
+	stopping     atomic.Bool
+	// bodyMemory and responseMemory are the budgets for the bodies of requests and responses.
+	bodyMemory     *bodybudget.Budget
 	responseMemory *bodybudget.Budget
 }
 
 // New returns a handler that answers 503 until the view has a configuration.
-func New(v *view.View, d Dispatcher, f HeaderFields, loadRecorder LoadRecorder, c *Counters, logger log.Interface) *Handler {
-	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, active: newActiveCalls(), bodyReads: newBodyReads(), responseMemory: bodybudget.New(maxResponseBytes)}
+func New(v *view.View, d Dispatcher, f HeaderFields, loadRecorder LoadRecorder, c *Counters, b bounds.Bounds, logger log.Interface) *Handler {
+	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, active: newActiveCalls(), bodyReads: newBodyReads(), bounds: b, bodyMemory: bodybudget.New(b.Bodies(0)), responseMemory: bodybudget.New(b.Responses())}
 }
 
 // Stop makes every response close its connection, so that clients connect to another process. Requests
@@ -84,6 +81,23 @@
 	}
 }
 
+// AllowsAhead reports whether a request that was sent ahead may be handled beside those before it. It may unless it
+// must run once at most: the response to an earlier one may close the connection, and the client then sends it again.
+func (h *Handler) AllowsAhead(r *http.Request) bool {
+	configuration := h.view.Configuration()
+	if configuration == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := configuration.Match(r.Host, path)
+	return route == nil || route.Kind.Retryable()
+}
+
+// Memory returns the bytes that are reserved for bodies of requests and responses, for metrics.
+func (h *Handler) Memory() map[string]int64 {
+	return map[string]int64{"requests": h.bodyMemory.Used(), "responses": h.responseMemory.Used(), "stalled": h.bodyReads.stalledCount()}
+}
+
 // Filter is a khttp.FilterFunc that passes every request to the handler; the routes of kratos are not used.
 func (h *Handler) Filter(http.Handler) http.Handler { return h }
 
@@ -108,10 +122,12 @@
 	c.SetPhase(dispatch.AwaitsBody, "")
 	h.active.add(c)
 	defer h.active.remove(c)
-	body, status, reason := h.readBody(w, r, configuration.Limits.BodyBytes, c.Deadline)
-	defer h.bufferedBytes.Add(-int64(cap(body)))
+	h.bodyMemory.SetLimit(h.bounds.Bodies(configuration.Limits.BodyBytes))
+	memory := h.bodyMemory.Open()
+	defer memory.Close()
+	body, status, reason := h.readBody(w, r, configuration.Limits.BodyBytes, c.Deadline, memory)
 	if status != 0 {
-		h.refuseUnread(w, r, status, time.Time{}, reason)
+		h.refuseUnread(w, r, status, now.Add(noRoomRetryDelay), reason)
 		return
 	}
 	c.Body, c.HasBody = body, r.ContentLength >= 0 && declaresBody(r) || len(body) > 0
@@ -175,27 +191,23 @@
 	return r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch
 }
 
-// readBody reads the whole body. It returns the status and reason of the refusal if the body is too
-// large, malformed or not complete by the deadline, or if the buffered bodies take too much memory.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, int, string) {
+// readBody reads the whole body into memory that it reserves in the account. It returns the status and reason of
+// the refusal if the body is too large, malformed or not complete by the deadline, or if it finds no room.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time, memory *bodybudget.Account) ([]byte, int, string) {
 	if r.ContentLength == 0 {
 		return nil, 0, ""
 	}
-	if h.bufferedBytes.Load()+max(0, r.ContentLength) > maxBufferedBytes {
-		return nil, http.StatusServiceUnavailable, "too many large bodies"
+	size := r.ContentLength
+	if size < 0 {
+		size = limit
 	}
 	controller := http.NewResponseController(w)
-	if err := h.bodyReads.begin(controller, deadline); err != nil {
+	read, err := h.bodyReads.begin(controller, deadline)
+	if err != nil {
 		h.logger.WithError(err).Warn("read deadline of a body not set")
 	}
-	var buffer bytes.Buffer
-	if r.ContentLength > 0 {
-		buffer.Grow(int(min(r.ContentLength, maxBufferedBytes)) + bytes.MinRead)
-	}
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	body, err := h.readAll(http.MaxBytesReader(w, r.Body, limit), size, memory, read)
 	h.bodyReads.end(controller)
-	body := buffer.Bytes()
-	h.bufferedBytes.Add(int64(cap(body)))
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
 	}
@@ -211,6 +223,8 @@
 	switch {
 	case err == nil:
 		return 0, ""
+	case errors.Is(err, errNoRoom):
+		return http.StatusServiceUnavailable, "no room for the body"
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, "the body is too large"
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/entry/internal/gateway/handler_test.go
+++ b/entry/internal/gateway/handler_test.go
@@ -22,6 +22,7 @@
 
 	"bramleystand.org/common/keyspace"
 	"bramleystand.org/common/traffic"
+	"bramleystand.org/entry/internal/bounds"
 	"bramleystand.org/entry/internal/dispatch"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/origin"
@@ -81,7 +82,7 @@
 		v.SetConfiguration(c)
 	}
 	logs := memory.New()
-	h := gateway.New(v, d, testHeaderFields{}, d, gateway.NewCounters(new(expvar.Map)), &log.Logger{Handler: logs})
+	h := gateway.New(v, d, testHeaderFields{}, d, gateway.NewCounters(new(expvar.Map)), testBounds(t), &log.Logger{Handler: logs})
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	return s, h, logs
@@ -316,3 +317,10 @@
 	<-done
 	must.MapEmpty(t, h.ActiveCounts())
 }
+
+// testBounds returns the bounds of a VM of 284 MB.
+func testBounds(t *testing.T) bounds.Bounds {
+	b, err := bounds.New(284<<20, 4096)
+	must.NoError(t, err)
+	return b
+}
--- a/entry/internal/gateway/memory_test.go
+++ b/entry/internal/gateway/memory_test.go
@@ -116,7 +116,7 @@
 	}
 	v.SetServers(time.Now(), servers)
 	d := dispatch.New(v, noLimits{}, retry.New(retry.Limit{Burst: 100, Initial: 100}), &net.Dialer{}, originFields{}, "x", noLimits{}, noLimits{}, noLimits{}, noLimits{}, noLimits{})
-	h := gateway.New(v, d, testHeaderFields{}, &fakeDispatcher{}, gateway.NewCounters(new(expvar.Map)), &log.Logger{Handler: discard.New()})
+	h := gateway.New(v, d, testHeaderFields{}, &fakeDispatcher{}, gateway.NewCounters(new(expvar.Map)), testBounds(t), &log.Logger{Handler: discard.New()})
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	return s
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -19,7 +19,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"os"
 	"os/signal"
 	"sync"
@@ -29,11 +28,12 @@
 
 	"github.com/apex/log"
 	"github.com/go-kratos/kratos/v2"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 
 	"bramleystand.org/common/gatewaysettings"
 	"bramleystand.org/common/registry"
+	"bramleystand.org/entry/internal/boundedlistener"
+	"bramleystand.org/entry/internal/bounds"
 	"bramleystand.org/entry/internal/cluster"
 	"bramleystand.org/entry/internal/coldstart"
 	"bramleystand.org/entry/internal/crashes"
@@ -44,7 +44,7 @@
 	"bramleystand.org/entry/internal/follow"
 	"bramleystand.org/entry/internal/gateway"
 	"bramleystand.org/entry/internal/grantpool"
-	"bramleystand.org/entry/internal/operator"
+	"bramleystand.org/entry/internal/httpserver"
 	"bramleystand.org/entry/internal/orderrelay"
 	"bramleystand.org/entry/internal/reachability"
 	"bramleystand.org/entry/internal/relay"
@@ -77,12 +77,19 @@
 	closeMargin = 60 * time.Millisecond
 	// resignInterval is the time between two attempts to resign as coordinator.
 	resignInterval = 100 * time.Millisecond
-	// idleTimeout is how long a client's connection is kept open without a request. Clients may use
-	// connections that have been idle for four fifths of the configured limit, so it is longer than
-	// any such limit.
+	// idleTimeout is how long a client's connection is kept open without a request before the limit of the
+	// configuration is known.
 	idleTimeout = 2 * time.Minute
-	// headerTimeout limits the time until the head of a request has arrived.
+	// headerTimeout limits the time until the head of a request has arrived, before the limit of the
+	// configuration is known and at the ports for checks and operators.
 	headerTimeout = 5 * time.Second
+	// checkIdleTimeout and maxCheckHead are the limits at the ports for checks and operators.
+	checkIdleTimeout = 30 * time.Second
+	maxCheckHead     = 4 << 10
+	// writeTimeout is how long a client may read nothing of a response.
+	writeTimeout = 15 * time.Second
+	// firstMessageTimeout is the time in which another process must send its first message.
+	firstMessageTimeout = 2 * time.Second
 	// maxHeaderBytes limits the head of a request before the limit of the configuration is known, and the
 	// heads of responses to calls of the store and of backend servers.
 	maxHeaderBytes = 64 << 10
@@ -127,6 +134,11 @@
 	// copies in the metrics.
 	followers map[string]*follow.Follower
 
+	bounds bounds.Bounds
+	// The servers handle clients, the balancer's readiness checks and operators.
+	clientServer, readyServer, adminServer *httpserver.Server
+	peerListener                           *boundedlistener.Listener
+
 	// The listeners accept clients, the balancer's readiness checks, other entry processes and
 	// operators.
 	clients, ready, peering, admin net.Listener
@@ -149,6 +161,10 @@
 	p := &Process{settings: s, settingsFile: settingsFile, logger: logger, view: view.New(), followers: make(map[string]*follow.Follower)}
 	p.hangups = make(chan os.Signal, 1)
 	signal.Notify(p.hangups, syscall.SIGHUP)
+	var err error
+	if p.bounds, err = newBounds(s); err != nil {
+		return nil, err
+	}
 	if err := p.openListeners(); err != nil {
 		return nil, err
 	}
@@ -174,14 +190,15 @@
 	p.retryBudgets = retry.New(retryLimit(s.RetryBudget, 0))
 	p.relayClient = relay.NewClient(p.self, p.node, p.peerClient, logger)
 	p.dispatcher = dispatch.New(p.view, p.limiter, p.retryBudgets, d, platform.HeaderFields{}, s.DataCentre, loadCollector, p.crashes, p.reachability, p.relayClient, p.statements)
-	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), logger)
-	p.relayServer = relay.NewServer(p.dispatcher, p.allocator)
+	p.handler = gateway.New(p.view, p.dispatcher, platform.HeaderFields{}, loadCollector, gateway.NewCounters(metrics), p.bounds, logger)
+	p.relayServer = relay.NewServer(p.dispatcher, p.allocator, p.bounds.Relayed())
 	p.peerServer = report.NewServer(p.node, orderrelay.NewServer(p.self.Incarnation, prober, grants, p.relayServer), logger)
 	for name, kind := range p.followedKinds() {
 		f := follow.New(p.store, kind, p.replica.Sink(kind), p.node.WatchTimeout, p.logger)
 		p.node.SetWatcher(kind, f)
 		p.followers[name] = f
 	}
+	p.newServers()
 	p.publishMetrics(metrics)
 	return p, nil
 }
@@ -247,15 +264,14 @@
 func (p *Process) Run(ctx context.Context) error {
 	defer p.close()
 	p.startLoops()
-	admin := operator.New(func() any { return p.Dump() }, p.logger)
 	app := kratos.New(
 		kratos.Name("bramleystand-entry"),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(p.settings.Stop),
 		kratos.Server(
-			p.newServer(p.clients, p.handler.Filter),
-			p.newServer(p.ready, func(http.Handler) http.Handler { return http.HandlerFunc(p.serveReady) }),
-			p.newServer(p.admin, admin.Filter),
+			&transportServer{Server: p.clientServer, end: &p.serversEnd},
+			&transportServer{Server: p.readyServer, end: &p.serversEnd},
+			&transportServer{Server: p.adminServer, end: &p.serversEnd},
 		),
 		kratos.BeforeStop(p.drain),
 	)
@@ -271,25 +287,13 @@
 	return nil
 }
 
-// newServer returns a kratos HTTP server. The endpoint is set, because kratos would otherwise derive
-// it from the network interfaces, which are not visible on the platform. The timeout of kratos is
-// disabled because it would cut off requests; each request has its own deadline.
-func (p *Process) newServer(l net.Listener, filter khttp.FilterFunc) *boundedServer {
-	s := khttp.NewServer(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}),
-		khttp.Timeout(0), khttp.Filter(filter), khttp.NotFoundHandler(http.NotFoundHandler()))
-	s.ReadHeaderTimeout = headerTimeout
-	s.IdleTimeout = idleTimeout
-	s.MaxHeaderBytes = maxHeaderBytes
-	return &boundedServer{Server: s, end: &p.serversEnd}
-}
-
 // serveReady handles the readiness checks of the balancer.
 func (p *Process) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath {
 		http.NotFound(w, r)
 		return
 	}
-	ready := p.isReady()
+	ready := p.isReady() && !p.clientServer.Full()
 	if p.lastReady.Swap(ready) != ready {
 		p.logger.WithField("ready", ready).Info("answer to the balancer has changed")
 	}
@@ -317,7 +321,7 @@
 
 func (p *Process) startLoops() {
 	p.runInBackground(func(ctx context.Context) {
-		if err := p.peerServer.Serve(ctx, p.peering); err != nil {
+		if err := p.peerServer.Serve(ctx, p.peerListener); err != nil {
 			p.logger.WithError(err).Error("serving peers failed")
 		}
 	})
--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -25,6 +25,8 @@
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
 	noLimit     = 1 << 62
+	// suspensionGrace is how long a head is read on for after its timeout.
+	suspensionGrace = 50 * time.Millisecond
 )
 
 // longAgo is a deadline that ends a read at once.
@@ -42,8 +44,9 @@
 	// head reserves the memory for the head that is read while inHead is true.
 	head   bodybudget.Head
 	inHead bool
-	// headErr is the error of reading the head.
-	headErr error
+	// headErr is the error of reading the head, and extended is true once its timeout has been extended.
+	headErr  error
+	extended bool
 	// ctx ends when the client has left or the connection is aborted.
 	ctx   context.Context
 	leave context.CancelFunc
@@ -84,6 +87,12 @@
 		return 0, k.headErr
 	}
 	n, err := k.net.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !k.extended {
+		// After a suspension of the VM the timeout may be over although the rest of the head has arrived.
+		k.extended = true
+		_ = k.net.SetReadDeadline(time.Now().Add(suspensionGrace))
+		n, err = k.net.Read(b)
+	}
 	if !k.head.Add(n) {
 		n, err = 0, errHeadMemory
 	}
@@ -193,7 +202,7 @@
 	account := k.server.heads.Open()
 	k.limited.N = k.server.limits().HeadBytes + headSlack
 	k.head.Begin(account)
-	k.inHead, k.headErr = true, nil
+	k.inHead, k.headErr, k.extended = true, nil, false
 	k.head.Add(k.reader.Buffered())
 	request, err := http.ReadRequest(k.reader)
 	k.inHead = false
--- a/entry/internal/relay/client.go
+++ b/entry/internal/relay/client.go
@@ -13,7 +13,7 @@
 //	client := relay.NewClient(self, members, connections, logger)
 //	result := client.Do(ctx, call, server, attempts)
 //
-//	server := relay.NewServer(dispatcher, next)
+//	server := relay.NewServer(dispatcher, next, bodyBytes)
 //	err := server.HandleRPC(stream, method)
 package relay
 
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -76,7 +76,7 @@
 		Member: election.Member{Name: name, DataCentre: centre, Address: netip.AddrPortFrom(netip.IPv6Loopback(), number)},
 		handle: handle, silent: make(chan struct{}), ctx: t.Context(),
 	}
-	p.relay = relay.NewServer(p, noCalls{})
+	p.relay = relay.NewServer(p, noCalls{}, 24<<20)
 	handler := rpc.Recovering{Handler: p.relay, Logger: &log.Logger{Handler: discard.New()}}
 	p.server = drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: rpc.Manager})
 	return p
--- a/entry/internal/relay/server.go
+++ b/entry/internal/relay/server.go
@@ -21,8 +21,6 @@
 	method = "/bramleystand/relay"
 	// aliveInterval is the time between two signs of life while a call waits or runs.
 	aliveInterval = 150 * time.Millisecond
-	// maxBodyBytes limits the memory for the bodies of relayed requests and of their responses above 64 KiB.
-	maxBodyBytes = 24 << 20
 	// refusalRetryDelay is the time after which a call that found no memory may be sent again.
 	refusalRetryDelay = 200 * time.Millisecond
 )
@@ -45,8 +43,10 @@
 type Server struct {
 	dispatcher Dispatcher
 	next       RPCHandler
-	memory     *bodybudget.Budget
-	taken      atomic.Int64
+	// memory is the budget for the bodies of relayed requests and of their responses above 64 KiB.
+	memory  *bodybudget.Budget
+	maxBody int64
+	taken   atomic.Int64
 
 	mu sync.Mutex
 	// stopping is true after Stop, running is the number of accepted calls, and idle is closed when the
@@ -56,9 +56,9 @@
 	idle     chan struct{}
 }
 
-// NewServer returns a server that passes other methods to next.
-func NewServer(d Dispatcher, next RPCHandler) *Server {
-	return &Server{dispatcher: d, next: next, memory: bodybudget.New(maxBodyBytes), idle: make(chan struct{})}
+// NewServer returns a server that passes other methods to next. The bodies of all calls take at most the given bytes.
+func NewServer(d Dispatcher, next RPCHandler, bodyBytes int64) *Server {
+	return &Server{dispatcher: d, next: next, memory: bodybudget.New(bodyBytes), maxBody: bodyBytes, idle: make(chan struct{})}
 }
 
 // Taken returns the number of calls of other processes that this one has accepted.
@@ -140,7 +140,7 @@
 	if r.Reason = s.dispatcher.CheckReach(now, c.Service, server); r.Reason != "" {
 		return r
 	}
-	if bodyLength < 0 || bodyLength > maxBodyBytes || !c.Memory.Reserve(bodyLength) {
+	if bodyLength < 0 || bodyLength > s.maxBody || !c.Memory.Reserve(bodyLength) {
 		r.Reason = dispatch.RelayFull
 		return r
 	}
