slots, placement: try new servers, let the estimate of a pool end

Change: the stated wait of a pool is taken to end within 0.3 s; a pool that has not been asked is taken to be as fast as the others; the first request of a server is cheap. The end of holds no longer depends on the time of day. Dump: placements, evacuated.

--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -27,11 +27,30 @@
 	d["relay"] = p.relayCounts()
 	d["holds"] = p.dumpHolds(time.Now())
 	d["limits"] = p.dumpLimits(time.Now())
+	d["evacuated"] = p.view.Evacuated()
+	d["placements"] = p.dumpPlacements(time.Now())
 	contact := p.node.ContactState(time.Now())
 	d["contact"] = map[string]any{"cut": contact.CutOff, "unanswered": contact.Unanswered, "relays": contact.Relays, "handed": contact.HandOvers}
 	return d
 }
 
+// dumpPlacements returns, by service, how the servers whose requests this process places look to a request of the
+// highest rank. Times are in ms.
+func (p *Process) dumpPlacements(now time.Time) map[string]any {
+	placements := make(map[string]any)
+	for service, candidates := range p.allocator.Placements(now, 0) {
+		var servers []map[string]any
+		for _, c := range candidates {
+			servers = append(servers, map[string]any{
+				"server": c.Server.ID, "centre": c.Server.DataCentre, "expected": c.Expected.Milliseconds(), "left": c.Left.Milliseconds(),
+				"running": c.Running, "waiting": c.Waiting, "speed": c.Speed, "slowdown": c.Slowdown,
+			})
+		}
+		placements[service] = servers
+	}
+	return placements
+}
+
 // dumpHolds returns the servers that take no requests from this process, with the time in ms until they do.
 func (p *Process) dumpHolds(now time.Time) map[string]any {
 	holds := make(map[string]any)
--- a/entry/internal/placement/pool.go
+++ b/entry/internal/placement/pool.go
@@ -43,6 +43,8 @@
 	// queuePenaltyDivisor sets the part of its time that a request which must wait for a slot is expected to take
 	// longer than estimated.
 	queuePenaltyDivisor = 2
+	// newServerAdvantage divides the expected time on a server that has not run any request yet.
+	newServerAdvantage = 2
 	// failurePenalty multiplies the expected time on a server that fails all requests.
 	failurePenalty = 4
 )
@@ -124,6 +126,10 @@
 	factor := s.speedFactor(now)
 	busy := s.occupied(now)
 	took := time.Duration(float64(cost) * factor)
+	if s.samples == 0 && busy == 0 {
+		// The first request of a server shows its speed. Without it, a server that joins an idle pool would get none.
+		return took / newServerAdvantage
+	}
 	if busy < s.Slots {
 		return took + time.Duration(float64(took)*fullPenalty*float64(busy)/float64(s.Slots))
 	}
--- a/entry/internal/placement/server.go
+++ b/entry/internal/placement/server.go
@@ -12,6 +12,8 @@
 	loadLifetime = 400 * time.Millisecond
 	// averageSamples sets the weight of a new sample in an average: 1/averageSamples.
 	averageSamples = 20
+	// minSamples is the number of samples that the assumed speed of a new server counts for.
+	minSamples = 3
 	// minSpeed and maxSpeed bound a learned speed, so that a few unusual requests don't make a server take
 	// all requests or none.
 	minSpeed = 0.2
@@ -48,6 +50,8 @@
 	listed  bool
 	running []run
 	waiting []run
+	// samples is the number of requests that speed follows from.
+	samples int
 	// speed is the time that the server takes for a request relative to the mean of the pool.
 	speed float64
 	// failures is the share of failed requests of late.
@@ -94,7 +98,8 @@
 
 // record adds a sample to the speed of the server.
 func (s *server) record(ratio float64) {
-	s.speed += (ratio - s.speed) / averageSamples
+	s.samples = min(s.samples+1, averageSamples)
+	s.speed += (ratio - s.speed) / float64(max(s.samples, minSamples))
 	s.speed = min(max(s.speed, minSpeed), maxSpeed)
 }
 
--- a/entry/internal/slots/limiter_test.go
+++ b/entry/internal/slots/limiter_test.go
@@ -59,15 +59,20 @@
 
 // startMember starts a member on the loopback interface and adds it to the list.
 func startMember(t *testing.T, members *memberList, name, centre string) *member {
+	return startMemberWith(t, members, name, centre, view.New())
+}
+
+// startMemberWith is startMember for a process that knows the servers of a view.
+func startMemberWith(t *testing.T, members *memberList, name, centre string, v *view.View) *member {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	m := &member{Member: election.Member{Name: name, DataCentre: centre, Address: netip.MustParseAddrPort(l.Addr().String())}, stop: cancel}
 	logger := &log.Logger{Handler: discard.New()}
 	limits := requestlimit.NewTable(logger)
-	allocator := slots.NewAllocator(limits, coldstart.New(limits, view.New()), view.New())
+	allocator := slots.NewAllocator(limits, coldstart.New(limits, v), v)
 	client := report.NewClient(&net.Dialer{})
-	m.limiter = slots.New(ctx, m.Member, allocator, client, members, limits, coldstart.New(limits, view.New()), view.New(), logger)
+	m.limiter = slots.New(ctx, m.Member, allocator, client, members, limits, coldstart.New(limits, v), v, logger)
 	var group sync.WaitGroup
 	group.Go(func() { allocator.Run(ctx) })
 	group.Go(func() { m.limiter.Run(ctx) })
--- a/entry/internal/slots/place.go
+++ b/entry/internal/slots/place.go
@@ -16,9 +16,9 @@
 const (
 	// maxPoolAttempts is the number of pools that are asked for one request before it is refused.
 	maxPoolAttempts = 3
-	// poolEstimateLifetime is how long the latest reply about a pool is used. Then the pool is taken to have
-	// a free slot, so that it is asked again.
-	poolEstimateLifetime = time.Second
+	// poolEstimateLifetime is the time in which the wait that the latest reply about a pool stated is taken to
+	// end. A process that avoids a pool gets no replies from it, and would do so for longer than the wait lasts.
+	poolEstimateLifetime = 300 * time.Millisecond
 	// remotePenalty and remoteLargePenalty are the expected times by which the pool of another data centre must
 	// be better; the second one is for large bodies, whose transfer between data centres has a price.
 	remotePenalty      = 40 * time.Millisecond
@@ -109,6 +109,11 @@
 	enough := r.Objective.Sub(now) * localPercent / 100
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
+	// known is the time of a request in a pool that has not been asked yet: that in another one.
+	var known time.Duration
+	for key := range pools.servers {
+		known = max(known, lm.poolEstimates[key].took)
+	}
 	var best poolKey
 	lowest, found := time.Duration(0), false
 	for key, servers := range pools.servers {
@@ -116,9 +121,11 @@
 			continue
 		}
 		e := lm.poolEstimates[key]
-		if now.Sub(e.at) > poolEstimateLifetime {
-			e.wait = 0
+		if e.took == 0 {
+			e.took = known
 		}
+		left := max(0, poolEstimateLifetime-now.Sub(e.at))
+		e.wait = time.Duration(float64(e.wait) * float64(left) / float64(poolEstimateLifetime))
 		end := time.Duration(float64(e.wait+e.took) * (1 + estimateSpread*rand.Float64()))
 		switch {
 		case key.centre == lm.self.DataCentre && end < enough:
--- a/entry/internal/slots/pools.go
+++ b/entry/internal/slots/pools.go
@@ -127,15 +127,14 @@
 	return out
 }
 
-// Placements returns how the servers of the pools that this process allocates look to a request of a rank.
-func (a *Allocator) Placements(now time.Time, service string, rank int) []placement.Candidate {
+// Placements returns how the servers of the pools that this process allocates look to a request of a rank, by
+// service.
+func (a *Allocator) Placements(now time.Time, rank int) map[string][]placement.Candidate {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var out []placement.Candidate
+	out := make(map[string][]placement.Candidate)
 	for key, p := range a.pools {
-		if key.service == service {
-			out = append(out, p.ledger.Candidates(now, rank)...)
-		}
+		out[key.service] = append(out[key.service], p.ledger.Candidates(now, rank)...)
 	}
 	return out
 }
--- a/entry/internal/statement/table.go
+++ b/entry/internal/statement/table.go
@@ -58,8 +58,10 @@
 	view   View
 	logger log.Interface
 
-	// lastEnd is the end of the hold that ends last, in Unix nanoseconds. It spares the lock while there is no
-	// hold, because every request asks for several servers.
+	// created is when the table was created, and lastEnd the end of the hold that ends last, as the time since
+	// then. A Unix time would end holds early when the time of day jumps. lastEnd spares the lock while there is
+	// no hold, because every request asks for several servers.
+	created time.Time
 	lastEnd atomic.Int64
 
 	mu sync.Mutex
@@ -83,7 +85,7 @@
 
 // NewTable returns a table without statements.
 func NewTable(v View, logger log.Interface) *Table {
-	return &Table{view: v, logger: logger, heard: make(map[registry.Instance]time.Time), holds: make(map[registry.Instance]hold)}
+	return &Table{view: v, logger: logger, created: time.Now(), heard: make(map[registry.Instance]time.Time), holds: make(map[registry.Instance]hold)}
 }
 
 // ObserveLeaving records that a response that has arrived now states that its server leaves.
@@ -135,7 +137,7 @@
 		t.dropHold(now)
 	}
 	h.until = until
-	t.lastEnd.Store(max(t.lastEnd.Load(), until.UnixNano()))
+	t.lastEnd.Store(max(t.lastEnd.Load(), int64(until.Sub(t.created))))
 	if !now.Before(h.nextLog) {
 		h.nextLog = now.Add(holdLogInterval)
 		t.logger.WithFields(log.Fields{"server": inst.ID, "life": inst.Incarnation, "ms": until.Sub(now).Milliseconds()}).Info("server takes no requests from this process for a time")
@@ -163,7 +165,7 @@
 // HeldUntil returns the time until which a server takes no requests from this process, or false if it takes
 // them.
 func (t *Table) HeldUntil(now time.Time, inst registry.Instance) (time.Time, bool) {
-	if now.UnixNano() >= t.lastEnd.Load() {
+	if int64(now.Sub(t.created)) >= t.lastEnd.Load() {
 		return time.Time{}, false
 	}
 	t.mu.Lock()
