bramleyctl: where explains where a request would go now

Operators ask why a request goes to a server. The admin address answers at /where from what the process knows: route, services, owner or pools with their allocators, waits and ages, and why servers are ruled out. Nothing is sent and nothing changes. The dispatcher and the explanation share the list of obstacles.

--- a/bramleyctl/internal/command/command.go
+++ b/bramleyctl/internal/command/command.go
@@ -58,6 +58,7 @@
 	Leaving  leavingCommand   `cmd:"" help:"List the VMs that are marked as leaving."`
 	Status   statusCommand    `cmd:"" help:"Show members, controllers and versions in force."`
 	Owner    ownerCommand     `cmd:"" help:"Show which server owns a key, and why."`
+	Where    whereCommand     `cmd:"" help:"Explain where a request on the users' platform would go now, without sending it."`
 	Explain  explainCommand   `cmd:"" help:"Find out from the logs of entry processes why a request ended as it did."`
 	Dump     dumpCommand      `cmd:"" help:"Print the state of a process."`
 	Check    checkCommand     `cmd:"" help:"Validate a file without applying it."`
--- a/entry/internal/dispatch/place.go
+++ b/entry/internal/dispatch/place.go
@@ -20,11 +20,7 @@
 	c := p.call
 	begin := time.Now()
 	servers := d.view.Servers()
-	bounds := d.slotRequest(c, registry.Server{})
-	r := PlaceRequest{
-		Service: c.Service, Rank: bounds.Rank, Arrived: bounds.Arrived, Objective: bounds.Objective, Deadline: bounds.Deadline,
-		Large: len(c.Body) > largeBody,
-	}
+	r := d.PlaceRequest(c)
 	candidates := servers.Service(c.Service)
 	for _, s := range candidates {
 		switch {
@@ -58,18 +54,7 @@
 
 // isExcluded reports whether a call must not be sent to a server by this process.
 func (d *Dispatcher) isExcluded(now time.Time, p *progress, s registry.Server) bool {
-	if p.tried[s.Instance] || d.canRelay(now, p, s) {
-		return true
-	}
-	if _, held := d.statements.HeldUntil(now, s.Instance); held {
-		return true
-	}
-	b := d.backends.find(s.Instance)
-	if b == nil {
-		return false
-	}
-	_, inBackoff := b.backoff(now)
-	return inBackoff
+	return p.tried[s.Instance] || d.canRelay(now, p, s) || d.obstacle(now, s) != ""
 }
 
 // isWarm reports whether there is an open connection to a server that a call may use.
--- a/entry/internal/gatewayprocess/dump.go
+++ b/entry/internal/gatewayprocess/dump.go
@@ -5,6 +5,7 @@
 
 	"bramleystand.org/common/revision"
 	"bramleystand.org/entry/internal/ownership"
+	"bramleystand.org/entry/internal/placement"
 )
 
 // Dump returns the state of the process, which the admin address serves at /dump.
@@ -41,16 +42,21 @@
 	for service, candidates := range p.allocator.Placements(now, 0) {
 		var servers []map[string]any
 		for _, c := range candidates {
-			servers = append(servers, map[string]any{
-				"server": c.Server.ID, "centre": c.Server.DataCentre, "expected": c.Expected.Milliseconds(), "left": c.Left.Milliseconds(),
-				"running": c.Running, "waiting": c.Waiting, "speed": c.Speed, "slowdown": c.Slowdown,
-			})
+			servers = append(servers, dumpCandidate(c))
 		}
 		placements[service] = servers
 	}
 	return placements
 }
 
+// dumpCandidate returns a server as the process that places requests sees it. Times are in ms.
+func dumpCandidate(c placement.Candidate) map[string]any {
+	return map[string]any{
+		"server": c.Server.ID, "centre": c.Server.DataCentre, "expected": c.Expected.Milliseconds(), "left": c.Left.Milliseconds(),
+		"running": c.Running, "waiting": c.Waiting, "speed": c.Speed, "slowdown": c.Slowdown,
+	}
+}
+
 // dumpHolds returns the servers that take no requests from this process, with the time in ms until they do.
 func (p *Process) dumpHolds(now time.Time) map[string]any {
 	holds := make(map[string]any)
--- a/entry/internal/gatewayprocess/servers.go
+++ b/entry/internal/gatewayprocess/servers.go
@@ -36,7 +36,7 @@
 // newServers builds the servers for clients, readiness checks and operators, and limits the connections of
 // peers.
 func (p *Process) newServers() {
-	admin := operator.New(func() any { return p.Dump() }, p.logger)
+	admin := operator.New(func() any { return p.Dump() }, map[string]operator.Query{"/where": p.where}, p.logger)
 	checkLimits := func() httpserver.Limits {
 		return httpserver.Limits{
 			HeadBytes: maxCheckHead, HeadTimeout: headerTimeout, IdleTimeout: checkIdleTimeout, WriteTimeout: headerTimeout, Connections: p.bounds.Checks(),
--- a/entry/internal/process/process.go
+++ b/entry/internal/process/process.go
@@ -147,7 +147,7 @@
 func (p *Process) Run(ctx context.Context) error {
 	defer p.close()
 	p.startBackgroundTasks()
-	admin := operator.New(func() any { return p.Dump(time.Now()) }, p.logger)
+	admin := operator.New(func() any { return p.Dump(time.Now()) }, nil, p.logger)
 	app := kratos.New(
 		kratos.Name("bramleystand-entry"),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
