httpserver: allocate less for a response

Pooled read buffers, an intrusive list of idle connections, the Date of the second, heads without formatting and sorting, one write for small responses.

--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -32,6 +32,9 @@
 // longAgo is a deadline that ends a read at once.
 var longAgo = time.Unix(1, 0)
 
+// readers has the read buffers of connections that have ended. Many clients open a connection for each request.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
 var errHeadMemory = errors.New("httpserver: no memory left for the head")
 
 // conn is the connection of a client. One goroutine reads the requests; each request has one that handles it.
@@ -51,6 +54,11 @@
 	ctx   context.Context
 	leave context.CancelFunc
 
+	// older and newer are the neighbours in the list of idle connections, if isIdle is true. The server's lock
+	// protects them.
+	older, newer *conn
+	isIdle       bool
+
 	// mu is locked before that of the server.
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -68,7 +76,8 @@
 	k := &conn{server: s, net: c}
 	k.changed = sync.NewCond(&k.mu)
 	k.limited = &io.LimitedReader{R: countedReader{k}, N: noLimit}
-	k.reader = bufio.NewReaderSize(k.limited, readBufferSize)
+	k.reader = readers.Get().(*bufio.Reader)
+	k.reader.Reset(k.limited)
 	k.ctx, k.leave = context.WithCancel(context.Background())
 	return k
 }
@@ -142,6 +151,8 @@
 	_ = k.net.Close()
 	k.head.Release()
 	k.server.remove(k)
+	k.reader.Reset(nil)
+	readers.Put(k.reader)
 }
 
 // linger tells the client that there are no more responses and reads on for a while.
--- a/entry/internal/httpserver/exchange.go
+++ b/entry/internal/httpserver/exchange.go
@@ -9,14 +9,20 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleystand.org/entry/internal/bodybudget"
 )
 
-// maxWrite is the part of a response that a client must read within the write timeout.
-const maxWrite = 64 << 10
+const (
+	// maxWrite is the part of a response that a client must read within the write timeout.
+	maxWrite = 64 << 10
+	// maxJoined is the largest body that is copied behind its head.
+	maxJoined = 4 << 10
+)
 
 var (
 	errLeft     = errors.New("httpserver: the client has left")
@@ -188,6 +194,10 @@
 	timeout := e.conn.server.limits().WriteTimeout
 	first := min(len(b), maxWrite)
 	parts := net.Buffers{head, b[:first]}
+	if len(b) <= maxJoined {
+		// A small body is copied behind its head, which costs less than a write of two buffers.
+		parts = net.Buffers{append(head, b...)}
+	}
 	for {
 		_ = c.SetWriteDeadline(time.Now().Add(timeout))
 		if _, err := parts.WriteTo(c); err != nil {
@@ -218,13 +228,57 @@
 		e.header.Set("Content-Length", strconv.FormatInt(e.length, 10))
 	}
 	if _, named := e.header["Date"]; !named {
-		e.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+		e.header["Date"] = []string{date(time.Now())}
+	}
+	head := make([]byte, 0, headBufferSize)
+	head = append(head, "HTTP/1."...)
+	head = strconv.AppendInt(head, int64(min(r.ProtoMinor, 1)), 10)
+	head = append(head, ' ')
+	head = strconv.AppendInt(head, int64(e.status), 10)
+	head = append(head, ' ')
+	head = append(head, http.StatusText(e.status)...)
+	head = append(head, "\r\n"...)
+	for name, values := range e.header {
+		for _, v := range values {
+			head = append(head, name...)
+			head = append(head, ": "...)
+			head = append(head, singleLine(v)...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	return append(head, "\r\n"...)
+}
+
+// headBufferSize has room for the head of most responses.
+const headBufferSize = 512
+
+// singleLine returns the value of a header field without line breaks, which would begin another field.
+func singleLine(v string) string {
+	if strings.ContainsAny(v, "\r\n") {
+		return lineBreaks.Replace(v)
+	}
+	return v
+}
+
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
+
+// formattedDate is the value of a Date field with its second. Formatting takes longer than the rest of a head.
+type formattedDate struct {
+	second int64
+	text   string
+}
+
+var lastDate atomic.Pointer[formattedDate]
+
+// date returns the value of the Date field for a time.
+func date(now time.Time) string {
+	second := now.Unix()
+	if d := lastDate.Load(); d != nil && d.second == second {
+		return d.text
 	}
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "HTTP/1.%d %03d %s\r\n", min(r.ProtoMinor, 1), e.status, http.StatusText(e.status))
-	_ = e.header.Write(&head)
-	head.WriteString("\r\n")
-	return head.Bytes()
+	d := &formattedDate{second: second, text: now.UTC().Format(http.TimeFormat)}
+	lastDate.Store(d)
+	return d.text
 }
 
 // awaitBody waits until the body of the request has been read, and reports whether further requests may follow.
--- a/entry/internal/httpserver/idlelist.go
+++ b/entry/internal/httpserver/idlelist.go
@@ -1,38 +1,51 @@
 package httpserver
 
-import "container/list"
-
-// idleList has the idle connections in the order in which they became idle.
+// idleList has the idle connections in the order in which they became idle. The links are in the connections, because
+// each request moves its connection out of the list and back.
 type idleList struct {
-	list     list.List
-	elements map[*conn]*list.Element
+	oldest, latest *conn
+	length         int
 }
 
-func (l *idleList) len() int { return l.list.Len() }
+func (l *idleList) len() int { return l.length }
 
 func (l *idleList) add(k *conn) {
-	if l.elements == nil {
-		l.elements = make(map[*conn]*list.Element)
+	if k.isIdle {
+		return
 	}
-	if l.elements[k] == nil {
-		l.elements[k] = l.list.PushBack(k)
+	k.isIdle, k.older, k.newer = true, l.latest, nil
+	if l.latest != nil {
+		l.latest.newer = k
+	} else {
+		l.oldest = k
 	}
+	l.latest = k
+	l.length++
 }
 
 func (l *idleList) remove(k *conn) {
-	if e := l.elements[k]; e != nil {
-		l.list.Remove(e)
-		delete(l.elements, k)
+	if !k.isIdle {
+		return
+	}
+	if k.older != nil {
+		k.older.newer = k.newer
+	} else {
+		l.oldest = k.newer
+	}
+	if k.newer != nil {
+		k.newer.older = k.older
+	} else {
+		l.latest = k.older
 	}
+	k.isIdle, k.older, k.newer = false, nil, nil
+	l.length--
 }
 
 // takeOldest removes the connection that has been idle for longest, and returns nil if there is none.
 func (l *idleList) takeOldest() *conn {
-	e := l.list.Front()
-	if e == nil {
-		return nil
+	k := l.oldest
+	if k != nil {
+		l.remove(k)
 	}
-	k := e.Value.(*conn)
-	l.remove(k)
 	return k
 }
