--- a/entry/internal/dispatch/place.go
+++ b/entry/internal/dispatch/place.go
@@ -38,11 +38,15 @@
 	p.placementWait = time.Since(begin)
 	if err != nil {
 		refusal, selected := d.handleNoPlace(ctx, p, err)
+		if !selected {
+			p.placementWait = 0
+		}
 		return nil, refusal, selected
 	}
 	s, known := d.view.Servers().Find(time.Now(), inst)
 	if !known {
 		slot.Release(Outcome{NotRun: true})
+		p.placementWait = 0
 		return nil, nil, false
 	}
 	p.slot = slot
