--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -127,7 +127,7 @@
 	defer memory.Close()
 	body, status, reason := h.readBody(w, r, configuration.Limits.BodyBytes, c.Deadline, memory)
 	if status != 0 {
-		h.refuseUnread(w, r, status, now.Add(noRoomRetryDelay), reason)
+		h.refuseUnread(w, r, status, time.Now().Add(noRoomRetryDelay), reason)
 		return
 	}
 	c.Body, c.HasBody = body, r.ContentLength >= 0 && declaresBody(r) || len(body) > 0
