--- a/entry/internal/placement/pool_test.go
+++ b/entry/internal/placement/pool_test.go
@@ -133,6 +133,15 @@
 	return p.index[s.Instance]
 }
 
+// teach makes the pool expect that requests take the given time.
+func (p *poolChooser) teach(took time.Duration) {
+	now := time.Unix(900, 0)
+	for id := range uint64(300) {
+		p.pool.Start(now, p.list[int(id)%len(p.list)].Instance, id, 0)
+		p.pool.End(now, p.list[int(id)%len(p.list)].Instance, id, placement.Outcome{ServiceTime: took})
+	}
+}
+
 func (p *poolChooser) ended(now time.Time, e end, l *registry.Load) {
 	p.pool.End(now, p.list[e.server].Instance, e.id, placement.Outcome{ServiceTime: e.took, Load: l})
 }
@@ -208,19 +217,27 @@
 	for name, c := range map[string]struct {
 		change func(*load)
 		forget time.Duration
+		wrong  time.Duration
 		least  float64
 	}{
-		"equal requests":       {func(*load) {}, 0, 0.99},
-		"spread":               {func(l *load) { l.cost = spread }, 0, 0.99},
-		"long requests":        {func(l *load) { l.cost = longTail }, 0, 0.96},
-		"servers differ":       {func(l *load) { l.speed = threefold }, 0, 0.97},
-		"servers change":       {func(l *load) { l.speed, l.reports, l.perSecond = changing, true, 150 }, 0, 0.75},
-		"restarts of the pool": {func(l *load) { l.speed = threefold }, 2 * time.Second, 0.9},
+		"equal requests":       {func(*load) {}, 0, 0, 0.99},
+		"spread":               {func(l *load) { l.cost = spread }, 0, 0, 0.99},
+		"long requests":        {func(l *load) { l.cost = longTail }, 0, 0, 0.96},
+		"servers differ":       {func(l *load) { l.speed = threefold }, 0, 0, 0.97},
+		"servers change":       {func(l *load) { l.speed, l.reports, l.perSecond = changing, true, 150 }, 0, 0, 0.75},
+		"restarts of the pool": {func(l *load) { l.speed = threefold }, 2 * time.Second, 0, 0.9},
+		"estimates too high":   {func(l *load) { l.speed = threefold }, 0, 1800 * time.Millisecond, 0.95},
+		"estimates too low":    {func(l *load) { l.speed = threefold }, 0, 18 * time.Millisecond, 0.95},
+		"many processes":       {func(l *load) { l.speed, l.processes = threefold, 600 }, 0, 0, 0.97},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := base
 			c.change(&l)
-			byPool, byMean := play(l, newPoolChooser(l, c.forget)), play(l, newMeanChooser(l))
+			pool := newPoolChooser(l, c.forget)
+			if c.wrong > 0 {
+				pool.teach(c.wrong)
+			}
+			byPool, byMean := play(l, pool), play(l, newMeanChooser(l))
 			t.Logf("within the objective: %.3f by pool, %.3f by the means of each process", byPool, byMean)
 			must.GreaterEq(t, c.least, byPool)
 			must.Greater(t, byMean, byPool)
