--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -2,8 +2,9 @@
 // each.
 //
 // A request to a sharded service goes to the one server that owns its key. While the key is moving,
-// the request waits for the new owner. For other services the server with the lowest expected
-// response time is selected. Servers of other data centres have a penalty, because the transfer of
+// the request waits for the new owner. For other services a Placer selects the server with its slot,
+// by what all processes know; without one, the server with the lowest expected response time that this
+// process has seen is selected. Servers of other data centres have a penalty, because the transfer of
 // a body between data centres has a price. A request is sent again only if it can't have run or is
 // idempotent, within the attempts of its route and the retry budget of the service.
 //
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	handler := gateway.New(view, dispatcher, fields, loadCollector, counters, bounds, logger)
-//	server := khttp.NewServer(khttp.Timeout(0), khttp.Filter(handler.Filter))
+//	server := httpserver.New(listener, handler, limits, heads, logger)
 package gateway
 
 import (
@@ -98,9 +98,6 @@
 	return map[string]int64{"requests": h.bodyMemory.Used(), "responses": h.responseMemory.Used(), "stalled": h.bodyReads.stalledCount()}
 }
 
-// Filter is a khttp.FilterFunc that passes every request to the handler; the routes of kratos are not used.
-func (h *Handler) Filter(http.Handler) http.Handler { return h }
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
--- a/entry/internal/slots/allocator.go
+++ b/entry/internal/slots/allocator.go
@@ -11,11 +11,15 @@
 // a server carries the latest such statement that its sender knows, so that the allocator learns of it
 // with the slot that is returned, and the next allocator with the first slot that is requested.
 //
+// For services whose requests may run on any server, one allocator has all servers of a data centre (a pool)
+// and selects the server together with the slot.
+//
 // # Usage
 //
-//	allocator := slots.NewAllocator(limits)
-//	limiter := slots.New(ctx, self, allocator, peers, members, limits, logger)
+//	allocator := slots.NewAllocator(limits, rates, view)
+//	limiter := slots.New(ctx, self, allocator, peers, members, limits, rates, view, logger)
 //	slot, err := limiter.Acquire(ctx, slotRequest)
+//	slot, instance, err := limiter.Place(ctx, placeRequest)
 //	defer slot.Release(outcome)
 package slots
 
