election: name all earlier coordinators that may still renew in the lock

Cause: the lock named one earlier process, and a new coordinator took it for the only one that may still renew grants. What the second coordinator knew, that the first one had not stopped, ended with its term.

Change: the lock holds all past holders that may still act, with the time since each can have confirmed its role. Whoever takes the lock copies them and adds the one that it replaces; they leave the list when they answer that they have stopped, when a later run answers, or after 12 s. The lock is only written under the condition of the revision that was read, so no name is lost between two holders. A lock of an earlier build counts as one that leaves out somebody; an earlier build waits for the full time while there are past holders.

--- a/entry/internal/cluster/contact_internal_test.go
+++ b/entry/internal/cluster/contact_internal_test.go
@@ -115,7 +115,7 @@
 	n := newTestNode("n", newRestorableStore(), newRecordedGrants(), 1)
 	other := election.Member{Name: "other"}
 	n.members = []election.Member{n.self, other}
-	n.executor = newExecutor(n, election.Lock{Term: 1}, time.Now(), election.Member{})
+	n.executor = newExecutor(n, election.Lock{Term: 1}, time.Now())
 	n.members = []election.Member{n.self}
 	must.Eq(t, []election.Member{other}, n.otherMembers())
 }
--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -37,7 +37,7 @@
 	followerInterval = 400 * time.Microsecond
 	// fenceOnlyHold is how long a grant that only raises the fence lasts.
 	fenceOnlyHold = time.Millisecond
-	// stepDownInterval is the time between two requests to the former coordinator to step down.
+	// stepDownInterval is the time between two requests to an earlier coordinator to step down.
 	stepDownInterval = 300 * time.Millisecond
 	// restoredTableInterval is the time between two reads of a table that a restored store may have
 	// lost.
@@ -63,10 +63,8 @@
 	earlierErasUntil time.Time
 	// inheritedUntil is the time by which all grants of earlier coordinators have expired.
 	inheritedUntil time.Time
-	// former is the previous coordinator until it is known to have stopped.
-	former          election.Member
-	stepDownPending bool
-	nextStepDown    time.Time
+	// stepDowns are the requests to past holders of the lock to stop.
+	stepDowns map[election.Member]*stepDownState
 	// previous is the process's executor of an earlier era while it still renews grants, at most until
 	// previousUntil.
 	previous      *executor
@@ -92,36 +90,18 @@
 	probing       map[registry.Instance]bool
 }
 
-// newExecutor returns an executor of the term of a lock, which begins now. The grants of the former coordinator
-// expire by themselves, and earlier if it is known to have stopped.
-func newExecutor(n *Node, l election.Lock, now time.Time, former election.Member) *executor {
-	// A coordinator that has given up the role may have sent a grant just before.
-	inheritedUntil := now.Add(coordinator.MaxGrantLifetime() + grantTimeout)
-	if former.Name == n.self.Name {
-		// The former coordinator was an earlier run of this process, which has ended.
-		former = election.Member{}
-	}
-	if former.Name != "" {
-		inheritedUntil = inheritedUntil.Add(coordinator.MaxOfflineRenewal)
-	}
-	s := &executor{node: n, term: l.Term, began: now, membersBefore: n.members, era: l.Era, former: former, wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
+// newExecutor returns an executor of the term of a lock, which begins now. The grants of earlier coordinators
+// expire by themselves, and earlier if these are known to have stopped.
+func newExecutor(n *Node, l election.Lock, now time.Time) *executor {
+	s := &executor{node: n, term: l.Term, began: now, membersBefore: n.members, era: l.Era, stepDowns: make(map[election.Member]*stepDownState), wake: make(chan struct{}, 1), contact: newContact(), services: make(map[string]*serviceState)}
 	n.era.observe(now, s.era)
 	if !l.Settled {
 		s.earlierErasUntil = n.era.earlierGrantsUntil()
 	}
-	s.limitInherited(inheritedUntil)
+	s.inheritedUntil = s.inheritedGrantsUntil(now, l.PastHolders)
 	return s
 }
 
-// limitInherited sets the time by which all grants of earlier coordinators have expired. A restored
-// store may have lost the lock of a coordinator that nobody can ask to stop.
-func (s *executor) limitInherited(until time.Time) {
-	s.inheritedUntil = until
-	if until.Before(s.earlierErasUntil) {
-		s.inheritedUntil = s.earlierErasUntil
-	}
-}
-
 // step performs the work that is due for all services.
 func (s *executor) step(ctx context.Context, group *sync.WaitGroup, now, confirmed time.Time) {
 	configuration := s.node.view.Configuration()
@@ -129,7 +109,7 @@
 		return
 	}
 	s.workload.steps++
-	s.requestStepDown(ctx, group, now)
+	s.requestStepDowns(ctx, group, now)
 	s.renewPrevious(ctx, group, now, configuration)
 	servers := s.node.view.Servers()
 	unsurveyed := s.contact.unsurveyed()
@@ -200,33 +180,6 @@
 	}
 }
 
-// requestStepDown repeatedly asks the former coordinator to stop, until it responds. Without a
-// response, its grants count as renewed for MaxOfflineRenewal.
-func (s *executor) requestStepDown(ctx context.Context, group *sync.WaitGroup, now time.Time) {
-	if s.former.Name == "" || s.stepDownPending || now.Before(s.nextStepDown) {
-		return
-	}
-	s.stepDownPending, s.nextStepDown = true, now.Add(stepDownInterval)
-	group.Go(func() {
-		response, err := s.node.peers.StepDown(ctx, s.former.Address, report.StepDown{Term: s.term, Successor: s.node.self})
-		s.node.mu.Lock()
-		defer s.node.mu.Unlock()
-		s.stepDownPending = false
-		// Another process at the address says nothing about the former coordinator.
-		if err != nil || !response.Stopped || response.Incarnation < s.former.Incarnation {
-			return
-		}
-		s.node.logger.WithFields(log.Fields{"former": s.former.Name, "term": s.term}).Info("former coordinator has stopped")
-		s.former = election.Member{}
-		s.limitInherited(time.Now().Add(coordinator.MaxGrantLifetime() + grantTimeout))
-		for _, state := range s.services {
-			if state.coordinator != nil {
-				state.coordinator.LimitInheritedGrants(s.inheritedUntil)
-			}
-		}
-	})
-}
-
 // loadTable reads the table of a service from the store and creates its coordinator.
 func (s *executor) loadTable(ctx context.Context, group *sync.WaitGroup, name string, state *serviceState) {
 	now := time.Now()
--- a/entry/internal/cluster/members_internal_test.go
+++ b/entry/internal/cluster/members_internal_test.go
@@ -17,7 +17,7 @@
 	n, now := newTestNode("a", newRestorableStore(), nil, 0), time.Now()
 	lock := election.Lock{Term: 1, Holder: n.self, Settled: true}
 	n.election.HandleStored(now, lock, 1)
-	n.executor = newExecutor(n, lock, now, election.Member{})
+	n.executor = newExecutor(n, lock, now)
 	members := func() []election.Member {
 		var r report.Response
 		for i := range 78 {
@@ -36,7 +36,7 @@
 	lead := func(n *Node, term uint64) {
 		lock := election.Lock{Term: term, Holder: n.self, Settled: true}
 		n.election.HandleStored(now, lock, term)
-		n.executor = newExecutor(n, lock, now, election.Member{})
+		n.executor = newExecutor(n, lock, now)
 	}
 	lead(n, 1)
 	versions := make([]uint64, 295)
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -325,7 +325,7 @@
 	if err != nil {
 		return
 	}
-	l, err := election.Decode(o.Data)
+	l, err := election.Decode(now, o.Data)
 	if err != nil {
 		n.logger.WithError(err).Error("lock can't be decoded; it is replaced")
 	}
@@ -355,11 +355,14 @@
 	default:
 		n.election.HandleStored(now, l, stored.Revision)
 		if term, holding := n.election.HeldTerm(); holding && (n.executor == nil || n.executor.term != term) {
-			n.logger.WithFields(log.Fields{"term": term, "former": former.Name}).Info("coordinator")
 			n.membership.expect(time.Now(), n.members, n.largestCores)
 			n.relist()
 			previous := n.executor
-			n.executor = newExecutor(n, l, now, former)
+			n.executor = newExecutor(n, l, now)
+			n.logger.WithFields(log.Fields{
+				"term": term, "former": former.Name, "unstopped": memberNames(l.PastHolders),
+				"inheritedMs": n.executor.inheritedUntil.Sub(now).Milliseconds(),
+			}).Info("coordinator")
 			n.executor.keepRenewing(previous, confirmed)
 			return true
 		}
@@ -368,7 +371,7 @@
 }
 
 func (n *Node) putLock(ctx context.Context, l election.Lock, revision uint64) (platform.Object, error) {
-	data, err := election.Encode(l)
+	data, err := election.Encode(time.Now(), l)
 	if err != nil {
 		return platform.Object{}, err
 	}
--- a/entry/internal/cluster/previous_internal_test.go
+++ b/entry/internal/cluster/previous_internal_test.go
@@ -98,7 +98,7 @@
 		grants := newRecordedGrants()
 		n := newTestNode("n", newRestorableStore(), grants, 1)
 		lock := election.Lock{Term: 2, Holder: n.self, Settled: true}
-		former := newExecutor(n, lock, time.Now(), election.Member{})
+		former := newExecutor(n, lock, time.Now())
 		table := &ownership.Table{Service: shardedService, Revision: 1, Assignments: []ownership.Assignment{{
 			Range: keyspace.Range{Last: keyspace.Last}, Holders: []ownership.Server{backend(0)},
 		}}}
@@ -106,7 +106,7 @@
 			coordinator: coordinator.New(shardedService, 2, table, time.Now(), time.Now()),
 			demand:      demand.NewService(time.Now(), n.limits), probing: make(map[registry.Instance]bool),
 		}
-		n.executor = newExecutor(n, lock, time.Now(), election.Member{})
+		n.executor = newExecutor(n, lock, time.Now())
 		n.executor.previous, n.executor.previousUntil = former, time.Now().Add(time.Minute)
 		renew := func() {
 			var group sync.WaitGroup
--- a/entry/internal/cluster/relayed_internal_test.go
+++ b/entry/internal/cluster/relayed_internal_test.go
@@ -45,7 +45,7 @@
 	} {
 		n := newTestNode("n", newRestorableStore(), newRecordedGrants(), 1)
 		n.relays = answeringRelay{outcome: outcome}
-		s := newExecutor(n, election.Lock{Term: 1}, time.Now(), election.Member{})
+		s := newExecutor(n, election.Lock{Term: 1}, time.Now())
 		n.executor = s
 		other := election.Member{Name: "other"}
 		s.contact.recordFailure(time.Now(), backend(0).Instance)
--- a/entry/internal/cluster/relayedrenewal_internal_test.go
+++ b/entry/internal/cluster/relayedrenewal_internal_test.go
@@ -41,7 +41,7 @@
 		n.relays = relays
 		lock := election.Lock{Term: 2, Holder: n.self, Settled: true}
 		n.election.HandleStored(time.Now(), lock, 1)
-		s := newExecutor(n, lock, time.Now(), election.Member{})
+		s := newExecutor(n, lock, time.Now())
 		n.executor = s
 		table := &ownership.Table{Service: shardedService, Revision: 1, Assignments: []ownership.Assignment{{
 			Range: keyspace.Range{Last: keyspace.Last}, Holders: []ownership.Server{backend(0)},
--- a/entry/internal/cluster/resign_internal_test.go
+++ b/entry/internal/cluster/resign_internal_test.go
@@ -23,7 +23,7 @@
 	if err != nil || kind != lockKind {
 		return stored, err
 	}
-	if l, err := election.Decode(o.Data); err != nil || l.Holder.Name != "" {
+	if l, err := election.Decode(time.Now(), o.Data); err != nil || l.Holder.Name != "" {
 		return stored, err
 	}
 	s.reject()
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -10,6 +10,14 @@
 // An early takeover does no harm: servers refuse what the former holder may still send; see
 // package coordinator.
 //
+// A holder that is replaced may act on its role for a while longer: it can't reach the store, or the
+// answer to its write was lost. The lock names all such past holders, with the time since each can have
+// confirmed its role. Whoever writes the lock passes them on, and leaves out those that have said that
+// they have stopped, that have ended or whose time is over. Each write replaces the revision that its
+// writer has read, so no change of the holder loses a name. An age in the lock counts from the write,
+// and a reader, which knows only when it has read it, takes the holder to have confirmed its role later
+// than it did, never earlier.
+//
 // A store that is restored from a copy begins a new era and may have lost the latest locks. The lock
 // therefore names the era in which it was written. A lock of an earlier era gives nobody the role in
 // its term: it is replaced with a term above all those that the store can have lost, once the latest
@@ -29,6 +37,7 @@
 package election
 
 import (
+	"slices"
 	"time"
 
 	"bramleystand.org/common/revision"
@@ -79,6 +88,9 @@
 	holding   bool
 	term      uint64
 	nextWrite time.Time
+	// past are the earlier holders that may still act on their role, while this process is the holder. It does not
+	// come from the known lock, because a restored store may have an earlier one.
+	past []PastHolder
 	// lastConfirmed is when the holder's latest successful write was sent.
 	lastConfirmed time.Time
 	// confirmedHeartbeat is the heartbeat of that write.
@@ -250,12 +262,15 @@
 	l := e.lock
 	if e.holding && !e.isRestored() {
 		l.Heartbeat++
-		l.Settled = e.settled >= l.era()
+		l.Settled, l.PastHolders = e.settled >= l.era(), e.past
 		return l, e.revision
 	}
 	era := max(e.era, revision.FirstEra)
 	lowest := l.Term + (era-min(l.era(), era))*termsPerEra
-	return Lock{Term: max(lowest, e.term) + 1, Holder: e.self, Era: era, Settled: e.settled >= era}, e.revision
+	return Lock{
+		Term: max(lowest, e.term) + 1, Holder: e.self, PastHolders: e.lock.pastHoldersAfter(e.self.Name, e.revisionSeen),
+		Era: era, Settled: e.settled >= era,
+	}, e.revision
 }
 
 // HandleStored records that the store has accepted a lock; sent is when it was sent. A lock that was
@@ -266,6 +281,9 @@
 		e.HandleConflict(sent)
 		return
 	}
+	if !e.holding || l.Term != e.term {
+		e.past = l.PastHolders
+	}
 	e.lock, e.revision, e.revisionSeen, e.lockKnown = l, revision, sent, true
 	e.holding, e.term = l.Holder == e.self, l.Term
 	e.lastConfirmed, e.lastRead = sent, sent
@@ -331,11 +349,29 @@
 
 // FormerHolder returns the holder in the last known lock, or the one that has resigned, which this process
 // replaces when it takes over.
-func (e *Election) FormerHolder() Member {
-	if e.lock.Holder.Name == "" {
-		return e.lock.Former
+func (e *Election) FormerHolder() Member { return e.lock.replaced() }
+
+// PastHolders returns the earlier holders that may still act on their role, while this process is the holder.
+func (e *Election) PastHolders() []PastHolder {
+	if !e.holding {
+		return nil
 	}
-	return e.lock.Holder
+	return e.past
+}
+
+// RemovePastHolder records that a past holder no longer acts on its role, because it has ended or said so. Later
+// writes of the lock don't name it.
+func (e *Election) RemovePastHolder(m Member) {
+	e.removePastHolders(func(p PastHolder) bool { return p.Member == m })
+}
+
+// RemoveExpired removes the past holders that can't have confirmed their role since a time.
+func (e *Election) RemoveExpired(since time.Time) {
+	e.removePastHolders(func(p PastHolder) bool { return p.Confirmed.Before(since) })
+}
+
+func (e *Election) removePastHolders(remove func(PastHolder) bool) {
+	e.past = slices.DeleteFunc(slices.Clone(e.past), remove)
 }
 
 // Resign returns the lock that gives up the role, or false if the process does not have the role.
@@ -346,7 +382,7 @@
 		return Lock{}, 0, false
 	}
 	e.resigned = true
-	return Lock{Term: e.lock.Term, Former: e.self, Heartbeat: e.lock.Heartbeat + 1, Era: e.lock.Era, Settled: e.lock.Settled}, e.revision, true
+	return Lock{Term: e.lock.Term, Former: e.self, PastHolders: e.past, Heartbeat: e.lock.Heartbeat + 1, Era: e.lock.Era, Settled: e.lock.Settled}, e.revision, true
 }
 
 // RemainCandidate records that the store has accepted the lock that gives up the role, at a revision;
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -1,6 +1,8 @@
 package election_test
 
 import (
+	"encoding/json"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -221,23 +223,60 @@
 	must.False(t, restarted.StepDown(now, 3))
 }
 
-// Guards against a lock that can't be decoded after it was encoded.
+// Guards against a lock that can't be decoded after it was encoded, and against a past holder that counts as stopped
+// too early because the lock was read long after it was written.
 func TestCodec(t *testing.T) {
-	l := election.Lock{Term: 7, Heartbeat: 9, Era: 2, Holder: election.Member{Name: "a", Incarnation: 5, DataCentre: "x"}}
-	data, err := election.Encode(l)
-	must.NoError(t, err)
-	back, err := election.Decode(data)
-	must.NoError(t, err)
-	must.Eq(t, l, back)
-	l = election.Lock{Term: 7, Former: election.Member{Name: "a", Incarnation: 5, DataCentre: "x", Address: netip.MustParseAddrPort("10.0.0.1:80")}}
-	data, err = election.Encode(l)
+	written, read := time.Unix(1000, 0), time.Unix(7, 0)
+	holder := election.Member{Name: "a", Incarnation: 5, DataCentre: "x", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	for _, l := range []election.Lock{
+		{Term: 7, Heartbeat: 9, Era: 2, Holder: election.Member{Name: "a", Incarnation: 5, DataCentre: "x"}},
+		{Term: 7, Former: holder},
+		{Term: 7, Holder: holder, PastHolders: []election.PastHolder{
+			{Member: election.Member{Name: "b", Incarnation: 6}, Confirmed: written.Add(-1500 * time.Millisecond)}, {Confirmed: written},
+		}},
+	} {
+		data, err := election.Encode(written, l)
+		must.NoError(t, err)
+		back, err := election.Decode(read, data)
+		must.NoError(t, err)
+		for i := range l.PastHolders {
+			l.PastHolders[i].Confirmed = l.PastHolders[i].Confirmed.Add(read.Sub(written))
+		}
+		must.Eq(t, l, back)
+	}
+	for _, bad := range []string{`{"addr":"nowhere"}`, `{"former":{"addr":"nowhere"}}`, `{"past":[{"addr":"nowhere"}]}`, `{"past":1}`, `{`} {
+		l, err := election.Decode(read, []byte(bad))
+		must.Error(t, err)
+		must.Eq(t, []election.PastHolder{{Confirmed: read}}, l.PastHolders)
+	}
+	l, err := election.Decode(read, []byte(`{"past":[{"age":9000000000000000000},{"age":-9000000000000000000}]}`))
 	must.NoError(t, err)
-	back, err = election.Decode(data)
+	must.Eq(t, []election.PastHolder{{Confirmed: read.Add(-time.Hour)}, {Confirmed: read}}, l.PastHolders)
+}
+
+// Guards against a past holder that is forgotten while processes of an earlier build, whose locks have no past
+// holders, run beside this one.
+func TestEarlierBuild(t *testing.T) {
+	read := time.Unix(7, 0)
+	l, err := election.Decode(read, []byte(`{"term":3,"name":"a","life":5,"beat":2}`))
 	must.NoError(t, err)
-	must.Eq(t, l, back)
-	for _, bad := range []string{`{"addr":"nowhere"}`, `{"former":{"addr":"nowhere"}}`} {
-		_, err = election.Decode([]byte(bad))
-		must.Error(t, err)
+	must.Eq(t, []election.PastHolder{{Confirmed: read}}, l.PastHolders)
+	// An earlier build takes the answer of a process for that of the holder if its incarnation is at least this.
+	var earlier struct {
+		Life   int64
+		Former struct{ Life int64 }
+	}
+	for _, l := range []election.Lock{{Holder: election.Member{Name: "a", Incarnation: 5}}, {Former: election.Member{Name: "a", Incarnation: 5}}} {
+		data, err := election.Encode(read, l)
+		must.NoError(t, err)
+		earlier.Life, earlier.Former.Life = 0, 0
+		must.NoError(t, json.Unmarshal(data, &earlier))
+		must.Eq(t, 5, earlier.Life+earlier.Former.Life)
+		l.PastHolders = []election.PastHolder{{Member: election.Member{Name: "b", Incarnation: 6}}}
+		data, err = election.Encode(read, l)
+		must.NoError(t, err)
+		must.NoError(t, json.Unmarshal(data, &earlier))
+		must.Eq(t, math.MaxInt64, max(earlier.Life, earlier.Former.Life))
 	}
 }
 
