cluster: test that a lock in the process's own name hides no coordinator

Cause: a process that finds its own name in the lock took itself for the only earlier coordinator. Its write of the lock had been done, the answer was lost, and with that write the lock lost the name of the coordinator that renews on.

--- a/entry/internal/cluster/pastholders_internal_test.go
+++ b/entry/internal/cluster/pastholders_internal_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// Guards against keys with two owners because a coordinator takes itself, or an earlier run of itself, for the only
+// earlier one: the response to its write of the lock was lost, or it was started again.
+func TestLockNamesSameProcess(t *testing.T) {
+	for name, lose := range map[string]func(c *takeovers){
+		"response lost": func(c *takeovers) {
+			c.start(c.newNode("b", &unansweredTakeover{rejectingStore: c.store(), taken: func() {}}))
+		},
+		"started again": func(c *takeovers) {
+			second := c.newNode("b", c.store())
+			stop := c.start(second)
+			c.awaitRole(second)
+			stop()
+			c.start(c.newNode("b", c.store()))
+		},
+		"started again as the lock is written": func(c *takeovers) {
+			store := &unansweredTakeover{rejectingStore: c.store()}
+			store.taken = store.reject
+			stop := c.start(c.newNode("b", store))
+			time.Sleep(3 * time.Second)
+			stop()
+			c.start(c.newNode("b", c.store()))
+		},
+	} {
+		t.Run(name, func(t *testing.T) { testFormerRenews(t, lose) })
+	}
+}
+
 // testFormerRenews cuts off the first coordinator, loses its successors, and checks the owners of the keys.
 func testFormerRenews(t *testing.T, lose func(c *takeovers)) {
 	synctest.Test(t, func(t *testing.T) {
