election: a holder that has tried to give up the role no longer acts alone

Cause: the write that gives up the role is done and its answer lost; another process takes the free lock at once, while the first one takes itself for the only holder until 0.8 s after its latest heartbeat, and may move keys. It also replaced a restored lock at once, as if nobody could have taken its own.

Change: from that write on until the next heartbeat is confirmed, Confirmed returns no time. Renewals don't depend on it: they count from the latest write, as before (TestRenewalsAfterFailedResignation fails if they don't).

--- a/entry/internal/cluster/executor.go
+++ b/entry/internal/cluster/executor.go
@@ -103,7 +103,7 @@
 }
 
 // step performs the work that is due for all services.
-func (s *executor) step(ctx context.Context, group *sync.WaitGroup, now, confirmed time.Time) {
+func (s *executor) step(ctx context.Context, group *sync.WaitGroup, now time.Time) {
 	configuration := s.node.view.Configuration()
 	if configuration == nil {
 		return
@@ -132,12 +132,12 @@
 			state.coordinator.SetServers(now, configuredServers(configuration, servers))
 		}
 		s.writeTable(ctx, group, now, name, state)
-		if now.Sub(confirmed) > coordinator.MaxOfflineRenewal {
+		if now.Sub(s.node.election.LatestWrite().SentAt) > coordinator.MaxOfflineRenewal {
 			continue
 		}
 		state.demand.SetHeld(held)
 		state.coordinator.SetUnverified(unsurveyed)
-		orders := state.coordinator.Step(now, state.demand, now.Sub(confirmed) < exclusiveRoleTime && s.contact.mayMove())
+		orders := state.coordinator.Step(now, state.demand, now.Sub(s.node.election.Confirmed()) < exclusiveRoleTime && s.contact.mayMove())
 		s.start(ctx, group, s, state, orders)
 		s.writeTable(ctx, group, now, name, state)
 		s.probeSilentServers(ctx, group, now, state)
--- a/entry/internal/cluster/node.go
+++ b/entry/internal/cluster/node.go
@@ -338,7 +338,7 @@
 	now := time.Now()
 	former := n.election.FormerHolder()
 	_, held := n.election.HeldTerm()
-	confirmed := n.election.Confirmed()
+	confirmed := n.election.LatestWrite().SentAt
 	l, revision := n.election.ProposeLock(now)
 	n.mu.Unlock()
 	stored, err := n.putLock(ctx, l, revision)
@@ -349,7 +349,7 @@
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
 		n.election.HandleConflict(time.Now())
 	case err != nil:
-		if held && time.Since(n.election.Confirmed()) > confirmationTimeout {
+		if held && time.Since(n.election.LatestWrite().SentAt) > confirmationTimeout {
 			n.logger.WithError(err).WithField("term", l.Term).Info("lock not renewed")
 		}
 	default:
@@ -396,7 +396,7 @@
 	if !now.Before(n.executor.earlierErasUntil) {
 		n.election.Settle(n.executor.era)
 	}
-	n.executor.step(ctx, group, now, n.election.Confirmed())
+	n.executor.step(ctx, group, now)
 	n.executor.survey(ctx, group, now)
 	n.executor.syncCrashes(ctx, group, now)
 	n.handOver(ctx, group, now)
--- a/entry/internal/cluster/resign_internal_test.go
+++ b/entry/internal/cluster/resign_internal_test.go
@@ -60,3 +60,24 @@
 		})
 	}
 }
+
+// Guards against keys that lose their owner because a coordinator that can't give up the role, as the store is down,
+// no longer renews its grants.
+func TestRenewalsAfterFailedResignation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, grants := newRestorableStore(), newRecordedGrants()
+		n := newTestNode("n", store, grants, 1)
+		defer run(t, n)()
+		time.Sleep(5 * time.Second)
+		store.setDown(true)
+		resigned := time.Now()
+		must.False(t, n.Resign(t.Context()))
+		time.Sleep(coordinator.MaxOfflineRenewal - coordinator.HoldDuration)
+		last := resigned
+		for _, g := range grants.after(resigned) {
+			must.Less(t, coordinator.HoldDuration/2, g.at.Sub(last), must.Sprint("time without a grant"))
+			last = g.at
+		}
+		must.Less(t, coordinator.HoldDuration/2, time.Since(last))
+	})
+}
--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -100,6 +100,8 @@
 	// doubted is true if the lock must be read although the holder has shown a sign of life.
 	doubted  bool
 	resigned bool
+	// resignationSent is true from a write that gives up the role until the holder has written the lock again.
+	resignationSent bool
 	// era is the latest known era of the store, and eraSeen is when the lock was first read in it.
 	era     uint64
 	eraSeen time.Time
@@ -189,11 +191,11 @@
 // mayReplaceRestored reports whether the process may take a restored lock. The store can have lost the
 // lock of another process, which acts as the only holder for less than staleLockTimeout after its
 // latest write, and thus after the restore. Nobody can have taken the lock of a holder that has
-// written it later than that.
+// written it later than that, unless it has tried to give up the role since.
 func (e *Election) mayReplaceRestored(now time.Time) bool {
 	wait := staleLockTimeout
 	if e.holding {
-		return now.Sub(e.lastConfirmed) < wait || now.Sub(e.eraSeen) >= wait
+		return now.Sub(e.Confirmed()) < wait || now.Sub(e.eraSeen) >= wait
 	}
 	if now.Sub(e.lastHeard) < holderTimeout || now.Sub(e.lastRead) >= readInterval+e.readDelay+staleLockTimeout/2 {
 		return false
@@ -284,6 +286,7 @@
 	if !e.holding || l.Term != e.term {
 		e.past = l.PastHolders
 	}
+	e.resignationSent = false
 	e.lock, e.revision, e.revisionSeen, e.lockKnown = l, revision, sent, true
 	e.holding, e.term = l.Holder == e.self, l.Term
 	e.lastConfirmed, e.lastRead = sent, sent
@@ -332,8 +335,15 @@
 func (e *Election) HeldTerm() (uint64, bool) { return e.term, e.holding }
 
 // Confirmed returns when the process last knew for certain that it was the coordinator. A read of the
-// lock does not count, because another process may take the lock right after it.
-func (e *Election) Confirmed() time.Time { return e.lastConfirmed }
+// lock does not count, because another process may take the lock right after it. Once a write that gives up
+// the role was sent, another process can take the lock at once, so the time is zero until the holder has written
+// the lock again.
+func (e *Election) Confirmed() time.Time {
+	if e.resignationSent {
+		return time.Time{}
+	}
+	return e.lastConfirmed
+}
 
 // Settle records that all grants of coordinators before an era have expired. The lock of that era tells
 // later holders, which may have started since.
@@ -381,7 +391,7 @@
 		e.resigned = !e.holding
 		return Lock{}, 0, false
 	}
-	e.resigned = true
+	e.resigned, e.resignationSent = true, true
 	return Lock{Term: e.lock.Term, Former: e.self, PastHolders: e.past, Heartbeat: e.lock.Heartbeat + 1, Era: e.lock.Era, Settled: e.lock.Settled}, e.revision, true
 }
 
--- a/entry/internal/election/model_test.go
+++ b/entry/internal/election/model_test.go
@@ -15,7 +15,7 @@
 )
 
 func TestMain(m *testing.M) {
-	os.Exit(seed.RunTests(m, "300"))
+	os.Exit(seed.RunTests(m, "3000"))
 }
 
 // exclusiveRoleTime is how long after its latest write of the lock the holder acts as the only one.
@@ -321,7 +321,7 @@
 // checkPastHolders fails if a holder does not know of a process that still acts on an earlier term. Those of earlier
 // eras of the store are known by their era.
 func (m *electionModel) checkPastHolders() {
-	m.checkTerms()
+	m.check()
 	for _, holder := range m.candidates {
 		term, holding := holder.HeldTerm()
 		if !holding {
