election: a late response gives no role after the process has stepped down

Change: a lock of the process's own that is older than a term for which it has said that it has stopped is read again and gives no role.

Evidence: TestLateResponseAfterStepDown failed before. Not seen in a run of whole processes.

--- a/entry/internal/election/election.go
+++ b/entry/internal/election/election.go
@@ -100,6 +100,8 @@
 	// doubted is true if the lock must be read although the holder has shown a sign of life.
 	doubted  bool
 	resigned bool
+	// successorTerm is the highest term whose holder this process has told that it has stopped.
+	successorTerm uint64
 	// resignationSent is true from a write that gives up the role until the holder has written the lock again.
 	resignationSent bool
 	// era is the latest known era of the store, and eraSeen is when the lock was first read in it.
@@ -277,9 +279,10 @@
 
 // HandleStored records that the store has accepted a lock; sent is when it was sent. A lock that was
 // accepted in a later era than its own must be read again: it gives no role, and its condition may have
-// matched a revision that was assigned again.
+// matched a revision that was assigned again. So must one whose holder has since told a successor that it has
+// stopped.
 func (e *Election) HandleStored(sent time.Time, l Lock, revision uint64) {
-	if eraOf(revision) > l.era() {
+	if eraOf(revision) > l.era() || l.Holder == e.self && l.Term < e.successorTerm {
 		e.HandleConflict(sent)
 		return
 	}
@@ -317,6 +320,7 @@
 	if e.holding && e.term >= term {
 		return false
 	}
+	e.successorTerm = max(e.successorTerm, term)
 	if e.holding {
 		e.holding = false
 		e.HandleConflict(now)
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -179,6 +179,26 @@
 	must.Eq(t, 2, term)
 }
 
+// Guards against two coordinators because a process that was suspended while it wrote the lock takes the role again by
+// the late response, after it has told its successor that it has stopped.
+func TestLateResponseAfterStepDown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &store{}
+	a, b := newCandidate("a", now), newCandidate("b", now.Add(time.Second))
+	now = simulate(now, 3*time.Second, s, true, a, b)
+	heartbeat, _ := a.ProposeLock(now)
+	s.lock, s.revision = heartbeat, s.revision+1
+	written := s.revision
+	later := simulate(now, 4*time.Second, s, true, b)
+	term, holding := b.HeldTerm()
+	must.True(t, holding)
+	must.True(t, a.StepDown(later, term))
+	a.HandleStored(now, heartbeat, written)
+	_, holding = a.HeldTerm()
+	must.False(t, holding)
+	must.Eq(t, election.ReadLock, a.NextAction(later))
+}
+
 // Guards against two processes that act as the only holder: others count the time without a change of
 // the lock from its latest write, which a later read does not renew.
 func TestReadDoesNotConfirmRole(t *testing.T) {
