coordinator: end the wait for earlier grants once a server accepts a fence

Cause: a coordinator counted the grants that it inherits as in force for 15.6 s (3.6 s if the former coordinator answers), and kept that time for a server although it had granted it the keys itself: the flag that tells inherited grants apart was cleared as soon as an order went out. So the keys of a server that was lost in the seconds after a takeover waited for grants that the server would have refused, and hearing that the former coordinator had stopped no longer shortened the wait.

Change: the end of the inherited grants and that of this term's grants are two times. The first is dropped when the server accepts a fence of the term, and lowered when earlier coordinators stop, whatever was sent since.

The model of the coordinator now stops former coordinators one by one, at the election or later, and bounds the inherited grants by those that are left, as the lock does.

Measured: TestInheritedWaitEnds failed in both rows.

--- a/entry/internal/coordinator/coordinator.go
+++ b/entry/internal/coordinator/coordinator.go
@@ -105,7 +105,7 @@
 		a := &table.Assignments[i]
 		s := &rangeState{keys: a.Range, generation: c.generation}
 		for _, h := range a.Holders {
-			s.holders = append(s.holders, &holder{server: h, heldUntil: inheritedUntil, nextCall: now, inherited: true, confirmed: !a.Unconfirmed})
+			s.holders = append(s.holders, &holder{server: h, inheritedUntil: inheritedUntil, nextCall: now, confirmed: !a.Unconfirmed})
 			// A holder that is no longer registered can still become silent.
 			c.health[h.Instance] = &serverHealth{lastResponse: now}
 		}
@@ -116,7 +116,7 @@
 			for _, h := range s.holders {
 				h.maybeGranted, h.confirmed = true, !a.Unconfirmed
 			}
-			s.target = &holder{server: *a.Target, heldUntil: inheritedUntil, nextCall: now, maybeGranted: true, inherited: true}
+			s.target = &holder{server: *a.Target, inheritedUntil: inheritedUntil, nextCall: now, maybeGranted: true}
 			if a.Unconfirmed {
 				// An unconfirmed holder accepts a fence of this term only with a grant. That grant
 				// must not overlap with requests at the target, so the target releases the keys
@@ -131,12 +131,12 @@
 }
 
 // LimitInheritedGrants lowers the time by which all grants of earlier coordinators have expired. It
-// is called when the former coordinator is known to have stopped or ended.
+// is called when an earlier coordinator is known to have stopped or ended.
 func (c *Coordinator) LimitInheritedGrants(until time.Time) {
 	for _, s := range c.ranges {
 		for _, h := range append(slices.Clone(s.holders), s.target) {
-			if h != nil && h.inherited && until.Before(h.heldUntil) {
-				h.heldUntil = until
+			if h != nil && until.Before(h.inheritedUntil) {
+				h.inheritedUntil = until
 			}
 		}
 	}
@@ -236,7 +236,7 @@
 			continue
 		}
 		status := c.statusOf(h.server)
-		if status == ended && !h.grantPending || !h.callPending && !now.Before(h.heldUntil) {
+		if status == ended && !h.grantPending || !h.callPending && !now.Before(h.mayHoldUntil()) {
 			h.keysReleased = true
 			c.recordLoss(s, h, status == ended)
 			continue
@@ -305,7 +305,6 @@
 	}
 	before := h.heldUntil
 	h.heldUntil = maxTime(before, now.Add(MaxGrantLifetime()))
-	h.inherited = false
 	h.nextCall = now.Add(renewInterval)
 	o := c.issueOrder(now, s, h, Order{Server: h.server, Keys: s.keys, Fence: h.fence, Connection: h.connection, Handover: handover})
 	p := c.pending[o.Number]
@@ -383,6 +382,8 @@
 		h.keysReleased = true
 	default:
 		h.fenceAccepted, h.connection, h.maybeGranted, h.confirmed = true, r.Connection, false, true
+		// The server refuses the grants of earlier coordinators from now on.
+		h.inheritedUntil = time.Time{}
 		if h != s.target && !s.isStable() && s.generation <= c.storedGeneration {
 			// The next call of a move does not wait for the renewal interval.
 			h.nextCall = now
@@ -456,7 +457,7 @@
 	}
 	unanswered := s.target
 	s.holders, s.target, s.handover = nil, nil, ""
-	if !unanswered.heldUntil.IsZero() {
+	if !unanswered.mayHoldUntil().IsZero() {
 		s.holders = []*holder{unanswered}
 	}
 	c.generation++
--- a/entry/internal/coordinator/model_test.go
+++ b/entry/internal/coordinator/model_test.go
@@ -157,12 +157,9 @@
 	}
 }
 
-// elect starts a coordinator of the next term. The former coordinator is not told.
+// elect starts a coordinator of the next term. Some of the former coordinators stop.
 func (sim *simulation) elect() {
-	inheritedUntil := sim.now.Add(coordinator.MaxOfflineRenewal + coordinator.MaxGrantLifetime())
-	if sim.current == nil {
-		inheritedUntil = sim.now
-	} else {
+	if sim.current != nil {
 		if sim.now.Sub(sim.current.lastConfirmed) < minTakeoverTime {
 			return
 		}
@@ -174,15 +171,42 @@
 	sim.term++
 	p := &process{term: sim.term, era: sim.era, lastConfirmed: sim.now, hasCopy: rapid.IntRange(0, 3).Draw(sim.t, "has copy") > 0}
 	sim.current = p
-	if rapid.Bool().Draw(sim.t, "former stops") {
-		// A coordinator whose lock a restored store has lost is not asked to stop.
-		sim.former = slices.DeleteFunc(sim.former, func(f *process) bool { return f.era == sim.era })
-		inheritedUntil = sim.now.Add(coordinator.MaxGrantLifetime() + grantTimeout)
+	sim.former = slices.DeleteFunc(sim.former, func(f *process) bool { return sim.isAsked(f) && rapid.Bool().Draw(sim.t, "former stops") })
+	sim.loadTable(p, sim.inheritedUntil())
+}
+
+// isAsked reports whether the coordinator knows of a former one and asks it to stop. The lock names those of this
+// era; a coordinator whose lock a restored store has lost is not asked.
+func (sim *simulation) isAsked(f *process) bool { return f.era == sim.era }
+
+// inheritedUntil returns the time by which all grants of former coordinators have expired.
+func (sim *simulation) inheritedUntil() time.Time {
+	renewedUntil := sim.now
+	for _, f := range sim.former {
+		if until := f.lastConfirmed.Add(coordinator.MaxOfflineRenewal); sim.isAsked(f) && until.After(renewedUntil) {
+			renewedUntil = until
+		}
+	}
+	until := renewedUntil.Add(coordinator.MaxGrantLifetime() + grantTimeout)
+	if earlier := sim.earlierErasUntil(); earlier.After(until) {
+		return earlier
+	}
+	return until
+}
+
+// stopFormer makes one of the former coordinators stop when the current one asks it.
+func (sim *simulation) stopFormer() {
+	if len(sim.former) == 0 || sim.current.era < sim.era {
+		return
+	}
+	i := rapid.IntRange(0, len(sim.former)-1).Draw(sim.t, "former")
+	if !sim.isAsked(sim.former[i]) {
+		return
 	}
-	if until := sim.earlierErasUntil(); until.After(inheritedUntil) {
-		inheritedUntil = until
+	sim.former = slices.Delete(sim.former, i, i+1)
+	if sim.current.Coordinator != nil {
+		sim.current.LimitInheritedGrants(sim.inheritedUntil())
 	}
-	sim.loadTable(p, inheritedUntil)
 }
 
 // earlierErasUntil returns the time by which all grants of coordinators of earlier eras have expired.
@@ -608,6 +632,8 @@
 				sim.end(rapid.IntRange(0, len(sim.servers)-1).Draw(t, "server"))
 			case 11, 12:
 				sim.current.relaying = !sim.current.relaying
+			case 13:
+				sim.stopFormer()
 			case 8:
 				sim.restore(sim.now.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond))
 			}
@@ -729,6 +755,52 @@
 	}
 }
 
+// Guards against keys that stay without an owner for as long as an earlier coordinator may renew their holder's grants,
+// although the holder has accepted a fence of this term before it was lost, or although all earlier coordinators
+// have stopped after a grant to it was left unanswered.
+func TestInheritedWaitEnds(t *testing.T) {
+	for name, accepts := range map[string]bool{"fence accepted": true, "earlier coordinators stopped": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			sim := &simulation{now: now, load: func(int) float64 { return 8.0 / keyspace.KeyCount }}
+			lost, other := newServer(0, 1), newServer(1, 1)
+			table := &ownership.Table{Service: "svc", Revision: 1, Assignments: []ownership.Assignment{{
+				Range:   keyspace.Range{Last: keyspace.Last},
+				Holders: []ownership.Server{{Instance: lost.Instance, Address: lost.Address.String()}},
+			}}}
+			c := coordinator.New("svc", 2, table, now, now.Add(coordinator.MaxOfflineRenewal))
+			lostAt := now.Add(time.Second)
+			for now.Before(lostAt.Add(3 * coordinator.MaxGrantLifetime())) {
+				now = now.Add(step)
+				if !accepts && now.Equal(lostAt) {
+					c.LimitInheritedGrants(now.Add(coordinator.MaxGrantLifetime()))
+				}
+				servers := []registry.Server{lost.Server}
+				if !now.Before(lostAt) {
+					servers = append(servers, other.Server)
+				}
+				c.SetServers(now, servers)
+				orders := c.Step(now, sim, true)
+				if table, generation, ok := c.Table(); ok {
+					c.MarkStored(now, generation, table.Revision+1)
+				}
+				for _, o := range orders {
+					r := coordinator.Result{Number: o.Number}
+					if o.Server.Instance == other.Instance {
+						must.GreaterEq(t, coordinator.MaxGrantLifetime()-time.Second, now.Sub(lostAt), must.Sprint("time in which a grant to the lost server may be in force"))
+						return
+					}
+					if !accepts || !now.Before(lostAt) {
+						r.Err = errLost
+					}
+					c.HandleResult(now, r)
+				}
+			}
+			t.Fatal("the keys were not granted to the other server")
+		})
+	}
+}
+
 // Guards against two owners when a grant reaches its server long after the decision, because the VM
 // was short of processor time or the connection was slow.
 func TestSlowGrant(t *testing.T) {
--- a/entry/internal/coordinator/range_state.go
+++ b/entry/internal/coordinator/range_state.go
@@ -34,21 +34,25 @@
 	connection uint64
 	// keysReleased is true once the server certainly no longer holds the keys.
 	keysReleased bool
-	// heldUntil is the time by which the last grant sent has expired.
-	heldUntil   time.Time
-	nextCall    time.Time
-	callPending bool
+	// heldUntil is the time by which the last grant of this term has expired.
+	heldUntil time.Time
+	// inheritedUntil is the time by which all grants of earlier coordinators have expired. It is zero once the
+	// server has accepted a fence of this term.
+	inheritedUntil time.Time
+	nextCall       time.Time
+	callPending    bool
 	// grantPending is true while the result of a grant is not known.
 	grantPending bool
 	// confirmed is true once the server has accepted a grant of the keys.
 	confirmed bool
-	// inherited is true until a coordinator of this term grants the keys to the server.
-	inherited bool
 	// maybeGranted is true if an earlier coordinator may or may not have granted the keys to the
 	// server. releaseAnswered is true once such a server has answered a release.
 	maybeGranted, releaseAnswered bool
 }
 
+// mayHoldUntil returns the time by which all grants to the server have expired.
+func (h *holder) mayHoldUntil() time.Time { return maxTime(h.heldUntil, h.inheritedUntil) }
+
 // isStable reports whether the range has one holder and is not moving.
 func (s *rangeState) isStable() bool { return s.target == nil && len(s.holders) == 1 }
 
--- a/entry/internal/coordinator/rebalance.go
+++ b/entry/internal/coordinator/rebalance.go
@@ -202,7 +202,7 @@
 		h.nextCall = now
 	}
 	// A former target that did not answer may hold the keys.
-	if s.target != nil && !s.target.heldUntil.IsZero() {
+	if s.target != nil && !s.target.mayHoldUntil().IsZero() {
 		s.holders = append(s.holders, s.target)
 	}
 	s.target = &holder{server: to, nextCall: now}
