--- a/entry/internal/cluster/pastholders.go
+++ b/entry/internal/cluster/pastholders.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -40,12 +41,15 @@
 func (s *executor) requestStepDowns(ctx context.Context, group *sync.WaitGroup, now time.Time) {
 	s.node.election.RemoveExpired(now.Add(-coordinator.MaxOfflineRenewal))
 	for _, p := range s.node.election.PastHolders() {
+		if p.Name == "" {
+			continue
+		}
 		state := s.stepDowns[p.Member]
 		if state == nil {
 			state = &stepDownState{}
 			s.stepDowns[p.Member] = state
 		}
-		if p.Name == "" || state.pending || now.Before(state.next) {
+		if state.pending || now.Before(state.next) {
 			continue
 		}
 		state.pending, state.next = true, now.Add(stepDownInterval)
@@ -81,7 +85,7 @@
 func memberNames(past []election.PastHolder) []string {
 	names := make([]string, len(past))
 	for i, p := range past {
-		names[i] = p.Name
+		names[i] = cmp.Or(p.Name, "unknown")
 	}
 	return names
 }
--- a/entry/internal/election/codec.go
+++ b/entry/internal/election/codec.go
@@ -25,8 +25,8 @@
 type wireMember struct {
 	Name     string `json:"name,omitempty"`
 	Instance int64  `json:"life,omitempty"`
-	// True is the incarnation if Instance has another value.
-	True    int64  `json:"truelife,omitempty"`
+	// Actual is the incarnation if Instance has another value, see hideIncarnation.
+	Actual  int64  `json:"actual,omitempty"`
 	Centre  string `json:"centre,omitempty"`
 	Address string `json:"addr,omitempty"`
 }
@@ -64,10 +64,10 @@
 
 // hideIncarnation replaces the incarnation by the highest one. An earlier build drops the past holders, and takes
 // all grants that it inherits for expired once the process has stopped. It believes only an answer with at least
-// this incarnation, and so waits for as long as any past holder may renew grants.
+// this incarnation, and so waits as long as any past holder may renew grants.
 func (w *wireMember) hideIncarnation() {
 	if w.Name != "" {
-		w.True, w.Instance = w.Instance, math.MaxInt64
+		w.Actual, w.Instance = w.Instance, math.MaxInt64
 	}
 }
 
@@ -113,8 +113,8 @@
 
 func decodeMember(w wireMember) (Member, error) {
 	m := Member{Name: w.Name, Incarnation: w.Instance, DataCentre: w.Centre}
-	if w.True != 0 {
-		m.Incarnation = w.True
+	if w.Actual != 0 {
+		m.Incarnation = w.Actual
 	}
 	if w.Address == "" {
 		return m, nil
--- a/entry/internal/election/election_test.go
+++ b/entry/internal/election/election_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,6 +181,26 @@
 	must.Eq(t, 2, term)
 }
 
+// Guards against a lock that grows without bound, and against past holders that are left out of it for that reason.
+func TestManyPastHolders(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l election.Lock
+	for i := range 40 {
+		l.PastHolders = append(l.PastHolders, election.PastHolder{
+			Member: election.Member{Name: fmt.Sprint("n", i)}, Confirmed: now.Add(-time.Duration(i*7%40) * 100 * time.Millisecond),
+		})
+	}
+	a := newCandidate("a", now)
+	a.ObserveLock(now, l, 1)
+	proposed, _ := a.ProposeLock(now)
+	must.Eq(t, 16, len(proposed.PastHolders))
+	for _, p := range l.PastHolders {
+		must.True(t, slices.ContainsFunc(proposed.PastHolders, func(kept election.PastHolder) bool {
+			return kept == p || kept.Name == "" && !kept.Confirmed.Before(p.Confirmed)
+		}), must.Sprint(p, " is covered"))
+	}
+}
+
 // Guards against two coordinators because a process that was suspended while it wrote the lock takes the role again by
 // the late response, after it has told its successor that it has stopped.
 func TestLateResponseAfterStepDown(t *testing.T) {
