origin: do not forward request fields that Connection lists

Cause: the head of a request to a server left out a fixed list of fields of one connection; those that the client names in Connection were forwarded. Responses were stripped of them already, by the same function that requests share now.

Evidence: TestForwardedHead failed with a listed field.

--- a/entry/internal/origin/client_test.go
+++ b/entry/internal/origin/client_test.go
@@ -135,9 +135,12 @@
 		heads <- head.String()
 		_, _ = io.WriteString(c, formatResponse("1", "", "x"))
 	})
-	_, err := client.Do(t.Context(), request("1"))
+	r := request("1")
+	r.Header["Connection"], r.Header["X-Hop"] = []string{"close, x-hop"}, []string{"1"}
+	_, err := client.Do(t.Context(), r)
 	must.NoError(t, err)
 	head := <-heads
+	must.StrNotContains(t, head, "X-Hop")
 	must.StrHasPrefix(t, "GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\n", head)
 	must.StrContains(t, head, "X-Other: 1\r\n")
 	must.StrContains(t, head, "Left: 3\r\n")
--- a/entry/internal/origin/head.go
+++ b/entry/internal/origin/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,16 +18,25 @@
 // StripConnectionFields removes the header fields that apply to a single connection, including
 // those that are listed in the Connection field.
 func StripConnectionFields(h http.Header) {
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
+	for _, name := range listedFields(h) {
+		delete(h, name)
 	}
 	for name := range connectionFields {
 		delete(h, name)
 	}
 }
 
+// listedFields returns the names of the header fields that the Connection field lists.
+func listedFields(h http.Header) []string {
+	var names []string
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
 // appendHead appends the head of a request to b: request line, header fields and the empty line.
 // The fields of a single connection and those that AddRequestFields sets are not copied from the client.
 func appendHead(b []byte, f HeaderFields, r *Request, now time.Time) []byte {
@@ -41,8 +51,9 @@
 		b = append(b, "\r\n"...)
 	}
 	add("Host", r.Host)
+	listed := listedFields(r.Header)
 	for name, values := range r.Header {
-		if connectionFields[name] || f.IsSetByProxy(name) {
+		if connectionFields[name] || f.IsSetByProxy(name) || slices.Contains(listed, name) {
 			continue
 		}
 		for _, v := range values {
