httpserver: the test of a client that does not read waits for its connection

Cause, in the test: it waits until no connection is open, which is also so before the server has accepted the one that the test has dialled. The server is not at fault.

Change: the test waits until the connection is open before it sends.

--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -225,6 +225,7 @@
 	s := startServer(t)
 	s.change(func(l *httpserver.Limits) { l.WriteTimeout = 200 * time.Millisecond })
 	c := s.dial(t)
+	eventually(t, "not accepted", func() bool { return s.Counts()["open"] == 1 })
 	c.send(t, get("/large")+get("/large"))
 	eventually(t, "the connection stays", func() bool { return s.Counts()["open"] == 0 })
 	must.Eq(t, 1, s.Counts()["stalled"])
