--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -117,4 +117,5 @@
 var cases = map[string]func(program, recordPath string, trouble bool) (bool, error){
 	"ahead":       runAhead,
 	"slow-upload": runSlowUpload,
+	"ahead-stop":  runAheadStop,
 }
