Review case 15: heads of requests sent ahead exceed the memory

Cause: nothing is reserved for the first 4 KiB of a head, which take up to 64 KiB; 4,096 requests may be sent ahead. Change: a script; clients send ahead with heads of 630 short fields, behind one request that takes 4.5 s. The stand-ins take ports outside of the range of outgoing connections: one run of this case could not start a process.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -118,4 +118,5 @@
 	"ahead":       runAhead,
 	"slow-upload": runSlowUpload,
 	"ahead-stop":  runAheadStop,
+	"ahead-heads": runAheadHeads,
 }
--- a/review/standin-3/router.go
+++ b/review/standin-3/router.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,14 +30,17 @@
 	fmt.Fprintf(r.file, format+"\n", args...)
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port, outside of the range from which Linux takes the ports of
+// outgoing connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(12_000))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // router is a process of the project, with the settings that its deploy file would give it.
