httpserver: read the body of a request that has waited for the one before it

A request with a body that arrives while the one before it is in progress could be handled as if it had no body: the deadline in the past that wakes the reader from its wait stayed set, so the first read of the body timed out.

The deadline is now cleared when the wait has ended.

--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -293,6 +293,8 @@
 	defer k.mu.Unlock()
 	for k.active > 0 && !k.closes && k.ctx.Err() == nil && (!e.extra || k.active >= maxAhead) {
 		k.awaitChange()
+		// The deadline that ended the wait would also end the read of the body.
+		_ = k.net.SetReadDeadline(time.Time{})
 	}
 	if k.closes || k.ctx.Err() != nil {
 		e.release()
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -354,6 +354,21 @@
 	must.Eq(t, "/f", body)
 }
 
+// Guards against a body that can't be read because its request has waited for the one before it.
+func TestBodyOfWaitingRequest(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, get("/wait")+"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
+	eventually(t, "the first request is not handled", func() bool { return len(s.handler.paths()) == 1 })
+	// The second request can't be seen to wait; if it doesn't yet, the test passes.
+	<-time.After(20 * time.Millisecond)
+	close(s.handler.released)
+	_, _ = c.response(t)
+	c.send(t, "x")
+	_, body := c.response(t)
+	must.Eq(t, "/bx", body)
+}
+
 // Guards against a shutdown that cuts requests off or does not end.
 func TestShutdown(t *testing.T) {
 	s := startServer(t)
