httpserver: handle nothing beside a request that closes its connection

What follows a request with Connection: close, of HTTP/1.0, or with a chunked body must not be taken for a request. Since requests are handled ahead, a GET that arrived behind one was handled beside it, and because a response closes the connection only if no later request is handled, the first response then left the connection open.

A request now waits until the one before it has been answered if that one may close the connection for a reason that lies in the request.

--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -285,9 +285,10 @@
 }
 
 // admit waits until a request may be handled, and reports whether it may be. A request that must not be handled
-// ahead waits until those before it have been answered.
+// ahead waits until those before it have been answered, and so does each request behind one that may close the
+// connection.
 func (k *conn) admit(e *exchange) bool {
-	alone := e.body != nil || e.request.Close || !k.server.handler.AllowsAhead(e.request)
+	alone := e.mayClose() || k.last != nil && k.last.mayClose() || !k.server.handler.AllowsAhead(e.request)
 	e.extra = !alone && k.server.takeAhead()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/entry/internal/httpserver/exchange.go
+++ b/entry/internal/httpserver/exchange.go
@@ -63,6 +63,12 @@
 	return e
 }
 
+// mayClose reports whether the response may close the connection for a reason that lies in the request: the client has
+// asked for it, or the body is not read to its end or is framed in a way that the handler does not trust.
+func (e *exchange) mayClose() bool {
+	return e.body != nil || e.request.Close || !e.request.ProtoAtLeast(1, 1)
+}
+
 // handle handles the request and writes what the handler has left.
 func (e *exchange) handle() {
 	defer e.finish()
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -21,8 +21,9 @@
 	"bramleystand.org/entry/internal/httpserver"
 )
 
-// testHandler answers with the path and body of a request. A request for /wait waits until it is released, one for
-// /close closes the connection and one for /unread does not read its body. Requests for /alone are not handled ahead.
+// testHandler answers with the path and body of a request. A request for /wait waits until it is released, one whose
+// path ends with /close closes the connection and one for /unread does not read its body. Requests for /alone are not
+// handled ahead.
 type testHandler struct {
 	mu       sync.Mutex
 	handled  []string
@@ -48,7 +49,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if r.URL.Path == "/close" {
+	if strings.HasSuffix(r.URL.Path, "/close") {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/large" {
@@ -175,6 +176,28 @@
 	}
 }
 
+// Guards against a request that is handled although the one before it closes the connection, so that bytes behind a
+// request with unclear framing are taken for a request.
+func TestNothingIsHandledBesideClosingRequest(t *testing.T) {
+	for _, first := range []string{
+		"GET /wait HTTP/1.0\r\nHost: h\r\n\r\n",
+		"GET /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+		"POST /wait/close HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		s := startServer(t)
+		c := s.dial(t)
+		c.send(t, first+get("/next"))
+		eventually(t, "the first request is not handled", func() bool { return len(s.handler.paths()) == 1 })
+		// Time for the next request to be handled.
+		<-time.After(20 * time.Millisecond)
+		close(s.handler.released)
+		r, _ := c.response(t)
+		must.True(t, r.Close)
+		must.True(t, c.ends())
+		must.Len(t, 1, s.handler.paths())
+	}
+}
+
 // Guards against a response that closes the connection while later requests are already handled.
 func TestCloseWaitsForHandledRequests(t *testing.T) {
 	s := startServer(t)
