httpserver: close connections in use when a process stops

Callers that always have a request under way on a connection were never told to leave a process that stops: a response closed the connection only if no later request was being handled, and later ones were taken until the end.

Drain, called at the SIGTERM, ends this: a request that arrives while others are being handled is not handled any more, so that the latest of those closes the connection. What was passed on to a server is answered; what is behind the close was not passed on, and clients send it again.

--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -390,6 +390,7 @@
 	deadline, end := begin.Add(p.settings.Stop*maxDrainPercent/100), begin.Add(p.settings.Stop)
 	giveUp, serversEnd := end.Add(-giveUpMargin), end.Add(-closeMargin)
 	p.serversEnd.Store(&serversEnd)
+	p.clientServer.Drain()
 	p.handler.Stop(giveUp)
 	p.relayServer.Stop()
 	p.dispatcher.Stop(dispatch.Shutdown{LastStart: deadline, GiveUp: giveUp, End: end})
--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -292,7 +292,7 @@
 	e.extra = !alone && k.server.takeAhead()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for k.active > 0 && !k.closes && k.ctx.Err() == nil && (!e.extra || k.active >= maxAhead) {
+	for k.mustWait(e) && !k.closes && k.ctx.Err() == nil {
 		k.awaitChange()
 		// The deadline that ended the wait would also end the read of the body.
 		_ = k.net.SetReadDeadline(time.Time{})
@@ -309,6 +309,12 @@
 	return true
 }
 
+// mustWait reports whether a request waits for those that are being handled. While the server drains, each request does,
+// because the latest of those closes the connection. The lock is held.
+func (k *conn) mustWait(e *exchange) bool {
+	return k.active > 0 && (!e.extra || k.active >= maxAhead || k.server.draining.Load())
+}
+
 // awaitChange waits until a request has been answered. As far as the buffer has room, it reads meanwhile, to notice
 // that the client has left. The lock is held, but not while it waits.
 func (k *conn) awaitChange() {
@@ -346,7 +352,7 @@
 func (k *conn) decideClose(e *exchange, wanted bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if (wanted || k.server.isClosing()) && k.last == e {
+	if (wanted || k.server.draining.Load()) && k.last == e {
 		k.closes = true
 	}
 	return k.closes
--- a/entry/internal/httpserver/server.go
+++ b/entry/internal/httpserver/server.go
@@ -17,6 +17,7 @@
 //
 //	s := httpserver.New(listener, handler, func() httpserver.Limits { return limits }, budget, logger)
 //	go s.Serve()
+//	s.Drain()
 //	err := s.Shutdown(ctx)
 package httpserver
 
@@ -83,6 +84,8 @@
 	idle        idleList
 	closing     bool
 	nextWarning time.Time
+	// draining is true if the next response that may close its connection does.
+	draining atomic.Bool
 	// empty is closed when a closing server has no connection left.
 	empty chan struct{}
 	ahead atomic.Int64
@@ -239,9 +242,15 @@
 	}
 }
 
+// Drain makes each connection close with the response to the latest request that is being handled, or to the next one
+// if there is none. A client that always has a request under way would otherwise never leave. New connections are still
+// accepted.
+func (s *Server) Drain() { s.draining.Store(true) }
+
 // Shutdown closes the listener and the idle connections, and waits until the requests in progress have been
 // answered or the context ends; then it closes their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
 	s.mu.Lock()
 	s.closing = true
 	err := s.listener.Close()
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -215,6 +215,62 @@
 	must.True(t, c.ends())
 }
 
+// Guards against clients that always have a request under way and so keep their connections to a server that drains, and
+// against requests that are handled behind the response which closes the connection.
+func TestDrain(t *testing.T) {
+	upload := "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy"
+	for _, handled := range []int{0, 1, 8, 64} {
+		for name, next := range map[string]string{"none": "", "ahead": get("/next") + get("/next"), "alone": get("/alone"), "upload": upload, "malformed": "GET\r\n\r\n"} {
+			t.Run(fmt.Sprint(handled, " ", name), func(t *testing.T) {
+				s := startServer(t)
+				c := s.dial(t)
+				c.send(t, strings.Repeat(get("/wait"), handled))
+				eventually(t, "not all requests are handled", func() bool { return len(s.handler.paths()) == handled })
+				s.Drain()
+				c.send(t, next)
+				if handled == 0 {
+					c.send(t, get("/wait"))
+				}
+				close(s.handler.released)
+				for n := 1; ; n++ {
+					r, _ := c.response(t)
+					if n < handled {
+						must.False(t, r.Close)
+						continue
+					}
+					if r.Close {
+						break
+					}
+					must.Eq(t, "malformed", name)
+				}
+				must.True(t, c.ends())
+				if handled > 0 || name != "malformed" {
+					must.Len(t, max(handled, 1), s.handler.paths())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a request that is lost because the head of the response before it was written before the server began
+// to drain.
+func TestDrainDuringResponse(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, get("/large"))
+	_, err := c.reader.Peek(1)
+	must.NoError(t, err)
+	s.Drain()
+	c.send(t, get("/a")+get("/b"))
+	r, _ := c.response(t)
+	must.False(t, r.Close)
+	r, body := c.response(t)
+	must.Eq(t, "/a", body)
+	must.True(t, r.Close)
+	must.True(t, c.ends())
+	must.Eq(t, []string{"/large", "/a"}, s.handler.paths())
+}
+
 // Guards against requests that go on after their client has left, also those that wait behind others.
 func TestLeavingClientEndsAllRequests(t *testing.T) {
 	s := startServer(t)
