dispatch: refuse late requests of a stopping process that may be given up

A stopping process passed requests on until 70% of its stop timeout if 99% of the recent ones would have ended in time. The slowest hundredth, and any request that takes longer than those before it, was broken off 150 ms before the end with 504. For a request that came while the balancer still sent clients, nothing better is known. One that comes later has no reason to be at this process: it is on a connection that the client has kept, or on a new one because the listeners stay open while the role of the coordinator can't be given up.

Nothing changes for calls that came earlier.

The existing tests of a shutdown state the new field; their checks are the same.

--- a/entry/internal/dispatch/dispatcher.go
+++ b/entry/internal/dispatch/dispatcher.go
@@ -163,6 +163,8 @@
 // progress is the state of a call between its attempts.
 type progress struct {
 	call *Call
+	// arrived is when the call was complete, with its body.
+	arrived time.Time
 	// attempts is the number of times that the request may have reached a server.
 	attempts int
 	// tried holds the servers that are not selected again for this call.
@@ -209,8 +211,8 @@
 	if !relayed {
 		d.budgets.Deposit(c.Arrived, c.Service)
 	}
-	p := &progress{call: c, relayed: relayed, tried: make(map[registry.Instance]bool), sent: make(map[registry.Instance]bool), fingerprint: f}
-	waitCtx, cancel := d.withWaits(ctx, c)
+	p := &progress{call: c, arrived: time.Now(), relayed: relayed, tried: make(map[registry.Instance]bool), sent: make(map[registry.Instance]bool), fingerprint: f}
+	waitCtx, cancel := d.withWaits(ctx, p)
 	defer cancel()
 	r := d.tryServers(ctx, waitCtx, p)
 	if r.Response != nil && r.Response.Limit.Named {
--- a/entry/internal/dispatch/dispatcher_test.go
+++ b/entry/internal/dispatch/dispatcher_test.go
@@ -205,14 +205,26 @@
 
 // callFor makes a call for a client that disconnects when its context ends.
 func (f *fixture) callFor(client context.Context, kind traffic.Kind) *dispatch.Result {
+	return f.do(client, f.dispatcher.Do, kind, time.Second)
+}
+
+// callWith makes a call with the time until its deadline, which another process may have relayed.
+func (f *fixture) callWith(relayed bool, kind traffic.Kind, left time.Duration) *dispatch.Result {
+	if relayed {
+		return f.do(f.t.Context(), f.dispatcher.DoRelayed, kind, left)
+	}
+	return f.do(f.t.Context(), f.dispatcher.Do, kind, left)
+}
+
+func (f *fixture) do(client context.Context, do func(context.Context, *dispatch.Call) *dispatch.Result, kind traffic.Kind, left time.Duration) *dispatch.Result {
 	route := *f.view.Configuration().Match("h", "/x")
 	route.Kind, route.Objective = kind, 500*time.Millisecond
 	now := time.Now()
-	ctx, cancel := context.WithDeadline(client, now.Add(time.Second))
+	ctx, cancel := context.WithDeadline(client, now.Add(left))
 	defer cancel()
-	return f.dispatcher.Do(ctx, &dispatch.Call{
+	return do(ctx, &dispatch.Call{
 		ID: "id", Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"id"}}, Route: &route,
-		Service: "svc", Arrived: now, Deadline: now.Add(time.Second), HasKey: true, Key: 7,
+		Service: "svc", Arrived: now, Deadline: now.Add(left), HasKey: true, Key: 7,
 	})
 }
 
@@ -499,7 +511,7 @@
 		a := newServer(t, "a", handleOK)
 		l := waitingLimiter{begun: make(chan dispatch.SlotRequest, 1)}
 		f := newFixture(t, sharded, l, ampleBudget, a)
-		shutdown := dispatch.Shutdown{LastStart: time.Now().Add(20 * time.Millisecond), GiveUp: time.Now().Add(time.Minute), End: time.Now().Add(time.Minute)}
+		shutdown := dispatch.Shutdown{LastArrival: time.Now().Add(time.Minute), LastStart: time.Now().Add(20 * time.Millisecond), GiveUp: time.Now().Add(time.Minute), End: time.Now().Add(time.Minute)}
 		if sharded {
 			f.setOwner(a, true)
 		}
@@ -517,7 +529,7 @@
 	for _, kind := range []traffic.Kind{traffic.Idempotent, traffic.NonIdempotent, traffic.Upload} {
 		var f *fixture
 		a := newServer(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
-			f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), GiveUp: time.Now().Add(time.Minute), End: time.Now()})
+			f.dispatcher.Stop(dispatch.Shutdown{LastArrival: time.Now(), LastStart: time.Now().Add(-time.Second), GiveUp: time.Now().Add(time.Minute), End: time.Now()})
 			// A dispatcher that aborts the request closes the connection within this time.
 			select {
 			case <-r.Context().Done():
@@ -538,7 +550,7 @@
 		reset := make(chan struct{})
 		a := newServer(t, "a", func(_ int, _ http.ResponseWriter, r *http.Request) {
 			now := time.Now()
-			f.dispatcher.Stop(dispatch.Shutdown{LastStart: now, GiveUp: now.Add(50 * time.Millisecond), End: now.Add(time.Minute)})
+			f.dispatcher.Stop(dispatch.Shutdown{LastArrival: now, LastStart: now, GiveUp: now.Add(50 * time.Millisecond), End: now.Add(time.Minute)})
 			<-r.Context().Done()
 			close(reset)
 		})
@@ -555,7 +567,7 @@
 func TestShutdownSendsNothingAfterLastStart(t *testing.T) {
 	a := newServer(t, "a", handleOK)
 	f := newFixture(t, false, unlimited{}, ampleBudget, a)
-	f.dispatcher.Stop(dispatch.Shutdown{LastStart: time.Now().Add(-time.Second), GiveUp: time.Now().Add(time.Second), End: time.Now().Add(time.Second)})
+	f.dispatcher.Stop(dispatch.Shutdown{LastArrival: time.Now().Add(time.Minute), LastStart: time.Now().Add(-time.Second), GiveUp: time.Now().Add(time.Second), End: time.Now().Add(time.Second)})
 	for range 50 {
 		r := f.call(traffic.Upload)
 		must.Eq(t, http.StatusServiceUnavailable, r.Status)
@@ -564,6 +576,60 @@
 	must.Eq(t, 0, a.requests())
 }
 
+// Guards against a request that comes when the balancer sends none any more and is broken off when the process gives up,
+// although another process could serve it, and against a refusal of one that ends before that for certain.
+func TestShutdownSendsNoLateRequestThatMayBeGivenUp(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		a := newServer(t, "a", handleOK)
+		f := newFixture(t, false, unlimited{}, ampleBudget, a)
+		now := time.Now()
+		// The calls end within one second.
+		f.dispatcher.Stop(dispatch.Shutdown{LastArrival: now, LastStart: now.Add(time.Minute), GiveUp: now.Add(900 * time.Millisecond), End: now.Add(time.Minute)})
+		r := f.callWith(relayed, traffic.Idempotent, time.Second)
+		must.Eq(t, http.StatusServiceUnavailable, r.Status)
+		must.Eq(t, dispatch.Stopping, r.Reason)
+		must.Less(t, time.Second, time.Until(r.RetryAt))
+		must.Eq(t, 0, a.requests())
+		r = f.callWith(relayed, traffic.Idempotent, 500*time.Millisecond)
+		must.Eq(t, http.StatusOK, r.Status)
+	}
+}
+
+// stoppingLimiter stops the dispatcher before it returns a slot.
+type stoppingLimiter struct {
+	unlimited
+	stop func()
+}
+
+func (l stoppingLimiter) Acquire(context.Context, dispatch.SlotRequest) (dispatch.Slot, error) {
+	l.stop()
+	<-time.After(time.Millisecond)
+	return unlimitedSlot{}, nil
+}
+
+// Guards against a refusal of a request that came while the balancer still sent clients, because it has waited for a
+// slot or because its first attempt failed.
+func TestShutdownSendsRequestInTime(t *testing.T) {
+	var f *fixture
+	stop := func() {
+		now := time.Now()
+		f.dispatcher.Stop(dispatch.Shutdown{LastArrival: now, LastStart: now.Add(time.Minute), GiveUp: now.Add(500 * time.Millisecond), End: now.Add(time.Minute)})
+	}
+	for _, l := range []dispatch.Limiter{unlimited{}, stoppingLimiter{stop: stop}} {
+		a := newServer(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
+			if _, fails := l.(unlimited); fails && n == 1 {
+				stop()
+				handleNotRun(n, w, r)
+				return
+			}
+			handleOK(n, w, r)
+		})
+		b := newServer(t, "b", handleOK)
+		f = newFixture(t, false, l, ampleBudget, a, b)
+		must.Eq(t, http.StatusOK, f.call(traffic.Idempotent).Status)
+	}
+}
+
 // Guards against a refusal, which promises that the request was not run, after a server has run it and
 // answered 503 itself.
 func TestNoRefusalAfterServerAnswered503(t *testing.T) {
@@ -583,7 +649,7 @@
 	l := waitingLimiter{begun: make(chan dispatch.SlotRequest, 1)}
 	f := newFixture(t, false, l, ampleBudget, a)
 	now := time.Now()
-	f.dispatcher.Stop(dispatch.Shutdown{LastStart: now.Add(50 * time.Millisecond), GiveUp: now.Add(100 * time.Millisecond), End: now.Add(100 * time.Millisecond)})
+	f.dispatcher.Stop(dispatch.Shutdown{LastArrival: now.Add(time.Minute), LastStart: now.Add(50 * time.Millisecond), GiveUp: now.Add(100 * time.Millisecond), End: now.Add(100 * time.Millisecond)})
 	must.Eq(t, dispatch.Stopping, f.call(traffic.Upload).Reason)
 	r := <-l.begun
 	must.Eq(t, now.Add(100*time.Millisecond), r.Objective)
--- a/entry/internal/dispatch/shutdown.go
+++ b/entry/internal/dispatch/shutdown.go
@@ -16,6 +16,8 @@
 
 // Shutdown holds the times until which a process that stops works on calls.
 type Shutdown struct {
+	// LastArrival is until when the balancer may send clients to the process.
+	LastArrival time.Time
 	// LastStart is until when requests are sent to servers; those that would not end until GiveUp are sent
 	// earlier or not at all.
 	LastStart time.Time
@@ -25,6 +27,16 @@
 	End time.Time
 }
 
+// LatestArrival returns until when a call with a deadline must arrive to be sent to a server. A call that arrives while
+// the balancer still sends clients may be given up; what comes later must end by its own deadline before that, because
+// another process can still serve it.
+func (s Shutdown) LatestArrival(deadline time.Time) time.Time {
+	if deadline.After(s.GiveUp) {
+		return s.LastArrival
+	}
+	return s.LastStart
+}
+
 // Stop ends the waits of all calls for owners and slots at their last start; calls that have not been
 // sent to a server by then are refused. Requests at a server go on until they are given up: their
 // connections are reset, and because they may have run, they end with 504.
@@ -34,18 +46,21 @@
 	time.AfterFunc(time.Until(s.GiveUp), func() { d.endRequests(errGivenUp) })
 }
 
-// lastStart returns until when a call may be sent to a server in a shutdown, so that the response of all but
-// the slowest requests comes before the process gives up.
-func (d *Dispatcher) lastStart(s *Shutdown, c *Call) time.Time {
-	return earlier(s.LastStart, s.GiveUp.Add(-d.durations.expected(time.Now(), c)))
+// lastStart returns until when a call may be sent to a server in a shutdown: so that the response of all but the slowest
+// requests comes before the process gives up, and not at all if the call has arrived too late.
+func (d *Dispatcher) lastStart(s *Shutdown, p *progress) time.Time {
+	if p.arrived.After(s.LatestArrival(p.call.Deadline)) {
+		return p.arrived
+	}
+	return earlier(s.LastStart, s.GiveUp.Add(-d.durations.expected(time.Now(), p.call)))
 }
 
 // withWaits returns a context for the waits of a call: it ends with the context of the call or at the
 // last start of a shutdown.
-func (d *Dispatcher) withWaits(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
+func (d *Dispatcher) withWaits(ctx context.Context, p *progress) (context.Context, context.CancelFunc) {
 	waitCtx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(d.stopping, func() {
-		timer := time.NewTimer(time.Until(d.lastStart(d.shutdown.Load(), c)))
+		timer := time.NewTimer(time.Until(d.lastStart(d.shutdown.Load(), p)))
 		defer timer.Stop()
 		select {
 		case <-timer.C:
@@ -82,7 +97,7 @@
 	if waitCtx.Err() != nil {
 		return d.contextDone(waitCtx, p)
 	}
-	if s := d.shutdown.Load(); s != nil && !time.Now().Before(d.lastStart(s, p.call)) {
+	if s := d.shutdown.Load(); s != nil && !time.Now().Before(d.lastStart(s, p)) {
 		return p.finalResult(stoppingResult())
 	}
 	return nil
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -393,7 +393,7 @@
 	p.clientServer.Drain()
 	p.handler.Stop(giveUp)
 	p.relayServer.Stop()
-	p.dispatcher.Stop(dispatch.Shutdown{LastStart: deadline, GiveUp: giveUp, End: end})
+	p.dispatcher.Stop(dispatch.Shutdown{LastArrival: begin.Add(minDrainTime), LastStart: deadline, GiveUp: giveUp, End: end})
 	bounded, cancel := context.WithDeadline(ctx, giveUp)
 	defer cancel()
 	resigned := p.node.Resign(bounded)
--- a/entry/internal/gatewayprocess/stopload_test.go
+++ b/entry/internal/gatewayprocess/stopload_test.go
@@ -159,3 +159,48 @@
 		})
 	}
 }
+
+// Guards against requests that come to a stopping process when the balancer sends none any more, and that it breaks off
+// at its end because their servers take longer than usual.
+func TestLateRequestsBeforeStop(t *testing.T) {
+	t.Parallel()
+	s := newFakeStore(t)
+	a := newFakeBackend(t, "a")
+	a.work = func(id string) time.Duration {
+		if strings.HasPrefix(id, "long-") {
+			return 2500 * time.Millisecond
+		}
+		return 0
+	}
+	s.put("config", "main", strings.ReplaceAll(fmt.Sprintf(configurationFormat, 1), `"timeoutMs":2000`, `"timeoutMs":60000`))
+	s.put("servers", "a", strings.Replace(a.registryEntry("ready"), `"maxConcurrency":4`, `"maxConcurrency":64`, 1))
+	p := startProcess(t, s, "only")
+	eventually(t, 10*time.Second, "all keys are served", func() bool { return p.servesAllKeys("before") })
+	// The process can't resign without the store, so it accepts connections for longer than the balancer sends any.
+	s.setDown(true)
+	p.stop()
+	<-time.After(2800 * time.Millisecond)
+	statuses := make(map[string]int)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, path := range []string{"/get/x", "/final/x"} {
+		for name, left := range map[string]time.Duration{"long-endless": time.Minute, "long-ending": 1500 * time.Millisecond, "short-ending": 1500 * time.Millisecond} {
+			group.Go(func() {
+				status, _ := p.sendWithin(left, path, name+path, 1)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[name+path] = status
+			})
+		}
+	}
+	group.Wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, path := range []string{"/get/x", "/final/x"} {
+		// The long request may be broken off and is refused; the other two end by their deadline, whatever the server does.
+		must.Eq(t, http.StatusServiceUnavailable, statuses["long-endless"+path])
+		must.Eq(t, 0, a.executions["long-endless"+path])
+		must.Eq(t, http.StatusGatewayTimeout, statuses["long-ending"+path])
+		must.Eq(t, http.StatusOK, statuses["short-ending"+path])
+	}
+}
