gateway: refuse bodies of a stopping process once they can't be sent

A stopping process waited for the body of a request until 150 ms before its end, although the request could not be sent to a server after 70% of the stop timeout, or 2.6 s after the SIGTERM if its deadline is later than the process. Its client got the refusal up to 3.3 s later than it was certain (with a stop timeout of 6 s).

The read of a body now ends when its request could not be sent any more. TestStopRefusesUnfinishedBody has both limits; it failed with the former one.

--- a/entry/internal/gateway/bodyreads.go
+++ b/entry/internal/gateway/bodyreads.go
@@ -15,8 +15,8 @@
 // bodyReads holds the bodies that are being read. It is safe for concurrent use.
 type bodyReads struct {
 	mu sync.Mutex
-	// limit is the latest deadline of all bodies; zero for no limit.
-	limit time.Time
+	// limit returns the latest time for the end of a body whose request has the given deadline; nil for no limit.
+	limit func(deadline time.Time) time.Time
 	all   map[*http.ResponseController]*bodyRead
 	// stalled counts the bodies that were given up to make room.
 	stalled int64
@@ -40,8 +40,8 @@
 func (b *bodyReads) begin(c *http.ResponseController, deadline time.Time) (*bodyRead, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.limit.IsZero() && b.limit.Before(deadline) {
-		deadline = b.limit
+	if b.limit != nil {
+		deadline = earlier(deadline, b.limit(deadline))
 	}
 	r := &bodyRead{reads: b, controller: c, deadline: deadline, progress: time.Now()}
 	b.all[c] = r
@@ -62,24 +62,30 @@
 	r.progress = now
 }
 
-// limitTo moves the deadlines of all bodies to the given time if they are later. It returns the first
-// error.
-func (b *bodyReads) limitTo(limit time.Time) error {
+// limitTo moves the deadlines of all bodies to those that limit returns if they are later. It returns the first error.
+func (b *bodyReads) limitTo(limit func(deadline time.Time) time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limit = limit
 	var first error
 	for c, r := range b.all {
-		if !limit.Before(r.deadline) {
+		if r.givenUp {
 			continue
 		}
-		if err := c.SetReadDeadline(limit); err != nil && first == nil {
+		if err := c.SetReadDeadline(earlier(r.deadline, limit(r.deadline))); err != nil && first == nil {
 			first = err
 		}
 	}
 	return first
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // giveUpStalled ends the read of the body that has made no progress for longest, and reports whether there is one that
 // has stalled.
 func (b *bodyReads) giveUpStalled(now time.Time) bool {
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -72,11 +72,11 @@
 	return &Handler{view: v, dispatcher: d, fields: f, loadRecorder: loadRecorder, roundRobin: newRoundRobin(), counters: c, logger: logger, active: newActiveCalls(), bodyReads: newBodyReads(), bounds: b, bodyMemory: bodybudget.New(b.Bodies(0)), responseMemory: bodybudget.New(b.Responses())}
 }
 
-// Stop makes every response close its connection, so that clients connect to another process. Requests
-// whose body has not arrived by lastBody are refused.
-func (h *Handler) Stop(lastBody time.Time) {
+// Stop makes every response close its connection, so that clients connect to another process. Requests whose body has
+// not arrived when they can't be sent to a server any more are refused.
+func (h *Handler) Stop(s dispatch.Shutdown) {
 	h.stopping.Store(true)
-	if err := h.bodyReads.limitTo(lastBody); err != nil {
+	if err := h.bodyReads.limitTo(s.LatestArrival); err != nil {
 		h.logger.WithError(err).Warn("read deadline of a body not set")
 	}
 }
--- a/entry/internal/gateway/handler_test.go
+++ b/entry/internal/gateway/handler_test.go
@@ -268,28 +268,40 @@
 func TestStopClosesConnections(t *testing.T) {
 	d := &fakeDispatcher{result: respondWith(200, http.Header{"Proof": {"s"}}, "x")}
 	s, h := startHandler(t, d, newRoute(traffic.Idempotent))
-	h.Stop(time.Now().Add(time.Minute))
+	h.Stop(dispatch.Shutdown{})
 	r := sendRaw(t, s, "GET /p/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\n\r\n")
 	must.Eq(t, 200, r[0].StatusCode)
 	must.True(t, r[0].Close)
 }
 
-// Guards against a connection that is cut without an answer because a body still arrives when the
-// process ends.
+// Guards against a connection that is cut without an answer because a body still arrives when the process ends, and
+// against a wait for a body whose request can't be sent to a server any more.
 func TestStopRefusesUnfinishedBody(t *testing.T) {
-	route := newRoute(traffic.Idempotent)
-	route.Timeout = time.Minute
-	s, h := startHandler(t, &fakeDispatcher{result: respondWith(200, http.Header{"Proof": {"s"}}, "x")}, route)
-	responses := make(chan []*http.Response, 1)
-	go func() {
-		responses <- sendRaw(t, s, "POST /p/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf")
-	}()
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return h.ActiveCounts()["body"] == 1 }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
-	h.Stop(time.Now().Add(50 * time.Millisecond))
-	r := <-responses
-	must.Len(t, 1, r)
-	must.Eq(t, http.StatusRequestTimeout, r[0].StatusCode)
-	must.True(t, r[0].Close)
+	for _, timeout := range []time.Duration{time.Minute, 10 * time.Second} {
+		route := newRoute(traffic.Idempotent)
+		route.Timeout = timeout
+		s, h := startHandler(t, &fakeDispatcher{result: respondWith(200, http.Header{"Proof": {"s"}}, "x")}, route)
+		responses := make(chan []*http.Response, 2)
+		send := func() {
+			responses <- sendRaw(t, s, "POST /p/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf")
+		}
+		go send()
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return h.ActiveCounts()["body"] == 1 }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+		// A request that may outlast the process must arrive by the first time, any other by the second.
+		soon, later := time.Now().Add(50*time.Millisecond), time.Now().Add(time.Minute)
+		shutdown := dispatch.Shutdown{LastArrival: soon, LastStart: later, GiveUp: time.Now().Add(20 * time.Second), End: later}
+		if timeout < time.Minute {
+			shutdown.LastArrival, shutdown.LastStart = later, soon
+		}
+		h.Stop(shutdown)
+		go send()
+		for range 2 {
+			r := <-responses
+			must.Len(t, 1, r)
+			must.Eq(t, http.StatusRequestTimeout, r[0].StatusCode)
+			must.True(t, r[0].Close)
+		}
+	}
 }
 
 // Guards against a request in progress that no line of a stopping process mentions.
--- a/entry/internal/gatewayprocess/process.go
+++ b/entry/internal/gatewayprocess/process.go
@@ -390,10 +390,11 @@
 	deadline, end := begin.Add(p.settings.Stop*maxDrainPercent/100), begin.Add(p.settings.Stop)
 	giveUp, serversEnd := end.Add(-giveUpMargin), end.Add(-closeMargin)
 	p.serversEnd.Store(&serversEnd)
+	shutdown := dispatch.Shutdown{LastArrival: begin.Add(minDrainTime), LastStart: deadline, GiveUp: giveUp, End: end}
 	p.clientServer.Drain()
-	p.handler.Stop(giveUp)
+	p.handler.Stop(shutdown)
 	p.relayServer.Stop()
-	p.dispatcher.Stop(dispatch.Shutdown{LastArrival: begin.Add(minDrainTime), LastStart: deadline, GiveUp: giveUp, End: end})
+	p.dispatcher.Stop(shutdown)
 	bounded, cancel := context.WithDeadline(ctx, giveUp)
 	defer cancel()
 	resigned := p.node.Resign(bounded)
