--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -20,11 +20,7 @@
 	// headSlack is what a head may exceed its limit by before the connection is closed. A head between both
 	// is refused by the handler, which knows how its size is counted.
 	headSlack = 4 << 10
-	// lingerTime and lingerBytes bound how long a connection is read after its last response, so that a client
-	// which still sends gets the response before a reset.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
-	noLimit     = 1 << 62
+	noLimit   = 1 << 62
 	// suspensionGrace is how long a head is read on for after its timeout.
 	suspensionGrace = 50 * time.Millisecond
 )
@@ -155,15 +151,6 @@
 	readers.Put(k.reader)
 }
 
-// linger tells the client that there are no more responses and reads on for a while.
-func (k *conn) linger() {
-	if t, ok := k.net.(*net.TCPConn); ok {
-		_ = t.CloseWrite()
-	}
-	_ = k.net.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, k.net, lingerBytes)
-}
-
 // abort resets the connection, because a response has ended before its end.
 func (k *conn) abort() {
 	if t, ok := k.net.(*net.TCPConn); ok {
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -271,6 +271,45 @@
 	must.Eq(t, []string{"/large", "/a"}, s.handler.paths())
 }
 
+// Guards against the loss of the end of the last response of a client that reads slowly and goes on sending: the
+// connection must not be reset before the client has received it.
+func TestSlowReaderThatGoesOnSending(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	must.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(16<<10))
+	c.send(t, get("/large"))
+	_, err := c.reader.Peek(1)
+	must.NoError(t, err)
+	s.Drain()
+	c.send(t, get("/large"))
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			if _, err := io.WriteString(c, get("/next")); err != nil {
+				return
+			}
+		}
+	}()
+	r, _ := c.response(t)
+	must.False(t, r.Close)
+	r, err = http.ReadResponse(c.reader, nil)
+	must.NoError(t, err)
+	must.True(t, r.Close)
+	for left := r.ContentLength; left > 0; {
+		n, err := io.CopyN(io.Discard, r.Body, min(left, 64<<10))
+		must.NoError(t, err)
+		left -= n
+		<-time.After(25 * time.Millisecond)
+	}
+	must.True(t, c.ends())
+}
+
 // Guards against requests that go on after their client has left, also those that wait behind others.
 func TestLeavingClientEndsAllRequests(t *testing.T) {
 	s := startServer(t)
