httpserver: write no refusal behind the response that closes the connection

A malformed request whose head was still being read when a response closed its connection got a refusal behind that response, which belongs to no request that counts as read.

--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -345,11 +345,16 @@
 	return k.closes
 }
 
-// refuse writes a refusal to a request that could not be read, as the last response.
+// refuse writes a refusal to a request that could not be read, as the last response, unless there is one already.
 func (k *conn) refuse(previous <-chan struct{}, status int) {
 	r := &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true}
 	e := newExchange(k, r, k.server.heads.Open(), previous)
 	k.mu.Lock()
+	if k.closes {
+		k.mu.Unlock()
+		e.release()
+		return
+	}
 	k.active++
 	k.last = e
 	k.mu.Unlock()
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -271,6 +271,24 @@
 	must.Eq(t, []string{"/large", "/a"}, s.handler.paths())
 }
 
+// Guards against a second response behind the one that closes the connection, to a malformed request that was still
+// being read.
+func TestNoRefusalBehindClose(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	c.send(t, get("/wait"))
+	eventually(t, "the request is not handled", func() bool { return len(s.handler.paths()) == 1 })
+	c.send(t, "GET / HT")
+	// Time for the server to begin to read the second request.
+	<-time.After(20 * time.Millisecond)
+	s.Drain()
+	close(s.handler.released)
+	r, _ := c.response(t)
+	must.True(t, r.Close)
+	c.send(t, "\r\n\r\n")
+	must.True(t, c.ends())
+}
+
 // Guards against the loss of the end of the last response of a client that reads slowly and goes on sending: the
 // connection must not be reset before the client has received it.
 func TestSlowReaderThatGoesOnSending(t *testing.T) {
