httpserver: reserve the memory of responses to requests sent ahead

Complete responses up to 64 KiB were not reserved, because a connection holds only one of them.

A request that is handled beside others now reserves 64 KiB in a budget of its own; when its response is complete, the reservation shrinks to its size. What finds no room is read later, as beyond the other limits.

--- a/entry/internal/bounds/bounds.go
+++ b/entry/internal/bounds/bounds.go
@@ -32,8 +32,13 @@
 	headsDivisor       = 24
 	relayedDivisor     = 12
 	connectionsDivisor = 10
-	maxResponses       = 32 * megabyte
-	maxRelayed         = 24 * megabyte
+	// aheadDivisor sets the part for requests that are handled beside earlier ones of their connection, of the memory
+	// beyond aheadBase, and minAheadDivisor the least part: a small VM keeps its memory for bodies.
+	aheadDivisor    = 24
+	aheadBase       = 96 * megabyte
+	minAheadDivisor = 192
+	maxResponses    = 32 * megabyte
+	maxRelayed      = 24 * megabyte
 	// connectionMemory is what a connection of a client takes: two buffers, a goroutine and the kernel's part.
 	connectionMemory = 20 << 10
 	// clientsPercent is the percentage of the descriptors for connections of clients, and checksPercent and
@@ -67,7 +72,7 @@
 
 // sum returns the memory of all parts with that of an idle process.
 func (b Bounds) sum() int64 {
-	return idleMemory + b.memory/bodiesDivisor + b.Responses() + b.Heads() + b.Relayed() + b.memory/connectionsDivisor
+	return idleMemory + b.memory/bodiesDivisor + b.Responses() + b.Heads() + b.Relayed() + b.Ahead() + b.memory/connectionsDivisor
 }
 
 // Bodies returns the bytes for the bodies of requests: a part of the memory, or what one body of the largest legal
@@ -86,6 +91,12 @@
 // Relayed returns the bytes for the calls that other processes relay through this one.
 func (b Bounds) Relayed() int64 { return min(maxRelayed, b.memory/relayedDivisor) }
 
+// Ahead returns the bytes for requests that are handled beside earlier ones of their connection: for their
+// responses that are too small to be reserved elsewhere, because one connection holds only one of them.
+func (b Bounds) Ahead() int64 {
+	return max(b.memory/minAheadDivisor, (b.memory-aheadBase)/aheadDivisor)
+}
+
 // Clients returns the number of connections of clients.
 func (b Bounds) Clients() int {
 	return min(b.descriptors*clientsPercent/100, int(b.memory/connectionsDivisor/connectionMemory))
--- a/entry/internal/bounds/bounds_test.go
+++ b/entry/internal/bounds/bounds_test.go
@@ -20,7 +20,7 @@
 		if memory >= 144 {
 			must.GreaterEq(t, largest+4*mega, b.Bodies(largest))
 		}
-		sum := b.Bodies(1<<40) + b.Responses() + b.Heads() + b.Relayed() + int64(b.Clients())*20<<10
+		sum := b.Bodies(1<<40) + b.Responses() + b.Heads() + b.Relayed() + b.Ahead() + int64(b.Clients())*20<<10
 		must.LessEq(t, (memory-20)*mega, sum)
 		must.LessEq(t, 3075, b.Clients()+2*b.Checks()+b.Peers())
 	}
--- a/entry/internal/gateway/handler.go
+++ b/entry/internal/gateway/handler.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	handler := gateway.New(view, dispatcher, fields, loadCollector, counters, bounds, logger)
-//	server := httpserver.New(listener, handler, limits, heads, logger)
+//	server := httpserver.New(listener, handler, limits, heads, ahead, logger)
 package gateway
 
 import (
--- a/entry/internal/gatewayprocess/servers.go
+++ b/entry/internal/gatewayprocess/servers.go
@@ -43,9 +43,9 @@
 		}
 	}
 	heads := bodybudget.New(p.bounds.Heads())
-	p.clientServer = httpserver.New(p.clients, p.handler, p.clientLimits, heads, p.logger.WithField("port", "clients"))
-	p.readyServer = httpserver.New(p.ready, inOrder{http.HandlerFunc(p.serveReady)}, checkLimits, heads, p.logger.WithField("port", "ready"))
-	p.adminServer = httpserver.New(p.admin, inOrder{admin.Filter(http.NotFoundHandler())}, checkLimits, heads, p.logger.WithField("port", "admin"))
+	p.clientServer = httpserver.New(p.clients, p.handler, p.clientLimits, heads, bodybudget.New(p.bounds.Ahead()), p.logger.WithField("port", "clients"))
+	p.readyServer = httpserver.New(p.ready, inOrder{http.HandlerFunc(p.serveReady)}, checkLimits, heads, nil, p.logger.WithField("port", "ready"))
+	p.adminServer = httpserver.New(p.admin, inOrder{admin.Filter(http.NotFoundHandler())}, checkLimits, heads, nil, p.logger.WithField("port", "admin"))
 	p.peerListener = boundedlistener.New(p.peering, p.bounds.Peers(), firstMessageTimeout)
 }
 
--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -276,10 +276,9 @@
 // connection.
 func (k *conn) admit(e *exchange) bool {
 	alone := e.mayClose() || k.last != nil && k.last.mayClose() || !k.server.handler.AllowsAhead(e.request)
-	e.extra = !alone && k.server.takeAhead()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for k.mustWait(e) && !k.closes && k.ctx.Err() == nil {
+	for !k.closes && k.ctx.Err() == nil && k.mustWait(e, alone) {
 		k.awaitChange()
 		// The deadline that ended the wait would also end the read of the body.
 		_ = k.net.SetReadDeadline(time.Time{})
@@ -296,13 +295,21 @@
 	return true
 }
 
-// mustWait reports whether a request waits for those that are being handled. While the server drains, each request does,
-// because the latest of those closes the connection. The lock is held.
-func (k *conn) mustWait(e *exchange) bool {
-	return k.active > 0 && (!e.extra || k.active >= maxAhead || k.server.draining.Load())
+// mustWait reports whether a request waits for those that are being handled: if it must be handled alone, or there is no
+// room for it. While the server drains, each request waits, because the latest of those closes the connection. The lock is
+// held.
+func (k *conn) mustWait(e *exchange, alone bool) bool {
+	if k.active == 0 {
+		return false
+	}
+	if alone || k.active >= maxAhead || k.server.draining.Load() {
+		return true
+	}
+	e.extra = k.server.takeAhead(e)
+	return !e.extra
 }
 
-// awaitChange waits until a request has been answered. As far as the buffer has room, it reads meanwhile, to notice
+// awaitChange waits until a request has been answered or has given back memory. As far as the buffer has room, it reads meanwhile, to notice
 // that the client has left. The lock is held, but not while it waits.
 func (k *conn) awaitChange() {
 	if k.reader.Buffered() == k.reader.Size() {
@@ -320,6 +327,16 @@
 	}
 }
 
+// wake ends the wait of awaitChange.
+func (k *conn) wake() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.peeking {
+		_ = k.net.SetReadDeadline(longAgo)
+	}
+	k.changed.Broadcast()
+}
+
 // answeredOne records that a request has been answered or given up.
 func (k *conn) answeredOne() {
 	k.mu.Lock()
--- a/entry/internal/httpserver/exchange.go
+++ b/entry/internal/httpserver/exchange.go
@@ -38,8 +38,10 @@
 	account *bodybudget.Account
 	// body is nil if the request has none.
 	body *body
-	// extra is true if the request is counted as one that is handled beside others.
-	extra bool
+	// extra is true if the request is counted as one that is handled beside others. The account extraMemory then holds
+	// what its response takes beside what is reserved elsewhere.
+	extra       bool
+	extraMemory *bodybudget.Account
 	// previous is closed when the request before this one has been answered, and answered when this one has.
 	previous <-chan struct{}
 	answered chan struct{}
@@ -90,6 +92,7 @@
 	if e.extra {
 		e.extra = false
 		e.conn.server.ahead.Add(-1)
+		e.extraMemory.Close()
 	}
 	e.account.Close()
 }
@@ -172,6 +175,11 @@
 	if e.err != nil {
 		return
 	}
+	if e.extra && !e.headSent && int64(len(b)) == e.length {
+		// The response is complete and may wait for long.
+		e.extraMemory.Release(max(0, maxSmallResponse-int64(len(b))))
+		e.conn.wake()
+	}
 	select {
 	case <-e.previous:
 	case <-e.conn.ctx.Done():
--- a/entry/internal/httpserver/server.go
+++ b/entry/internal/httpserver/server.go
@@ -8,14 +8,15 @@
 //     and the responses are written in the order of the requests. A response that closes the connection is
 //     the last one, and nothing behind it has been handled.
 //   - The memory of heads is reserved in a budget while they are read. A head costs many times its bytes if its
-//     fields are short.
+//     fields are short. Requests that are handled ahead also reserve the memory for small responses, of which
+//     there may be many on one connection.
 //   - The connections are limited. At the limit, the connection that has been idle for longest is closed.
 //   - The limits are asked for at each request, so that a change applies to open connections.
 //   - A client that does not read its response, or not on, is disconnected after a time without progress.
 //
 // # Usage
 //
-//	s := httpserver.New(listener, handler, func() httpserver.Limits { return limits }, budget, logger)
+//	s := httpserver.New(listener, handler, func() httpserver.Limits { return limits }, heads, ahead, logger)
 //	go s.Serve()
 //	s.Drain()
 //	err := s.Shutdown(ctx)
@@ -62,6 +63,8 @@
 	// connections beyond the first of each. What is sent beyond them is read later.
 	maxAhead      = 64
 	maxAheadTotal = 4096
+	// maxSmallResponse is the largest response body for which handlers reserve nothing.
+	maxSmallResponse = 64 << 10
 	// overloadInterval is the time between two log lines about connections that were closed at the limit.
 	overloadInterval = 10 * time.Second
 	// acceptRetryDelay is the time until the next attempt after a connection could not be accepted, because
@@ -75,8 +78,10 @@
 	handler  Handler
 	limits   func() Limits
 	heads    *bodybudget.Budget
-	logger   log.Interface
-	counts   Counts
+	// aheadMemory is the budget for what requests ahead hold beside what is reserved elsewhere.
+	aheadMemory *bodybudget.Budget
+	logger      log.Interface
+	counts      Counts
 
 	mu sync.Mutex
 	// conns are the open connections. idle has those without a request, in the order in which they became idle.
@@ -103,9 +108,10 @@
 	Heads, Stalled atomic.Int64
 }
 
-// New returns a server that does nothing until Serve. The memory of heads is reserved in the budget.
-func New(l net.Listener, h Handler, limits func() Limits, heads *bodybudget.Budget, logger log.Interface) *Server {
-	return &Server{listener: l, handler: h, limits: limits, heads: heads, logger: logger, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
+// New returns a server that does nothing until Serve. The memory of heads is reserved in the budget heads, and what
+// requests that are handled beside earlier ones of their connection hold beyond that in the budget ahead.
+func New(l net.Listener, h Handler, limits func() Limits, heads, ahead *bodybudget.Budget, logger log.Interface) *Server {
+	return &Server{listener: l, handler: h, limits: limits, heads: heads, aheadMemory: ahead, logger: logger, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
 }
 
 // Counts returns the counts, for metrics.
@@ -192,10 +198,14 @@
 	return s.closing
 }
 
-// takeAhead counts a request that is to be handled beside others, and reports whether there is room for it.
-func (s *Server) takeAhead() bool {
+// takeAhead counts a request that is to be handled beside others and reserves the memory for it. It reports whether there
+// is room for it.
+func (s *Server) takeAhead(e *exchange) bool {
 	if s.ahead.Add(1) <= maxAheadTotal {
-		return true
+		e.extraMemory = s.aheadMemory.Open()
+		if e.extraMemory.Reserve(maxSmallResponse) {
+			return true
+		}
 	}
 	s.ahead.Add(-1)
 	return false
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -74,12 +74,15 @@
 	limits  atomic.Pointer[httpserver.Limits]
 }
 
+// aheadMemory is the budget for requests ahead: for 65 with responses whose size is not known.
+const aheadMemory = 5 << 20
+
 func startServer(t testing.TB) *testServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s := &testServer{address: l.Addr().String(), handler: &testHandler{released: make(chan struct{})}}
 	s.limits.Store(&httpserver.Limits{HeadBytes: 16 << 10, HeadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, Connections: 100})
-	s.Server = httpserver.New(l, s.handler, func() httpserver.Limits { return *s.limits.Load() }, bodybudget.New(2<<20), &log.Logger{Handler: discard.New()})
+	s.Server = httpserver.New(l, s.handler, func() httpserver.Limits { return *s.limits.Load() }, bodybudget.New(2<<20), bodybudget.New(aheadMemory), &log.Logger{Handler: discard.New()})
 	go func() { _ = s.Serve() }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -340,6 +343,38 @@
 	must.Len(t, 2, s.handler.paths())
 }
 
+// Guards against complete responses of requests sent ahead that take more memory than is reserved, because each
+// of them is small, and against a reservation that stays as large as the largest small response.
+func TestMemoryOfRequestsAhead(t *testing.T) {
+	for _, c := range []struct {
+		first, fields string
+		connections   int
+		least, most   int
+	}{
+		{"/wait", "", 4, 65, 85},
+		{"/a", "", 4, 4 * 64, 4 * 64},
+	} {
+		s := startServer(t)
+		var clients []*client
+		for range c.connections {
+			client := s.dial(t)
+			client.send(t, get("/wait")+strings.Repeat("GET "+c.first+" HTTP/1.1\r\nHost: h\r\n"+c.fields+"\r\n", 63))
+			clients = append(clients, client)
+		}
+		eventually(t, "too few requests are handled", func() bool { return len(s.handler.paths()) >= c.least })
+		// Time for more to be handled.
+		<-time.After(50 * time.Millisecond)
+		must.Between(t, c.least, len(s.handler.paths()), c.most)
+		close(s.handler.released)
+		for _, client := range clients {
+			for range 64 {
+				r, _ := client.response(t)
+				must.Eq(t, http.StatusOK, r.StatusCode)
+			}
+		}
+	}
+}
+
 // Guards against one connection that takes all of the requests which may be handled at once.
 func TestRequestsAheadAreLimited(t *testing.T) {
 	s := startServer(t)
