httpserver: reserve the memory of small heads of requests sent ahead

Nothing was reserved for the first 4 KiB of a head, because a connection holds only one of them; with many short fields that is 64 KiB of memory.

A request that is handled beside others now reserves 16 times the bytes of its head in the budget for requests ahead.

--- a/entry/internal/bodybudget/head.go
+++ b/entry/internal/bodybudget/head.go
@@ -12,6 +12,9 @@
 // HeadSize returns how much is reserved for a head of n bytes.
 func HeadSize(n int64) int64 { return max(0, n-maxUncountedHead) * headOverhead }
 
+// UncountedHeadSize returns what a head of n bytes takes beside what HeadSize reserves.
+func UncountedHeadSize(n int64) int64 { return min(n, maxUncountedHead) * headOverhead }
+
 // Head reserves the memory for the head of a response while it is read. It is for one goroutine at a time.
 type Head struct {
 	account        *Account
@@ -24,6 +27,9 @@
 	h.account = a
 }
 
+// Bytes returns the number of bytes that have been read.
+func (h *Head) Bytes() int64 { return h.read }
+
 // Add reserves memory for n more bytes. It returns false if the budget has less left.
 func (h *Head) Add(n int) bool {
 	h.read += int64(n)
--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -223,9 +223,12 @@
 		k.head.Release()
 		return nil, status
 	}
+	headBytes := k.head.Bytes() - int64(k.reader.Buffered())
 	k.head.Keep()
 	request.RemoteAddr = k.net.RemoteAddr().String()
-	return newExchange(k, request, account, previous), 0
+	e := newExchange(k, request, account, previous)
+	e.headSize = bodybudget.UncountedHeadSize(headBytes)
+	return e, 0
 }
 
 // validate returns the status with which a request that can be parsed must be refused, or zero.
--- a/entry/internal/httpserver/exchange.go
+++ b/entry/internal/httpserver/exchange.go
@@ -39,9 +39,10 @@
 	// body is nil if the request has none.
 	body *body
 	// extra is true if the request is counted as one that is handled beside others. The account extraMemory then holds
-	// what its response takes beside what is reserved elsewhere.
+	// what its head and its response take beside what is reserved elsewhere, and headSize is the part of the head.
 	extra       bool
 	extraMemory *bodybudget.Account
+	headSize    int64
 	// previous is closed when the request before this one has been answered, and answered when this one has.
 	previous <-chan struct{}
 	answered chan struct{}
--- a/entry/internal/httpserver/server.go
+++ b/entry/internal/httpserver/server.go
@@ -8,8 +8,8 @@
 //     and the responses are written in the order of the requests. A response that closes the connection is
 //     the last one, and nothing behind it has been handled.
 //   - The memory of heads is reserved in a budget while they are read. A head costs many times its bytes if its
-//     fields are short. Requests that are handled ahead also reserve the memory for small responses, of which
-//     there may be many on one connection.
+//     fields are short. Requests that are handled ahead also reserve the memory for small heads and responses, of
+//     which there may be many on one connection.
 //   - The connections are limited. At the limit, the connection that has been idle for longest is closed.
 //   - The limits are asked for at each request, so that a change applies to open connections.
 //   - A client that does not read its response, or not on, is disconnected after a time without progress.
@@ -203,7 +203,7 @@
 func (s *Server) takeAhead(e *exchange) bool {
 	if s.ahead.Add(1) <= maxAheadTotal {
 		e.extraMemory = s.aheadMemory.Open()
-		if e.extraMemory.Reserve(maxSmallResponse) {
+		if e.extraMemory.Reserve(e.headSize + maxSmallResponse) {
 			return true
 		}
 	}
--- a/entry/internal/httpserver/server_test.go
+++ b/entry/internal/httpserver/server_test.go
@@ -343,15 +343,17 @@
 	must.Len(t, 2, s.handler.paths())
 }
 
-// Guards against complete responses of requests sent ahead that take more memory than is reserved, because each
+// Guards against heads and complete responses of requests sent ahead that take more memory than is reserved, because each
 // of them is small, and against a reservation that stays as large as the largest small response.
 func TestMemoryOfRequestsAhead(t *testing.T) {
+	large := strings.Repeat("a:\r\n", 1000)
 	for _, c := range []struct {
 		first, fields string
 		connections   int
 		least, most   int
 	}{
 		{"/wait", "", 4, 65, 85},
+		{"/wait", large, 4, 35, 46},
 		{"/a", "", 4, 4 * 64, 4 * 64},
 	} {
 		s := startServer(t)
