--- a/entry/internal/bounds/bounds.go
+++ b/entry/internal/bounds/bounds.go
@@ -91,9 +91,8 @@
 // Relayed returns the bytes for the calls that other processes relay through this one.
 func (b Bounds) Relayed() int64 { return min(maxRelayed, b.memory/relayedDivisor) }
 
-// Ahead returns the bytes for requests that are handled beside earlier ones of their connection: for the
-// parts of their heads and responses that are too small to be reserved elsewhere, because one connection holds only one of
-// them.
+// Ahead returns the bytes for requests that are handled beside earlier ones of their connection: for the parts of their
+// heads and responses that are too small to be reserved elsewhere, because other connections hold only one of them.
 func (b Bounds) Ahead() int64 {
 	return max(b.memory/minAheadDivisor, (b.memory-aheadBase)/aheadDivisor)
 }
--- a/entry/internal/httpserver/conn.go
+++ b/entry/internal/httpserver/conn.go
@@ -298,9 +298,9 @@
 	return true
 }
 
-// mustWait reports whether a request waits for those that are being handled: if it must be handled alone, or there is no
-// room for it. While the server drains, each request waits, because the latest of those closes the connection. The lock is
-// held.
+// mustWait reports whether a request waits for those that are being handled, because it must be handled alone or there is
+// no room for it. While the server drains, each request waits, because the latest of those that are being handled closes
+// the connection. The lock is held.
 func (k *conn) mustWait(e *exchange, alone bool) bool {
 	if k.active == 0 {
 		return false
@@ -312,8 +312,8 @@
 	return !e.extra
 }
 
-// awaitChange waits until a request has been answered or has given back memory. As far as the buffer has room, it reads meanwhile, to notice
-// that the client has left. The lock is held, but not while it waits.
+// awaitChange waits until a request has been answered or has given back memory. As far as the buffer has room, it reads
+// meanwhile, to notice that the client has left. The lock is held, but not while it waits.
 func (k *conn) awaitChange() {
 	if k.reader.Buffered() == k.reader.Size() {
 		k.changed.Wait()
--- a/entry/internal/httpserver/exchange.go
+++ b/entry/internal/httpserver/exchange.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if e.extra && !e.headSent && int64(len(b)) == e.length {
-		// The response is complete and may wait for long.
+		// The response is complete, so its size is known, and it may wait for long.
 		e.extraMemory.Release(max(0, maxSmallResponse-int64(len(b))))
 		e.conn.wake()
 	}
